--- a/src/bin/dillpass-drill/main.rs
+++ b/src/bin/dillpass-drill/main.rs
@@ -5,6 +5,7 @@
 mod wire;
 
 use base64::{engine::general_purpose::STANDARD, Engine};
+use dillpass::settings::{stable_hash, Conf, Listed, Names};
 use dillpass::*;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
@@ -14,10 +15,7 @@
 /// One hosted gateway with the names that its settings gave to the indices.
 struct Instance {
     gateway: Gateway,
-    classes: BTreeMap<String, usize>,
-    plans: BTreeMap<String, usize>,
-    zones: BTreeMap<String, usize>,
-    kinds: BTreeMap<String, usize>,
+    names: Names,
 }
 
 /// The state of the conversation.
@@ -126,18 +124,11 @@
         self.instances.get(&id).ok_or_else(|| format!("limiter {id} was not started"))
     }
 
-    fn start(&mut self, id: u64, seed: u64, conf: wire::Conf, now: f64) -> Result<(), String> {
-        fn index<'a>(names: impl Iterator<Item = &'a String>) -> BTreeMap<String, usize> {
-            names.enumerate().map(|(i, name)| (name.clone(), i)).collect()
-        }
-        let zones = index(conf.failure_domains.iter());
-        let classes = index(conf.profiles.iter().map(|p| &p.name));
-        let plans = index(conf.plans.iter().map(|p| &p.name));
-        let kinds = index(conf.kinds.iter());
-        let zone = *zones.get(&conf.zone).ok_or_else(|| format!("unknown zone '{}'", conf.zone))?;
-        match catch_unwind(AssertUnwindSafe(|| Gateway::new(settings(&conf, zone), seed, now))) {
+    fn start(&mut self, id: u64, seed: u64, conf: Conf, now: f64) -> Result<(), String> {
+        let (settings, names) = conf.translate()?;
+        match catch_unwind(AssertUnwindSafe(|| Gateway::new(settings, seed, now))) {
             Ok(gateway) => {
-                self.instances.insert(id, Instance { gateway, classes, plans, zones, kinds });
+                self.instances.insert(id, Instance { gateway, names });
                 Ok(())
             }
             Err(_) => {
@@ -156,13 +147,12 @@
         let servers: Result<Vec<Server>, String> = hosts
             .iter()
             .map(|host| {
-                let unknown = || format!("unknown zone '{}'", host.zone);
-                Ok(Server {
+                instance.names.server(Listed {
                     id: ServerId(host.server),
-                    zone: *instance.zones.get(&host.zone).ok_or_else(unknown)?,
-                    kind: *host.class_of_host.as_ref().and_then(|k| instance.kinds.get(k)).unwrap_or(&0),
-                    cell: host.pod.unwrap_or(0),
-                    size: host.scale.unwrap_or(1.0),
+                    zone: &host.zone,
+                    kind: host.class_of_host.as_deref(),
+                    cell: host.pod,
+                    size: host.scale,
                     started: host.last_start_ms.filter(|at| *at != 0.0),
                     condition: match host.condition {
                         wire::Condition::InService => Condition::InService,
@@ -180,12 +170,11 @@
 
     fn request(&self, call: &wire::Call) -> Result<Event, String> {
         let instance = self.instance(call.limiter_id)?;
-        let class = instance.classes.get(&call.service);
-        let plan = instance.plans.get(&call.plan);
+        let (class, plan) = (instance.names.class(&call.service), instance.names.plan(&call.plan));
         Ok(Event::Request(Request {
             id: RequestId(call.handle),
-            class: ClassId(*class.ok_or_else(|| format!("unknown service '{}'", call.service))?),
-            plan: PlanId(*plan.ok_or_else(|| format!("unknown plan '{}'", call.plan))?),
+            class: class.ok_or_else(|| format!("unknown service '{}'", call.service))?,
+            plan: plan.ok_or_else(|| format!("unknown plan '{}'", call.plan))?,
             customer: CustomerId(stable_hash(&call.customer)),
             remaining: call.remaining_ms,
             units: call.weight.unwrap_or(1.0),
@@ -211,69 +200,6 @@
     }
 }
 
-/// FNV-1a: the same at every gateway, whatever the machine.
-fn stable_hash(name: &str) -> u64 {
-    let whole =
-        name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    (whole ^ whole >> 40) & gossip::ID_MASK
-}
-
-fn settings(conf: &wire::Conf, zone: usize) -> Settings {
-    let class = |p: &wire::Profile| Class {
-        aim: p.aim_ms,
-        deadline: p.deadline_ms,
-        worth: p.worth,
-        late_worth: p.late_worth,
-        effect: match p.semantics {
-            wire::Semantics::Safe => Effect::Safe,
-            wire::Semantics::Unsafe => Effect::Unsafe,
-            wire::Semantics::Keyed => Effect::Keyed {
-                group: match p.group {
-                    Some(wire::Group::All) => Group::All,
-                    Some(wire::Group::Zone) => Group::Zone,
-                    Some(wire::Group::Cell) | None => Group::Cell,
-                },
-                window: p.dedup_window_ms.unwrap_or(0.0),
-            },
-        },
-    };
-    let plan = |p: &wire::Plan| Plan {
-        rate: p.per_second,
-        burst: p.store_size,
-        open: p.at_once,
-        ceiling_rate: p.cap_rate,
-        ceiling_burst: p.hard_burst,
-        price: p.price,
-        over_worth: p.over_worth,
-        over_cost: p.overrun_cost,
-    };
-    Settings {
-        me: GatewayId(conf.my_number),
-        group_size: conf.group_size,
-        zone,
-        classes: conf.profiles.iter().map(class).collect(),
-        plans: conf.plans.iter().map(plan).collect(),
-        rules: Rules {
-            cold_from: conf.rules.cold_from,
-            warm_after: conf.rules.warm_after_ms,
-            fall_multiple: conf.rules.fall_multiple,
-            fall_time: conf.rules.overload_for_ms,
-        },
-        try_limit: conf.bounds.try_limit,
-        second_copies: conf.bounds.second_copies,
-        max_retry_after: if conf.bounds.retry_after { conf.bounds.max_retry_after_ms } else { 0.0 },
-        mail_per_s: if conf.bounds.may_tell { conf.family_info.mail_per_s } else { 0.0 },
-        ask_for_servers: conf.membership_mode == "ask",
-        cancel: conf.bounds.cancel,
-        probes: conf.bounds.probes,
-        settles: conf.family_info.settles,
-        meter_period: conf.family_info.meter_ms,
-        shared_counter: conf.family_info.shared_counter,
-        price_cross_zone: conf.prices.cross_zone,
-        price_peer: conf.prices.peer,
-    }
-}
-
 fn outcome(reason: wire::Reason) -> Outcome {
     match reason {
         wire::Reason::Ok => Outcome::Ok,
--- a/src/bin/dillpass-drill/wire.rs
+++ b/src/bin/dillpass-drill/wire.rs
@@ -1,5 +1,6 @@
 //! The simulator's messages as they stand on the wire; no decision is taken here.
 
+use dillpass::settings::Conf;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -147,113 +148,6 @@
     Moot,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Conf {
-    pub my_number: u32,
-    pub group_size: u32,
-    pub zone: String,
-    pub failure_domains: Vec<String>,
-    #[serde(default)]
-    pub kinds: Vec<String>,
-    pub profiles: Vec<Profile>,
-    #[serde(default)]
-    pub plans: Vec<Plan>,
-    #[serde(default)]
-    pub bounds: Bounds,
-    #[serde(default)]
-    pub family_info: Family,
-    #[serde(default)]
-    pub rules: Rules,
-    #[serde(default)]
-    pub prices: Prices,
-    #[serde(default)]
-    pub membership_mode: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Profile {
-    pub name: String,
-    pub aim_ms: f64,
-    pub deadline_ms: f64,
-    #[serde(default)]
-    pub worth: f64,
-    #[serde(default)]
-    pub late_worth: f64,
-    pub semantics: Semantics,
-    pub group: Option<Group>,
-    pub dedup_window_ms: Option<f64>,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "kebab-case")]
-pub enum Semantics {
-    Safe,
-    Keyed,
-    Unsafe,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "kebab-case")]
-pub enum Group {
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-#[derive(Default)]
-pub struct Plan {
-    pub name: String,
-    pub per_second: f64,
-    pub store_size: f64,
-    pub at_once: f64,
-    pub cap_rate: f64,
-    pub hard_burst: f64,
-    pub price: f64,
-    pub over_worth: f64,
-    pub overrun_cost: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Bounds {
-    pub try_limit: u32,
-    pub second_copies: bool,
-    pub retry_after: bool,
-    pub max_retry_after_ms: f64,
-    pub may_tell: bool,
-    pub probes: bool,
-    pub cancel: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Family {
-    pub mail_per_s: f64,
-    pub settles: bool,
-    pub meter_ms: f64,
-    pub shared_counter: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Rules {
-    pub cold_from: f64,
-    pub warm_after_ms: f64,
-    pub fall_multiple: f64,
-    pub overload_for_ms: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Prices {
-    pub cross_zone: f64,
-    pub peer: f64,
-}
-
 /// One line of a reply.
 #[derive(Serialize)]
 #[serde(tag = "verb", rename_all = "kebab-case", rename_all_fields = "kebab-case")]
--- /dev/null
+++ b/src/bin/emberpin/discovery.rs
@@ -0,0 +1,125 @@
+//! Discovery: the list of servers, its watch, and how to get back in step when that breaks.
+
+use crate::driver::Input;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, Notify};
+use tokio::time::timeout;
+
+const PATH: &str = "/registry/instances";
+/// Longest line; a watch that sends more is broken.
+const MAX_LINE: usize = 1 << 20;
+/// An idle watch sends an empty line every 2 s: silence for longer may be a dead connection.
+const SILENCE: Duration = Duration::from_millis(4_500);
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1_000));
+
+/// A list of servers, or the changes to it.
+#[derive(Debug, Default, Deserialize)]
+pub struct Listing {
+    pub rev: u64,
+    #[serde(rename = "all")]
+    pub whole: bool,
+    pub targets: Vec<Target>,
+}
+
+/// A line of the list.
+#[derive(Debug, Deserialize)]
+pub struct Target {
+    pub uid: String,
+    pub endpoint: Option<SocketAddr>,
+    #[serde(rename = "az")]
+    pub zone: String,
+    pub model: Option<String>,
+    pub pod_group: Option<u32>,
+    pub state: State,
+    pub capacity_hint: Option<f64>,
+    #[serde(default)]
+    pub boot_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// Watches for good from the version held; what it returns asks for the whole list anew.
+pub fn start(address: SocketAddr, rev: u64, inputs: mpsc::Sender<Input>) -> Rc<Notify> {
+    let refetch = Rc::new(Notify::new());
+    let asked = refetch.clone();
+    tokio::task::spawn_local(async move {
+        let mut since = Some(rev);
+        let mut pause = BACKOFF.0;
+        loop {
+            let before = since;
+            tokio::select! {
+                () = watch(address, &mut since, &inputs) => {}
+                () = asked.notified() => since = None,
+            }
+            // A watch that brought something was sound: only fruitless ones are spaced out.
+            pause = if since == before { (pause * 2).min(BACKOFF.1) } else { BACKOFF.0 };
+            tokio::time::sleep(pause).await;
+        }
+    });
+    refetch
+}
+
+/// One watch, until it breaks or falls silent.
+async fn watch(address: SocketAddr, since: &mut Option<u64>, inputs: &mpsc::Sender<Input>) {
+    let path = match since {
+        Some(rev) => format!("{PATH}?follow=1&since={rev}"),
+        None => format!("{PATH}?follow=1"),
+    };
+    let Some(Ok(stream)) = patient(TcpStream::connect(address)).await else { return };
+    let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else { return };
+    let request = hyper::Request::get(path).header("host", address.to_string()).body(Empty::<Bytes>::new());
+    let Ok(request) = request else { return };
+    let reading = async {
+        let Some(Ok(response)) = patient(sender.send_request(request)).await else { return };
+        if response.status() != hyper::StatusCode::OK {
+            return;
+        }
+        let mut body = response.into_body();
+        let mut held = Vec::new();
+        while let Some(Some(Ok(frame))) = patient(body.frame()).await {
+            let Ok(data) = frame.into_data() else { continue };
+            held.extend_from_slice(&data);
+            while let Some(end) = held.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = held.drain(..=end).collect();
+                if line.iter().all(u8::is_ascii_whitespace) {
+                    continue;
+                }
+                // A garbled line may have held a drain: what it said is asked for again.
+                let Ok(listing) = serde_json::from_slice::<Listing>(&line) else { return };
+                *since = Some(listing.rev);
+                if inputs.send(Input::Listing(listing)).await.is_err() {
+                    return;
+                }
+            }
+            if held.len() > MAX_LINE {
+                return;
+            }
+        }
+    };
+    // The connection is driven here, so that leaving this function closes it.
+    let (mut reading, mut connection) = (pin!(reading), pin!(connection));
+    tokio::select! {
+        () = &mut reading => {}
+        _ = &mut connection => reading.await,
+    }
+}
+
+async fn patient<F: Future>(what: F) -> Option<F::Output> {
+    timeout(SILENCE, what).await.ok()
+}
--- /dev/null
+++ b/src/bin/emberpin/driver.rs
@@ -0,0 +1,396 @@
+//! The only owner of the decision module: feeds it what happened and carries out what it says. Keeps
+//! its timers and the table of requests and attempts. No decision is taken here.
+
+use crate::config::Config;
+use crate::discovery::{Listing, State, Target};
+use crate::peers::Peers;
+use crate::servers::{Ended, Limits, Outgoing, Served, Upstream};
+use dillpass::settings::{stable_hash, Listed, Names};
+use dillpass::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, Instant};
+
+/// The module's clock: common to all limiters, growing over restarts, steady within a life.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    begun: Instant,
+    at_begin: Millis,
+}
+
+impl Clock {
+    /// Where the clock begins, in Unix milliseconds (2026-11-01). Guards against a life number that
+    /// saturates: gossip carries lives as 32 bits of milliseconds, where Unix time does not fit.
+    const EPOCH: Millis = 1_793_491_200_000.0;
+
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { begun: Instant::now(), at_begin: Clock::on_clock(unix.as_secs_f64() * 1000.0) }
+    }
+
+    fn on_clock(unix: Millis) -> Millis {
+        unix - Clock::EPOCH
+    }
+
+    /// Follows the monotonic clock, so that a step of the wall clock is none here.
+    fn now(&self) -> Millis {
+        self.at_begin + self.begun.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+/// A request that a client made; dropping its answer's receiver says nothing, [`Input::Gone`] does.
+pub struct Call {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub plan: PlanId,
+    pub customer: CustomerId,
+    pub units: f64,
+    pub set_size: u32,
+    pub set_first: GatewayId,
+    /// When the last byte of its answer must be out.
+    pub expires: Instant,
+    pub outgoing: Rc<Outgoing>,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// The one final answer.
+pub enum Answer {
+    Served(Served),
+    Refused { retry_after: Millis },
+    Failed,
+}
+
+/// What the driver hears of.
+pub enum Input {
+    Call(Call),
+    /// A client went away without its answer.
+    Gone(RequestId),
+    Ended {
+        request: RequestId,
+        attempt: u32,
+        server: ServerId,
+        ended: Ended,
+    },
+    Probed {
+        server: ServerId,
+        ended: Ended,
+    },
+    Listing(Listing),
+    Peer {
+        from: GatewayId,
+        bytes: Vec<u8>,
+    },
+}
+
+/// A request that is owed an answer or still has an attempt out.
+struct Held {
+    outgoing: Rc<Outgoing>,
+    expires: Instant,
+    answer: Option<oneshot::Sender<Answer>>,
+    attempts: u32,
+    /// The attempt that is out.
+    out: Option<Out>,
+}
+
+/// An attempt that is out until its end was heard; the sender, once dropped, cancels it.
+struct Out {
+    cancel: Option<oneshot::Sender<()>>,
+}
+
+pub struct Driver {
+    gateway: Gateway,
+    clock: Clock,
+    names: Names,
+    limits: Rc<Limits>,
+    upstreams: BTreeMap<ServerId, Rc<Upstream>>,
+    requests: BTreeMap<RequestId, Held>,
+    timers: BinaryHeap<Reverse<(Instant, u64)>>,
+    /// Events that carrying out an action brought about at once.
+    pending: VecDeque<Event>,
+    inputs: mpsc::Sender<Input>,
+    peers: Option<Peers>,
+    refetch: Rc<Notify>,
+}
+
+impl Driver {
+    pub fn new(
+        config: Config,
+        clock: Clock,
+        inputs: mpsc::Sender<Input>,
+        peers: Option<Peers>,
+        refetch: Rc<Notify>,
+    ) -> Driver {
+        let mut driver = Driver {
+            limits: Limits::new(&config),
+            gateway: Gateway::new(config.settings, config.seed, clock.now()),
+            clock,
+            names: config.names,
+            upstreams: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            pending: VecDeque::new(),
+            inputs,
+            peers,
+            refetch,
+        };
+        driver.list(Listing { whole: true, ..config.known });
+        driver
+    }
+
+    /// Takes inputs and timers for as long as there is anybody to send them.
+    pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+        let timer = sleep_until(Instant::now());
+        tokio::pin!(timer);
+        loop {
+            let due = self.timers.peek().map(|Reverse((at, _))| *at);
+            if let Some(due) = due.filter(|due| *due != timer.deadline()) {
+                timer.as_mut().reset(due);
+            }
+            tokio::select! {
+                biased;
+                () = timer.as_mut(), if due.is_some() => self.fire(),
+                input = inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn fire(&mut self) {
+        let now = Instant::now();
+        while let Some(Reverse((_, token))) = self.timers.peek().filter(|due| due.0 .0 <= now).copied() {
+            self.timers.pop();
+            self.feed(Event::Timer { token });
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Call(call) => self.call(call),
+            Input::Gone(request) => {
+                let Some(held) = self.requests.get_mut(&request) else { return };
+                if held.answer.take().is_some() {
+                    self.feed(Event::Abandoned { request });
+                    self.release(request);
+                }
+            }
+            Input::Ended { request, attempt, server, ended } => self.ended(request, attempt, server, ended),
+            Input::Probed { server, ended } => self.feed(Event::Probed {
+                server,
+                outcome: ended.outcome,
+                elapsed: ended.elapsed,
+                report: ended.report,
+            }),
+            Input::Listing(listing) => self.list(listing),
+            Input::Peer { from, bytes } => self.feed(Event::Peer { from, bytes }),
+        }
+    }
+
+    fn call(&mut self, call: Call) {
+        let held = Held {
+            outgoing: call.outgoing,
+            expires: call.expires,
+            answer: Some(call.answer),
+            attempts: 0,
+            out: None,
+        };
+        self.requests.insert(call.id, held);
+        self.feed(Event::Request(Request {
+            id: call.id,
+            class: call.class,
+            plan: call.plan,
+            customer: call.customer,
+            remaining: left(call.expires).as_secs_f64() * 1000.0,
+            units: call.units,
+            set_size: call.set_size,
+            set_first: call.set_first,
+        }));
+    }
+
+    fn ended(&mut self, request: RequestId, attempt: u32, server: ServerId, ended: Ended) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        held.out = None;
+        if let Some(served) = ended.served {
+            if let Some(answer) = held.answer.take() {
+                _ = answer.send(Answer::Served(served));
+            }
+        }
+        let event = Event::Attempt(Attempt {
+            request,
+            attempt,
+            server,
+            outcome: ended.outcome,
+            elapsed: ended.elapsed,
+            ended: held.answer.is_none(),
+            report: ended.report,
+            units: None,
+            metered: ended.metered,
+        });
+        self.feed(event);
+        self.release(request);
+    }
+
+    /// Forgets a request that owes nothing and waits for nothing.
+    fn release(&mut self, request: RequestId) {
+        if self.requests.get(&request).is_some_and(|held| held.answer.is_none() && held.out.is_none()) {
+            self.requests.remove(&request);
+        }
+    }
+
+    /// Gives the module an event and does what it says, also about the events that come of that.
+    fn feed(&mut self, event: Event) {
+        self.pending.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.pending.pop_front() {
+            self.gateway.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { request, server, timeout } => self.send(request, server, timeout),
+            Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused { retry_after }),
+            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                let held = self.requests.get_mut(&request).filter(|held| held.attempts == attempt + 1);
+                if let Some(out) = held.and_then(|held| held.out.as_mut()) {
+                    out.cancel = None;
+                }
+            }
+            Action::Probe { server } => {
+                let Some(upstream) = self.upstreams.get(&server).cloned() else { return };
+                let inputs = self.inputs.clone();
+                spawn_local(async move {
+                    let ended = upstream.probe().await;
+                    _ = inputs.send(Input::Probed { server, ended }).await;
+                });
+            }
+            Action::Close { server } => {
+                if let Some(upstream) = self.upstreams.get(&server) {
+                    upstream.close_idle();
+                }
+            }
+            Action::Schedule { delay, token } => {
+                let delay = Duration::try_from_secs_f64(delay / 1000.0).unwrap_or_default();
+                self.timers.push(Reverse((Instant::now() + delay, token)));
+            }
+            Action::Tell { to, bytes } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &bytes);
+                }
+            }
+            Action::FetchServers => self.refetch.notify_one(),
+            // The watch is always on.
+            Action::WatchServers { .. } => {}
+            // No deployment of the real limiter has the counter service.
+            Action::Count { name, .. } => self.pending.push_back(Event::Counted { name, total: None }),
+            Action::Log(text) => eprintln!("{text}"),
+        }
+    }
+
+    fn send(&mut self, request: RequestId, server: ServerId, timeout: Millis) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        let attempt = held.attempts;
+        held.attempts += 1;
+        let upstream = self.upstreams.get(&server).filter(|upstream| upstream.is_open());
+        // Guards rules 1 to 3 whatever is asked for: nothing goes out for a request that is answered or
+        // has an attempt out, nor to a server that drains.
+        let (Some(upstream), true, None) = (upstream, held.answer.is_some(), &held.out) else {
+            self.pending.push_back(Event::Attempt(Attempt {
+                request,
+                attempt,
+                server,
+                outcome: Outcome::Moot,
+                elapsed: 0.0,
+                ended: held.answer.is_none(),
+                report: Report::default(),
+                units: None,
+                metered: None,
+            }));
+            return;
+        };
+        let timeout = Duration::try_from_secs_f64(timeout / 1000.0).unwrap_or_default();
+        let (cancel, cancelled) = oneshot::channel();
+        held.out = Some(Out { cancel: Some(cancel) });
+        let going =
+            upstream.clone().attempt(held.outgoing.clone(), timeout.min(left(held.expires)), cancelled);
+        let inputs = self.inputs.clone();
+        spawn_local(async move {
+            let ended = going.await;
+            _ = inputs.send(Input::Ended { request, attempt, server, ended }).await;
+        });
+    }
+
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        // Guards rule 1: nothing is out for a request once it is answered.
+        if let Some(out) = &mut held.out {
+            out.cancel = None;
+        }
+        if let Some(client) = held.answer.take() {
+            _ = client.send(answer);
+        }
+        self.release(request);
+    }
+
+    /// Applies the list to the servers here first, so that what is being sent sees a drain at once.
+    fn list(&mut self, listing: Listing) {
+        let mut named = BTreeSet::new();
+        let mut lines = Vec::new();
+        for target in &listing.targets {
+            let id = ServerId(stable_hash(&target.uid) as u32);
+            named.insert(id);
+            let started = (target.boot_ms != 0.0).then(|| Clock::on_clock(target.boot_ms));
+            let line = self.names.server(Listed {
+                id,
+                zone: &target.zone,
+                kind: target.model.as_deref(),
+                cell: target.pod_group,
+                size: target.capacity_hint.filter(|size| size.is_finite() && *size > 0.0),
+                started,
+                condition: match target.state {
+                    State::Ready => Condition::InService,
+                    State::Draining => Condition::Draining,
+                    State::Gone => Condition::Gone,
+                },
+            });
+            self.reach(id, target);
+            lines.extend(line);
+        }
+        if listing.whole {
+            self.upstreams.iter().filter(|(id, _)| !named.contains(id)).for_each(|(_, u)| u.shut());
+        }
+        self.upstreams.retain(|_, upstream| upstream.is_open());
+        self.feed(Event::Membership(match listing.whole {
+            true => Membership::Full(lines),
+            false => Membership::Changes(lines),
+        }));
+    }
+
+    /// Opens or shuts the way to a server; a new life or address of it starts without connections.
+    fn reach(&mut self, id: ServerId, target: &Target) {
+        let known = self.upstreams.get(&id);
+        let same = known.is_some_and(|u| Some(u.address) == target.endpoint && u.boot_ms == target.boot_ms);
+        if same && target.state == State::Ready {
+            return;
+        }
+        if let Some(known) = self.upstreams.remove(&id) {
+            known.shut();
+        }
+        if let (State::Ready, Some(address)) = (target.state, target.endpoint) {
+            self.upstreams.insert(id, Upstream::new(address, target.boot_ms, self.limits.clone()));
+        }
+    }
+}
+
+fn left(expires: Instant) -> Duration {
+    expires.saturating_duration_since(Instant::now())
+}
--- /dev/null
+++ b/src/bin/emberpin/main.rs
@@ -0,0 +1,83 @@
+//! The real limiter: HTTP clients in front, servers behind, one decision module in the middle.
+#![forbid(unsafe_code)]
+
+mod clients;
+mod config;
+mod discovery;
+mod driver;
+mod peers;
+mod servers;
+
+use config::Config;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::net::{TcpSocket, UdpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use tokio::task::{spawn_local, LocalSet};
+
+/// Most inputs that wait for the driver; whoever has more waits, or drops what may be lost.
+const INPUTS: usize = 1024;
+/// After SIGTERM clients go on coming for a while before the front has noticed.
+const LEAVING: Duration = Duration::from_millis(700);
+/// And no answer takes longer than this: the longest deadline, with room.
+const LONGEST: Duration = Duration::from_millis(3_200);
+const BACKLOG: u32 = 512;
+
+fn main() -> ExitCode {
+    let outcome = Config::from_env().and_then(|config| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+        LocalSet::new().block_on(&runtime, run(config))
+    });
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("emberpin: {}", problem.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves until SIGTERM, then leaves without losing what was taken.
+async fn run(config: Config) -> Result<(), String> {
+    let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let clock = driver::Clock::start();
+    let (inputs, received) = mpsc::channel(INPUTS);
+
+    // A killed predecessor leaves connections in TIME_WAIT: rebinding must not wait for them.
+    let socket = match config.listen.is_ipv4() {
+        true => TcpSocket::new_v4(),
+        false => TcpSocket::new_v6(),
+    };
+    let listener = socket
+        .and_then(|socket| {
+            socket.set_reuseaddr(true)?;
+            socket.bind(config.listen)?;
+            socket.listen(BACKLOG)
+        })
+        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let peers = match config.peer_listen {
+        Some(at) => {
+            let socket = UdpSocket::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
+            Some(peers::start(socket, &config, inputs.clone()))
+        }
+        None => None,
+    };
+    let refetch = discovery::start(config.discovery, config.known.rev, inputs.clone());
+    let front = clients::Front::new(&config, config.names.clone(), inputs.clone());
+    let accepting = spawn_local(front.clone().accept(listener));
+    let driver = spawn_local(driver::Driver::new(config, clock, inputs, peers, refetch).run(received));
+
+    tokio::select! {
+        _ = terminated.recv() => {}
+        ended = driver => return Err(format!("the driver ended: {ended:?}")),
+        ended = accepting => return Err(format!("no more clients: {ended:?}")),
+    }
+    front.leave();
+    tokio::time::sleep(LEAVING).await;
+    front.close();
+    // A client that sends half a request must not keep the process for ever.
+    _ = tokio::time::timeout(LONGEST, front.empty()).await;
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,14 @@
 //! The decisions of a gateway that holds customers to their quotas before a shared back end.
 //!
 //! The library is a state machine without I/O: feed [`Gateway::handle`] what happened and carry out
-//! the [`Action`]s it appends. Types are in [`interface`], every decision is in [`brain`], and the
-//! byte layout of messages between gateways is in [`gossip`].
+//! the [`Action`]s it appends. Types are in [`interface`], every decision is in [`brain`], the byte
+//! layout of messages between gateways is in [`gossip`], and the hosts' JSON in [`settings`].
 #![forbid(unsafe_code)]
 
 pub mod brain;
 pub mod gossip;
 pub mod interface;
+pub mod settings;
 mod state;
 
 pub use brain::Gateway;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,260 @@
+//! The settings and the list of servers as hosts get them, translated for the decisions: the simulator
+//! and a real limiter's configuration use the same names and units. No decision is taken here.
+
+use crate::gossip;
+use crate::interface::*;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// The names that the settings gave to the indices.
+#[derive(Clone, Debug)]
+pub struct Names {
+    classes: BTreeMap<String, usize>,
+    plans: BTreeMap<String, usize>,
+    zones: BTreeMap<String, usize>,
+    kinds: BTreeMap<String, usize>,
+}
+
+/// One line of a list of servers, in names.
+#[derive(Debug)]
+pub struct Listed<'a> {
+    /// Which server.
+    pub id: ServerId,
+    /// Its zone.
+    pub zone: &'a str,
+    /// Its machine kind.
+    pub kind: Option<&'a str>,
+    /// Its cell.
+    pub cell: Option<u32>,
+    /// Its stated size.
+    pub size: Option<f64>,
+    /// When it last started, on the host's clock.
+    pub started: Option<Millis>,
+    /// Its standing.
+    pub condition: Condition,
+}
+
+impl Names {
+    /// The class of this name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.get(name).copied().map(ClassId)
+    }
+
+    /// The plan of this name.
+    pub fn plan(&self, name: &str) -> Option<PlanId> {
+        self.plans.get(name).copied().map(PlanId)
+    }
+
+    /// A line of the list; the error names a zone that the settings do not.
+    pub fn server(&self, line: Listed) -> Result<Server, String> {
+        Ok(Server {
+            id: line.id,
+            zone: *self.zones.get(line.zone).ok_or_else(|| format!("unknown zone '{}'", line.zone))?,
+            kind: line.kind.and_then(|kind| self.kinds.get(kind)).copied().unwrap_or(0),
+            cell: line.cell.unwrap_or(0),
+            size: line.size.unwrap_or(1.0),
+            started: line.started,
+            condition: line.condition,
+        })
+    }
+}
+
+/// FNV-1a, folded to the part that travels in gossip: the same at every gateway, whatever the machine.
+pub fn stable_hash(name: &str) -> u64 {
+    let whole =
+        name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    (whole ^ whole >> 40) & gossip::ID_MASK
+}
+
+/// The settings as they stand in JSON; opaque but for what a host may need of them.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Conf {
+    my_number: u32,
+    group_size: u32,
+    zone: String,
+    failure_domains: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
+    profiles: Vec<Profile>,
+    #[serde(default)]
+    plans: Vec<Tariff>,
+    #[serde(default)]
+    bounds: Bounds,
+    #[serde(default)]
+    family_info: Family,
+    #[serde(default)]
+    rules: Figures,
+    #[serde(default)]
+    prices: Prices,
+    #[serde(default)]
+    membership_mode: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Profile {
+    name: String,
+    aim_ms: f64,
+    deadline_ms: f64,
+    #[serde(default)]
+    worth: f64,
+    #[serde(default)]
+    late_worth: f64,
+    semantics: Semantics,
+    group: Option<Repeats>,
+    dedup_window_ms: Option<f64>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "kebab-case")]
+enum Semantics {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "kebab-case")]
+enum Repeats {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+#[derive(Default)]
+struct Tariff {
+    name: String,
+    per_second: f64,
+    store_size: f64,
+    at_once: f64,
+    cap_rate: f64,
+    hard_burst: f64,
+    price: f64,
+    over_worth: f64,
+    overrun_cost: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Bounds {
+    try_limit: u32,
+    second_copies: bool,
+    retry_after: bool,
+    max_retry_after_ms: f64,
+    may_tell: bool,
+    probes: bool,
+    cancel: bool,
+    connect_timeout_ms: Option<f64>,
+    idle_close_ms: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Family {
+    mail_per_s: f64,
+    settles: bool,
+    meter_ms: f64,
+    shared_counter: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Figures {
+    cold_from: f64,
+    warm_after_ms: f64,
+    fall_multiple: f64,
+    overload_for_ms: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Prices {
+    cross_zone: f64,
+    peer: f64,
+}
+
+impl Conf {
+    /// What the decisions are told, and the names of the indices in it.
+    pub fn translate(&self) -> Result<(Settings, Names), String> {
+        fn index<'a>(names: impl Iterator<Item = &'a String>) -> BTreeMap<String, usize> {
+            names.enumerate().map(|(i, name)| (name.clone(), i)).collect()
+        }
+        let names = Names {
+            classes: index(self.profiles.iter().map(|p| &p.name)),
+            plans: index(self.plans.iter().map(|p| &p.name)),
+            zones: index(self.failure_domains.iter()),
+            kinds: index(self.kinds.iter()),
+        };
+        let zone = *names.zones.get(&self.zone).ok_or_else(|| format!("unknown zone '{}'", self.zone))?;
+        Ok((settings(self, zone), names))
+    }
+
+    /// A connection that is not up by then counts as failed.
+    pub fn connect_timeout(&self) -> Option<Millis> {
+        self.bounds.connect_timeout_ms
+    }
+
+    /// Servers close connections that were idle for so long.
+    pub fn idle_close(&self) -> Option<Millis> {
+        self.bounds.idle_close_ms
+    }
+}
+
+fn settings(conf: &Conf, zone: usize) -> Settings {
+    let class = |p: &Profile| Class {
+        aim: p.aim_ms,
+        deadline: p.deadline_ms,
+        worth: p.worth,
+        late_worth: p.late_worth,
+        effect: match p.semantics {
+            Semantics::Safe => Effect::Safe,
+            Semantics::Unsafe => Effect::Unsafe,
+            Semantics::Keyed => Effect::Keyed {
+                group: match p.group {
+                    Some(Repeats::All) => Group::All,
+                    Some(Repeats::Zone) => Group::Zone,
+                    Some(Repeats::Cell) | None => Group::Cell,
+                },
+                window: p.dedup_window_ms.unwrap_or(0.0),
+            },
+        },
+    };
+    let plan = |p: &Tariff| Plan {
+        rate: p.per_second,
+        burst: p.store_size,
+        open: p.at_once,
+        ceiling_rate: p.cap_rate,
+        ceiling_burst: p.hard_burst,
+        price: p.price,
+        over_worth: p.over_worth,
+        over_cost: p.overrun_cost,
+    };
+    Settings {
+        me: GatewayId(conf.my_number),
+        group_size: conf.group_size,
+        zone,
+        classes: conf.profiles.iter().map(class).collect(),
+        plans: conf.plans.iter().map(plan).collect(),
+        rules: Rules {
+            cold_from: conf.rules.cold_from,
+            warm_after: conf.rules.warm_after_ms,
+            fall_multiple: conf.rules.fall_multiple,
+            fall_time: conf.rules.overload_for_ms,
+        },
+        try_limit: conf.bounds.try_limit,
+        second_copies: conf.bounds.second_copies,
+        max_retry_after: if conf.bounds.retry_after { conf.bounds.max_retry_after_ms } else { 0.0 },
+        mail_per_s: if conf.bounds.may_tell { conf.family_info.mail_per_s } else { 0.0 },
+        ask_for_servers: conf.membership_mode == "ask",
+        cancel: conf.bounds.cancel,
+        probes: conf.bounds.probes,
+        settles: conf.family_info.settles,
+        meter_period: conf.family_info.meter_ms,
+        shared_counter: conf.family_info.shared_counter,
+        price_cross_zone: conf.prices.cross_zone,
+        price_peer: conf.prices.peer,
+    }
+}
