--- a/src/bin/emberpin/discovery.rs
+++ b/src/bin/emberpin/discovery.rs
@@ -5,6 +5,7 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -28,10 +29,18 @@
     pub rev: u64,
     #[serde(rename = "all")]
     pub whole: bool,
-    pub targets: Vec<Target>,
+    pub targets: Vec<Entry>,
 }
 
-/// A line of the list.
+/// An entry that cannot be read must not take the others of its line with it.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+pub enum Entry {
+    Target(Target),
+    Garbled(IgnoredAny),
+}
+
+/// A server's entry.
 #[derive(Debug, Deserialize)]
 pub struct Target {
     pub uid: String,
@@ -52,6 +61,9 @@
     Ready,
     Draining,
     Gone,
+    /// A state that this program does not know gets nothing new.
+    #[serde(other)]
+    Unknown,
 }
 
 /// Watches for good from the version held; what it returns asks for the whole list anew.
--- a/src/bin/emberpin/driver.rs
+++ b/src/bin/emberpin/driver.rs
@@ -2,7 +2,7 @@
 //! its timers and the table of requests and attempts. No decision is taken here.
 
 use crate::config::Config;
-use crate::discovery::{Listing, State, Target};
+use crate::discovery::{Entry, Listing, State, Target};
 use crate::peers::Peers;
 use crate::servers::{Ended, Limits, Outgoing, Served, Upstream};
 use dillpass::settings::{stable_hash, Listed, Names};
@@ -345,7 +345,8 @@
     fn list(&mut self, listing: Listing) {
         let mut named = BTreeSet::new();
         let mut lines = Vec::new();
-        for target in &listing.targets {
+        for entry in &listing.targets {
+            let Entry::Target(target) = entry else { continue };
             let id = ServerId(stable_hash(&target.uid) as u32);
             named.insert(id);
             let started = (target.boot_ms != 0.0).then(|| Clock::on_clock(target.boot_ms));
@@ -358,7 +359,7 @@
                 started,
                 condition: match target.state {
                     State::Ready => Condition::InService,
-                    State::Draining => Condition::Draining,
+                    State::Draining | State::Unknown => Condition::Draining,
                     State::Gone => Condition::Gone,
                 },
             });
