Tell given-up clients when to come back

Seen: the module refuses a request that it has given up on with no Retry-After, so clients ask again at once; the users want the answer at once and the advice with it. Ruled out: adding the header in the limiter, which would be a decision outside the module.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -614,7 +614,9 @@
             (_, Effect::Keyed { group, .. }) => group == Group::All,
             (_, Effect::Unsafe) => false,
         };
-        let refusal = Action::Refuse { request: id, retry_after: 0.0 };
+        // The answer comes at once, and says when to come back.
+        let pause = self.settings.classes[open.request.class.0].aim * AIM_SHARE;
+        let refusal = Action::Refuse { request: id, retry_after: pause.min(self.settings.max_retry_after) };
         actions.push(if harmless { refusal } else { Action::Fail { request: id } });
     }
 
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -172,7 +172,11 @@
     }
     // And with no server that takes connections, trying again is harmless.
     let limiter = Limiter::start(&[target("s-0", free_port(&own_host()), "ready")]);
-    assert!([429, 503].contains(&limiter.exchange(&request("pay", "2", "wide", 30.0)).status()));
+    let answer = limiter.exchange(&request("pay", "2", "wide", 30.0));
+    assert_eq!(answer.status(), 429);
+    // Given up at once, so the client is told when to come back.
+    let wait: f64 = answer.header("retry-after").expect("advice").parse().expect("seconds");
+    assert!(wait > 0.0 && wait <= 1.0, "{wait}");
 }
 
 /// A server may close a pooled connection at any time: the next request must find that out before it
