Tell lives apart on Unix time

Seen in reading: a life is 32 bits of milliseconds on the wire and was made with 'now as u32', which saturates on Unix time, so that a restart looks like the life before; a clock from a fixed epoch, as the limiter had, only puts that off by 49 days. Ruled out: a wider field, which changes the layout, and a coarser unit, which changes what peers compare. Now the low bits travel and the receiver, which shares the clock, takes the latest life that fits. The host's clock is plain Unix time read once at the start.

--- a/src/bin/emberpin/driver.rs
+++ b/src/bin/emberpin/driver.rs
@@ -15,7 +15,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
 
-/// The module's clock: common to all limiters, growing over restarts, steady within a life.
+/// The module's clock: Unix milliseconds as they were at the start, and steady from then on. Common to
+/// all limiters and growing over restarts, as lives are told apart by it; a step of the wall clock
+/// within a life is none here.
 #[derive(Clone, Copy)]
 pub struct Clock {
     begun: Instant,
@@ -23,20 +25,11 @@
 }
 
 impl Clock {
-    /// Where the clock begins, in Unix milliseconds (2026-11-01). Guards against a life number that
-    /// saturates: gossip carries lives as 32 bits of milliseconds, where Unix time does not fit.
-    const EPOCH: Millis = 1_793_491_200_000.0;
-
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { begun: Instant::now(), at_begin: Clock::on_clock(unix.as_secs_f64() * 1000.0) }
-    }
-
-    fn on_clock(unix: Millis) -> Millis {
-        unix - Clock::EPOCH
+        Clock { begun: Instant::now(), at_begin: unix.as_secs_f64() * 1000.0 }
     }
 
-    /// Follows the monotonic clock, so that a step of the wall clock is none here.
     fn now(&self) -> Millis {
         self.at_begin + self.begun.elapsed().as_secs_f64() * 1000.0
     }
@@ -349,7 +342,7 @@
             let Entry::Target(target) = entry else { continue };
             let id = ServerId(stable_hash(&target.uid) as u32);
             named.insert(id);
-            let started = (target.boot_ms != 0.0).then(|| Clock::on_clock(target.boot_ms));
+            let started = Some(target.boot_ms).filter(|at| *at != 0.0);
             let line = self.names.server(Listed {
                 id,
                 zone: &target.zone,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -116,7 +116,7 @@
     settings: Settings,
     rng: oorandom::Rand64,
     born: Millis,
-    life: u32,
+    life: u64,
     /// The last event, and when the last gap of this gateway's own ended.
     seen: Option<Millis>,
     woke: Millis,
@@ -125,7 +125,7 @@
     requests: BTreeMap<RequestId, Open>,
     customers: BTreeMap<u64, Customer>,
     /// The life that each peer told last.
-    peers: BTreeMap<u32, u32>,
+    peers: BTreeMap<u32, u64>,
     /// The group was seen to start together with this life.
     first: bool,
     /// Customers with something to tell, those kept here, and those that their keepers said to refuse.
@@ -150,7 +150,7 @@
         Gateway {
             rng: oorandom::Rand64::new(u128::from(seed)),
             born: now,
-            life: now.max(0.0) as u32,
+            life: now.max(0.0) as u64,
             seen: None,
             woke: f64::NEG_INFINITY,
             ticked: now,
@@ -413,7 +413,7 @@
     /// nobody used anything before, and bursts need not be held back.
     fn see_start(&mut self) {
         let enough = START_PEERS.min(self.settings.group_size.max(1) as usize - 1);
-        let old = |life: &u32| f64::from(*life) + COMMON_START < f64::from(self.life);
+        let old = |life: &u64| *life as f64 + COMMON_START < self.life as f64;
         if self.first || self.peers.len() < enough || self.peers.values().any(old) {
             return;
         }
@@ -606,7 +606,7 @@
         self.choose(now, class, Some(last), group)
     }
 
-    /// The final answer without service: a refusal where repeating is harmless, else a failure.
+    /// The final answer, at once: a refusal that says when to come back if that is harmless, else a failure.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.finish(id) else { return };
         let harmless = match (open.ran, self.settings.classes[open.request.class.0].effect) {
@@ -614,7 +614,6 @@
             (_, Effect::Keyed { group, .. }) => group == Group::All,
             (_, Effect::Unsafe) => false,
         };
-        // The answer comes at once, and says when to come back.
         let pause = self.settings.classes[open.request.class.0].aim * AIM_SHARE;
         let refusal = Action::Refuse { request: id, retry_after: pause.min(self.settings.max_retry_after) };
         actions.push(if harmless { refusal } else { Action::Fail { request: id } });
@@ -765,7 +764,7 @@
         if self.settings.mail_per_s <= 0.0 {
             return;
         }
-        let header = gossip::Writer::new(self.life, self.loaded(now), self.load.rate);
+        let header = gossip::Writer::new(self.life as u32, self.loaded(now), self.load.rate);
         let mut mail: BTreeMap<u32, gossip::Writer> = BTreeMap::new();
         let all = self.tells_all();
         if all {
@@ -838,12 +837,13 @@
         if from == self.settings.me || from.0 >= self.settings.group_size {
             return;
         }
-        let life = *self.peers.entry(from.0).or_insert(message.life);
-        if message.life < life {
+        let told = gossip::whole_life(message.life, now);
+        let life = *self.peers.entry(from.0).or_insert(told);
+        if told < life {
             return;
         }
-        if message.life > life {
-            self.peers.insert(from.0, message.life);
+        if told > life && message.life != life as u32 {
+            self.peers.insert(from.0, told);
             self.customers.values_mut().for_each(|customer| _ = customer.told.remove(&from.0));
         }
         let most = JOINT_MESSAGES.min(f64::from(self.settings.group_size));
@@ -870,7 +870,7 @@
     /// What peers let in is taken from the store here. Cumulative counts heal losses and need no order.
     fn take_count(&mut self, now: Millis, from: u32, id: u64, units: f64, asked: f64) {
         // Counts of a life older than ours hold use from before our time: only what comes on top counts.
-        let older = f64::from(self.peers[&from]) + COMMON_START < f64::from(self.life);
+        let older = self.peers[&from] as f64 + COMMON_START < self.life as f64;
         let Some(customer) = self.customers.get_mut(&id) else { return };
         let plan = &self.settings.plans[customer.plan];
         let mut fresh = units;
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -15,6 +15,8 @@
 /// The part of a customer hash that travels.
 pub const ID_MASK: u64 = (1 << (8 * ID_BYTES)) - 1;
 const SCALE: f64 = 2.0;
+/// A peer's clock is ahead by no more than this, in milliseconds.
+const MAX_AHEAD: u64 = 86_400_000;
 
 /// One item of news.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -46,7 +48,7 @@
 /// A decoded message.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Message {
-    /// The sender's life: when it started, on its clock.
+    /// The sender's life: when it started, on its clock; the low 32 bits, see [`whole_life`].
     pub life: u32,
     /// Its attempts outstanding.
     pub out: f64,
@@ -56,6 +58,13 @@
     pub entries: Vec<Entry>,
 }
 
+/// A life of which only the low 32 bits came, in whole milliseconds: the latest that fits, going by the
+/// clock that all share. Guards against lives that saturate and look alike after a restart.
+pub fn whole_life(low: u32, now: f64) -> u64 {
+    let latest = now.max(0.0) as u64 + MAX_AHEAD;
+    latest.checked_sub(u64::from((latest as u32).wrapping_sub(low))).unwrap_or(u64::from(low))
+}
+
 /// Builds one message within [`MAX_BYTES`].
 #[derive(Clone, Debug)]
 pub struct Writer(Vec<u8>);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -164,6 +164,23 @@
     assert_eq!(let_in(&mut bench, 0, 5, 30), 5, "20 - 12 - 3");
 }
 
+/// Unix milliseconds do not fit the 32 bits that travel: saturated, all lives would look alike.
+#[test]
+fn lives_are_told_apart_on_any_clock() {
+    for started in [1_000.0, 1_794_000_000_000.0, 418.0 * 4_294_967_296.0 - 500.0] {
+        for later in [0.0, 600.0, 86_400_000.0, 30.0 * 86_400_000.0] {
+            let low = (started as u64) as u32;
+            assert_eq!(
+                gossip::whole_life(low, started + later),
+                started as u64,
+                "{started} seen {later} later"
+            );
+        }
+    }
+    let ahead = gossip::whole_life(5_000_000, 4_000_000.0);
+    assert_eq!(ahead, 5_000_000, "a clock that is a little ahead");
+}
+
 #[test]
 fn a_restarted_gateway_does_not_take_a_peers_whole_history() {
     let mut bench = Bench::fresh(settings(), 12);
