--- a/src/brain.rs
+++ b/src/brain.rs
@@ -614,7 +614,7 @@
             (_, Effect::Keyed { group, .. }) => group == Group::All,
             (_, Effect::Unsafe) => false,
         };
-        let pause = self.settings.classes[open.request.class.0].aim * AIM_SHARE;
+        let pause = self.latency[open.request.class.0].mean; // One usual answer later.
         let refusal = Action::Refuse { request: id, retry_after: pause.min(self.settings.max_retry_after) };
         actions.push(if harmless { refusal } else { Action::Fail { request: id } });
     }
