Read the configuration again on SIGHUP and move the watch at once

Cause: no handler for SIGHUP (main.rs), one address of discovery for life (discovery.rs). Now SIGHUP reads the file again; the watch leaves its old address, also in the midst of a pause, and takes the whole list at the new one. What was known holds until then; a file that can't be read changes nothing and logs one line. Other changed fields need a restart.

--- a/src/bin/emberpin/discovery.rs
+++ b/src/bin/emberpin/discovery.rs
@@ -13,7 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 const PATH: &str = "/registry/instances";
@@ -66,29 +67,65 @@
     Unknown,
 }
 
-/// Watches for good from the version held; what it returns asks for the whole list anew.
-pub fn start(address: SocketAddr, rev: u64, inputs: mpsc::Sender<Input>) -> Rc<Notify> {
-    let refetch = Rc::new(Notify::new());
-    let asked = refetch.clone();
-    tokio::task::spawn_local(async move {
-        let mut since = Some(rev);
-        let mut pause = BACKOFF.0;
-        loop {
-            let before = since;
+/// Where the list comes from, and what may be asked of its watch.
+pub struct Discovery {
+    address: watch::Sender<SocketAddr>,
+    refetch: Rc<Notify>,
+}
+
+impl Discovery {
+    /// Watches for good, at first from the version held.
+    pub fn start(address: SocketAddr, rev: u64, inputs: mpsc::Sender<Input>) -> Discovery {
+        let discovery = Discovery { address: watch::Sender::new(address), refetch: Rc::default() };
+        spawn_local(follow(discovery.address.subscribe(), discovery.refetch.clone(), rev, inputs));
+        discovery
+    }
+
+    /// Asks for the whole list anew when notified.
+    pub fn refetch(&self) -> Rc<Notify> {
+        self.refetch.clone()
+    }
+
+    /// Leaves the present address for another at once; the list known so far holds until that has told its own.
+    pub fn move_to(&self, address: SocketAddr) {
+        self.address.send_if_modified(|known| std::mem::replace(known, address) != address);
+    }
+}
+
+async fn follow(
+    mut address: watch::Receiver<SocketAddr>,
+    refetch: Rc<Notify>,
+    rev: u64,
+    inputs: mpsc::Sender<Input>,
+) {
+    let mut since = Some(rev);
+    let mut pause = BACKOFF.0;
+    loop {
+        let (at, before) = (*address.borrow_and_update(), since);
+        let watching = async {
             tokio::select! {
-                () = watch(address, &mut since, &inputs) => {}
-                () = asked.notified() => since = None,
+                () = hold(at, &mut since, &inputs) => {}
+                () = refetch.notified() => since = None,
             }
             // A watch that brought something was sound: only fruitless ones are spaced out.
             pause = if since == before { (pause * 2).min(BACKOFF.1) } else { BACKOFF.0 };
             tokio::time::sleep(pause).await;
+        };
+        tokio::select! {
+            () = watching => {}
+            moved = address.changed() => {
+                if moved.is_err() {
+                    return;
+                }
+                // Versions of one place mean nothing at another: the whole list is taken there.
+                (since, pause) = (None, BACKOFF.0);
+            }
         }
-    });
-    refetch
+    }
 }
 
 /// One watch, until it breaks or falls silent.
-async fn watch(address: SocketAddr, since: &mut Option<u64>, inputs: &mpsc::Sender<Input>) {
+async fn hold(address: SocketAddr, since: &mut Option<u64>, inputs: &mpsc::Sender<Input>) {
     let path = match since {
         Some(rev) => format!("{PATH}?follow=1&since={rev}"),
         None => format!("{PATH}?follow=1"),
--- a/src/bin/emberpin/main.rs
+++ b/src/bin/emberpin/main.rs
@@ -9,10 +9,11 @@
 mod servers;
 
 use config::Config;
+use discovery::Discovery;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::{TcpSocket, UdpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
 
@@ -39,7 +40,8 @@
 
 /// Serves until SIGTERM, then leaves without losing what was taken.
 async fn run(config: Config) -> Result<(), String> {
-    let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let caught = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    let (mut terminated, hung_up) = (caught(SignalKind::terminate())?, caught(SignalKind::hangup())?);
     let clock = driver::Clock::start();
     let (inputs, received) = mpsc::channel(INPUTS);
 
@@ -62,7 +64,9 @@
         }
         None => None,
     };
-    let refetch = discovery::start(config.discovery, config.known.rev, inputs.clone());
+    let discovery = Discovery::start(config.discovery, config.known.rev, inputs.clone());
+    let refetch = discovery.refetch();
+    spawn_local(reload(hung_up, discovery));
     let longest = config.longest_deadline();
     let front = clients::Front::new(&config, config.names.clone(), inputs.clone());
     let accepting = spawn_local(front.clone().accept(listener));
@@ -81,3 +85,17 @@
     _ = tokio::time::timeout(longest, front.empty()).await;
     Ok(())
 }
+
+/// Reads the configuration again at each SIGHUP, for as long as the process lives: while it leaves, too. Of
+/// a changed file only the address of discovery is taken over; one that can't be read changes nothing.
+async fn reload(mut hung_up: Signal, discovery: Discovery) {
+    while hung_up.recv().await.is_some() {
+        match Config::from_env() {
+            Ok(config) => {
+                eprintln!("emberpin: configuration read again, discovery at {}", config.discovery);
+                discovery.move_to(config.discovery);
+            }
+            Err(problem) => eprintln!("emberpin: configuration not changed: {}", problem.replace('\n', " ")),
+        }
+    }
+}
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -123,6 +123,19 @@
 pub struct Watch(Message);
 
 impl Watch {
+    /// The next watch that comes to this discovery; answered, but nothing sent on it yet.
+    pub fn at(discovery: &Listener) -> Watch {
+        let mut message = discovery.next();
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        message.stream.write_all(head.as_bytes()).expect("answered");
+        Watch(message)
+    }
+
+    /// Waits until the limiter has left.
+    pub fn ends(self) {
+        self.0.ends();
+    }
+
     pub fn path(&self) -> &str {
         self.0.head.split(' ').nth(1).expect("a path")
     }
@@ -243,9 +256,19 @@
         self.child().wait().expect("gone");
     }
 
-    pub fn terminate(&mut self) {
+    pub fn signal(&mut self, name: &str) {
         let pid = self.pid().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
+    }
+
+    pub fn terminate(&mut self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts another configuration in place and says so.
+    pub fn reload(&mut self, text: &str) {
+        std::fs::write(self.folder.join("config.json"), text).expect("written");
+        self.signal("-HUP");
     }
 
     pub fn wait(&mut self) -> ExitStatus {
@@ -261,10 +284,7 @@
 
     /// The watch that the limiter opens next; answered, but nothing sent on it yet.
     pub fn watch(&self) -> Watch {
-        let mut message = self.discovery.next();
-        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        message.stream.write_all(head.as_bytes()).expect("answered");
-        Watch(message)
+        Watch::at(&self.discovery)
     }
 
     pub fn connect(&self) -> TcpStream {
--- a/tests/limiter.rs
+++ b/tests/limiter.rs
@@ -337,6 +337,65 @@
 }
 
 /// Gossip names customers by 32 bits that are the same at every limiter, and tells lives apart.
+/// SIGHUP moves the watch to the address that the file names now: at once, more than once, with the whole
+/// list taken there and the old one valid until then. A file that cannot be read changes nothing.
+#[test]
+fn sighup_moves_the_watch_and_keeps_what_is_known() {
+    let servers = [Listener::start(), Listener::start()];
+    let mut limiter = Limiter::start(&ready(&[&servers[0]]));
+    let served_by = |limiter: &Limiter, server: &Listener| {
+        let client = limiter.ask(&request("look", "1", "wide", 30.0));
+        server.next().answer("200 OK", "", "");
+        assert_eq!(Message::read(&client).expect("an answer").status(), 200);
+    };
+    let mut old = limiter.watch();
+    old.list(100, true, &ready(&[&servers[0]]));
+    served_by(&limiter, &servers[0]);
+    for _ in 0..2 {
+        let next = Listener::start();
+        limiter.config["discovery"] = json!(next.address.to_string());
+        limiter.reload(&limiter.config.to_string());
+        let mut moved = Watch::at(&next);
+        assert!(!moved.path().contains("since"), "takes the whole list: {}", moved.path());
+        old.ends();
+        served_by(&limiter, &servers[0]);
+        // Versions may be lower there, and who is not listed is gone.
+        moved.list(7, true, &[target("s-2", servers[1].address, "ready")]);
+        let begun = Instant::now();
+        loop {
+            let client = limiter.ask(&request("look", "2", "wide", 30.0));
+            let mut arrived = either(&servers[0], &servers[1]);
+            arrived.answer("200 OK", "", "");
+            assert_eq!(Message::read(&client).expect("an answer").status(), 200);
+            if arrived.stream.local_addr().expect("known") == servers[1].address {
+                break;
+            }
+            assert!(begun.elapsed() < LONG, "the new list is not taken");
+        }
+        moved.list(8, true, &ready(&[&servers[0]]));
+        // A refusal to change: the watch stays where it is.
+        limiter.reload("{\"name\": ");
+        limiter.reload("");
+        moved.list(9, false, &[target("s-2", servers[1].address, "ready")]);
+        moved.list(10, false, &[target("s-1", servers[0].address, "draining")]);
+        let begun = Instant::now();
+        loop {
+            let client = limiter.ask(&request("look", "3", "wide", 30.0));
+            let mut arrived = either(&servers[0], &servers[1]);
+            arrived.answer("200 OK", "", "");
+            assert_eq!(Message::read(&client).expect("an answer").status(), 200);
+            if arrived.stream.local_addr().expect("known") == servers[1].address {
+                break;
+            }
+            assert!(begun.elapsed() < LONG, "the watch was lost");
+        }
+        moved.list(11, true, &ready(&[&servers[0]]));
+        old = moved;
+    }
+    limiter.terminate();
+    assert!(limiter.wait().success());
+}
+
 #[test]
 fn gossip_tells_customers_and_lives() {
     let server = Listener::start();
