Take only answers whose end is beyond doubt; one pool of server connections; read reports by their names

By tests over loopback hyper lets through: a 200 that ends with its connection, both framings, equal doubled lengths, a Transfer-Encoding that is not chunked; these are failures now that may have run. Heads end at 16 KiB, a body that is announced too long is not read. Seen as well: Srv-Load bears the settings' names (mean_ms, depth), servers.rs looked for others, so the module never saw a queue. A spoilt answer is an Error (one strike) and not a Reset (ejected at once), as all servers spoil alike. Idle connections of all servers stand in one pool: what is closed, has bytes on it or is too old goes within half a second, and the longest idle gives way when an attempt finds no socket (it ended as never sent). Without the change four tests of tests/bad_servers.rs fail (framing, ejection, reports, sockets).

--- a/src/bin/emberpin/driver.rs
+++ b/src/bin/emberpin/driver.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::discovery::{Entry, Listing, State, Target};
 use crate::peers::Peers;
-use crate::servers::{Ended, Limits, Outgoing, Served, Upstream};
+use crate::servers::{Ended, Outgoing, Pool, Served, Upstream};
 use dillpass::settings::{stable_hash, Listed, Names};
 use dillpass::*;
 use std::cmp::Reverse;
@@ -98,7 +98,7 @@
     gateway: Gateway,
     clock: Clock,
     names: Names,
-    limits: Rc<Limits>,
+    pool: Rc<Pool>,
     upstreams: BTreeMap<ServerId, Rc<Upstream>>,
     requests: BTreeMap<RequestId, Held>,
     timers: BinaryHeap<Reverse<(Instant, u64)>>,
@@ -117,8 +117,10 @@
         peers: Option<Peers>,
         refetch: Rc<Notify>,
     ) -> Driver {
+        let pool = Pool::new(&config);
+        spawn_local(pool.clone().retire());
         let mut driver = Driver {
-            limits: Limits::new(&config),
+            pool,
             gateway: Gateway::new(config.settings, config.seed, clock.now()),
             clock,
             names: config.names,
@@ -380,7 +382,7 @@
             known.shut();
         }
         if let (State::Ready, Some(address)) = (target.state, target.endpoint) {
-            self.upstreams.insert(id, Upstream::new(address, target.boot_ms, self.limits.clone()));
+            self.upstreams.insert(id, Upstream::new(address, target.boot_ms, self.pool.clone()));
         }
     }
 }
--- a/src/bin/emberpin/servers.rs
+++ b/src/bin/emberpin/servers.rs
@@ -2,31 +2,38 @@
 
 use crate::config::Config;
 use bytes::Bytes;
+use dillpass::settings::report;
 use dillpass::{Millis, Outcome, Report};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::io;
-use std::net::SocketAddr;
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{interval, timeout_at, Instant, MissedTickBehavior};
 
 /// Bodies hold no more than this.
 pub const MAX_BODY: usize = 64 * 1024;
+/// An answer's head holds no more than this.
+const MAX_HEAD: usize = 16 * 1024;
 /// Idle connections kept to one server.
 const MAX_IDLE: usize = 16;
+/// How often idle connections are looked at.
+const RETIRE: Duration = Duration::from_millis(500);
 
 /// A client's request as it goes on to servers.
 pub struct Outgoing {
@@ -51,31 +58,84 @@
     pub served: Option<Served>,
 }
 
-/// What all servers share: limits on time and on sockets.
-pub struct Limits {
+/// What all servers share: limits on time and on sockets, and the connections that wait for work.
+pub struct Pool {
     connect_timeout: Duration,
     idle_limit: Duration,
     sockets: Arc<Semaphore>,
+    /// The longest idle first.
+    idle: RefCell<Vec<Idle>>,
+    next: Cell<u64>,
 }
 
-impl Limits {
-    pub fn new(config: &Config) -> Rc<Limits> {
-        Rc::new(Limits {
+struct Idle {
+    key: u64,
+    conn: Conn,
+    since: Instant,
+}
+
+impl Pool {
+    pub fn new(config: &Config) -> Rc<Pool> {
+        Rc::new(Pool {
             connect_timeout: config.connect_timeout,
             idle_limit: config.idle_limit,
             sockets: Arc::new(Semaphore::new(config.server_sockets)),
+            idle: RefCell::default(),
+            next: Cell::new(0),
         })
     }
+
+    /// Drops what stood idle for nearly as long as servers allow, or is of no use any more.
+    pub async fn retire(self: Rc<Self>) {
+        let mut ticks = interval(RETIRE);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.idle.borrow_mut().retain(|idle| self.is_fresh(idle) && idle.conn.is_quiet());
+        }
+    }
+
+    fn is_fresh(&self, idle: &Idle) -> bool {
+        idle.since.elapsed() < self.idle_limit
+    }
+
+    /// The connection that was used last, unless it is too old.
+    fn take(&self, key: u64) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let at = idle.iter().rposition(|idle| idle.key == key)?;
+        Some(idle.remove(at)).filter(|idle| self.is_fresh(idle)).map(|idle| idle.conn)
+    }
+
+    fn keep(&self, key: u64, conn: Conn) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.iter().filter(|idle| idle.key == key).count() < MAX_IDLE {
+            idle.push(Idle { key, conn, since: Instant::now() });
+        }
+    }
+
+    fn close(&self, key: u64) {
+        self.idle.borrow_mut().retain(|idle| idle.key != key);
+    }
+
+    /// Guards the limit on descriptors: never more connections than were set aside; what has been idle for
+    /// longest, to whichever server, gives way.
+    fn socket(&self) -> Option<OwnedSemaphorePermit> {
+        if self.sockets.available_permits() == 0 && !self.idle.borrow().is_empty() {
+            self.idle.borrow_mut().remove(0);
+        }
+        self.sockets.clone().try_acquire_owned().ok()
+    }
 }
 
 /// One life of one server.
 pub struct Upstream {
     pub address: SocketAddr,
     pub boot_ms: f64,
-    limits: Rc<Limits>,
+    pool: Rc<Pool>,
+    /// Its name in the pool.
+    key: u64,
     /// Not drained nor gone.
     open: Cell<bool>,
-    idle: RefCell<Vec<(Conn, Instant)>>,
 }
 
 /// A connection that is polled only by whoever uses it: dropping it closes it.
@@ -83,13 +143,15 @@
     sender: SendRequest<Full<Bytes>>,
     connection: Connection<TokioIo<Counted>, Full<Bytes>>,
     closed: bool,
+    stream: Rc<TcpStream>,
     written: Rc<Cell<usize>>,
     _socket: OwnedSemaphorePermit,
 }
 
 impl Upstream {
-    pub fn new(address: SocketAddr, boot_ms: f64, limits: Rc<Limits>) -> Rc<Upstream> {
-        Rc::new(Upstream { address, boot_ms, limits, open: Cell::new(true), idle: RefCell::default() })
+    pub fn new(address: SocketAddr, boot_ms: f64, pool: Rc<Pool>) -> Rc<Upstream> {
+        let key = pool.next.replace(pool.next.get() + 1);
+        Rc::new(Upstream { address, boot_ms, pool, key, open: Cell::new(true) })
     }
 
     pub fn is_open(&self) -> bool {
@@ -103,7 +165,7 @@
     }
 
     pub fn close_idle(&self) {
-        self.idle.borrow_mut().clear();
+        self.pool.close(self.key);
     }
 
     /// Sends one attempt and waits for its end, the timeout or the cancellation; exactly one outcome.
@@ -132,7 +194,7 @@
         let mut request = Request::new(Full::default());
         *request.uri_mut() = Uri::from_static("/health/live");
         request.headers_mut().insert(HOST, HeaderValue::from_static("service.internal"));
-        describe(started, self.exchange(request, 0, started, started + self.limits.connect_timeout).await)
+        describe(started, self.exchange(request, 0, started, started + self.pool.connect_timeout).await)
     }
 
     /// What decides between "never ran" and "may have run": an attempt never ran if no connection came
@@ -145,7 +207,7 @@
         started: Instant,
         deadline: Instant,
     ) -> (Outcome, Option<(Response<()>, Bytes)>) {
-        let connecting = timeout_at(deadline.min(started + self.limits.connect_timeout), self.connect());
+        let connecting = timeout_at(deadline.min(started + self.pool.connect_timeout), self.connect());
         let conn = match connecting.await {
             Ok(Ok(conn)) => conn,
             Ok(Err(Refused::NoSocket)) => return (Outcome::Moot, None),
@@ -167,56 +229,35 @@
         let never_ran = out == 0 || out < body;
         match result {
             Ok(Ok((response, answer, conn))) => {
-                if let Some(conn) = conn {
-                    self.keep(conn);
+                if let Some(conn) = conn.filter(|_| self.is_open()) {
+                    self.pool.keep(self.key, conn);
                 }
                 (judge(&response), Some((response, answer)))
             }
             _ if never_ran => (Outcome::ConnectFailed, None),
-            Ok(Err(_)) => (Outcome::Reset, None),
+            Ok(Err(Broken::Spoilt)) => (Outcome::Error, None),
+            Ok(Err(Broken::Lost)) => (Outcome::Reset, None),
             Err(_) => (Outcome::Timeout, None),
         }
     }
 
     async fn connect(&self) -> Result<Conn, Refused> {
-        if let Some(conn) = self.idle_conn().await {
-            return Ok(conn);
-        }
-        // Guards the limit on descriptors: never more connections than were set aside.
-        let socket = self.limits.sockets.clone().try_acquire_owned().map_err(|_| Refused::NoSocket)?;
-        let stream = TcpStream::connect(self.address).await.map_err(|_| Refused::Failed)?;
-        _ = stream.set_nodelay(true);
-        let written = Rc::new(Cell::new(0));
-        let io = TokioIo::new(Counted { stream, written: written.clone() });
-        let (sender, connection) = http1::handshake(io).await.map_err(|_| Refused::Failed)?;
-        Ok(Conn { sender, connection, closed: false, written, _socket: socket })
-    }
-
-    /// A pooled connection that is young enough and that the server has not closed: a request written
-    /// to one that it has closed would count as one that may have run.
-    async fn idle_conn(&self) -> Option<Conn> {
-        self.retire();
-        loop {
-            let (mut conn, _) = self.idle.borrow_mut().pop()?;
+        while let Some(mut conn) = self.pool.take(self.key) {
+            // A request written to a connection that the server has closed would count as one that may have
+            // run, and what stands unread on one would be taken for its answer.
             conn.drive(std::future::ready(())).await;
-            if !conn.closed && conn.sender.is_ready() {
-                return Some(conn);
+            if !conn.closed && conn.sender.is_ready() && conn.is_quiet() {
+                return Ok(conn);
             }
         }
-    }
-
-    fn keep(&self, conn: Conn) {
-        self.retire();
-        let mut idle = self.idle.borrow_mut();
-        if self.is_open() && idle.len() < MAX_IDLE {
-            idle.push((conn, Instant::now()));
-        }
-    }
-
-    /// Drops what stood idle for nearly as long as servers allow.
-    fn retire(&self) {
-        let limit = self.limits.idle_limit;
-        self.idle.borrow_mut().retain(|(_, since)| since.elapsed() < limit);
+        let socket = self.pool.socket().ok_or(Refused::NoSocket)?;
+        let stream = Rc::new(TcpStream::connect(self.address).await.map_err(|_| Refused::Failed)?);
+        _ = stream.set_nodelay(true);
+        let written = Rc::new(Cell::new(0));
+        let io = TokioIo::new(Counted { stream: stream.clone(), written: written.clone() });
+        let handshake = http1::Builder::new().max_buf_size(MAX_HEAD).handshake(io).await;
+        let (sender, connection) = handshake.map_err(|_| Refused::Failed)?;
+        Ok(Conn { sender, connection, closed: false, stream, written, _socket: socket })
     }
 }
 
@@ -225,7 +266,32 @@
     Failed,
 }
 
+/// Why no answer came of an exchange.
+enum Broken {
+    /// The connection broke or ended.
+    Lost,
+    /// What came is no answer.
+    Spoilt,
+}
+
+impl From<hyper::Error> for Broken {
+    fn from(error: hyper::Error) -> Broken {
+        if error.is_parse() {
+            Broken::Spoilt
+        } else {
+            Broken::Lost
+        }
+    }
+}
+
 impl Conn {
+    /// Whether the server has neither closed it nor sent anything on it. Asks the system itself, as what has
+    /// just come is not known to the runtime yet.
+    fn is_quiet(&self) -> bool {
+        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Polls the connection along with what waits for it.
     async fn drive<F: Future>(&mut self, what: F) -> F::Output {
         let mut what = pin!(what);
@@ -240,18 +306,36 @@
     async fn converse(
         mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Response<()>, Bytes, Option<Conn>), ()> {
+    ) -> Result<(Response<()>, Bytes, Option<Conn>), Broken> {
         let answering = self.sender.send_request(request);
-        let response: Response<Incoming> = self.drive(answering).await.map_err(drop)?;
+        let response: Response<Incoming> = self.drive(answering).await?;
         let (parts, body) = response.into_parts();
-        let body = self.drive(Limited::new(body, MAX_BODY).collect()).await.map_err(drop)?.to_bytes();
-        // One more turn, in which a connection that ends with this answer says so.
+        if !is_framed(&parts.headers) || body.size_hint().lower() > MAX_BODY as u64 {
+            return Err(Broken::Spoilt);
+        }
+        let body = self.drive(Limited::new(body, MAX_BODY).collect()).await.map_err(|error| {
+            let io = error.source().and_then(|error| error.downcast_ref::<io::Error>());
+            match io.is_some_and(|error| error.kind() != io::ErrorKind::InvalidInput) {
+                true => Broken::Lost,
+                false => Broken::Spoilt,
+            }
+        })?;
+        // One more turn, in which a connection that ends with this answer says so, or one with more on it.
         self.drive(std::future::ready(())).await;
-        let reusable = !self.closed && !self.sender.is_closed();
-        Ok((Response::from_parts(parts, ()), body, reusable.then_some(self)))
+        let reusable = !self.closed && !self.sender.is_closed() && self.is_quiet();
+        Ok((Response::from_parts(parts, ()), body.to_bytes(), reusable.then_some(self)))
     }
 }
 
+/// Whether the head tells beyond doubt where the answer ends: one length, or chunks. Guards against a cut
+/// answer that passes for whole, as one that ends with its connection would, and against two framings of
+/// which the HTTP library follows one.
+fn is_framed(headers: &HeaderMap) -> bool {
+    let mut framings = headers.get_all(CONTENT_LENGTH).iter().chain(headers.get_all(TRANSFER_ENCODING));
+    let (Some(framing), None) = (framings.next(), framings.next()) else { return false };
+    framing.as_bytes().iter().all(u8::is_ascii_digit) || framing.as_bytes().eq_ignore_ascii_case(b"chunked")
+}
+
 fn judge(response: &Response<()>) -> Outcome {
     let declined = response.headers().get("srv-declined").is_some_and(|value| value == "1");
     match response.status() {
@@ -266,9 +350,12 @@
     let Some((response, body)) = answer else {
         return Ended { outcome, elapsed, report: Report::default(), metered: None, served: None };
     };
-    let text = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
-    let used = text("x-ratelimit-used").and_then(number);
-    let report = text("srv-load").map(report).unwrap_or_default();
+    let all = |name: &str| response.headers().get_all(name).iter().filter_map(|value| value.to_str().ok());
+    // What cannot be read is passed over.
+    let used = all("x-ratelimit-used").find_map(number);
+    let loads = || all("srv-load").flat_map(|text| text.split(',')).filter_map(|pair| pair.split_once('='));
+    let load = |wanted: &str| loads().filter(|(name, _)| name.trim() == wanted).find_map(|(_, v)| number(v));
+    let report = report(load);
     let content_type = response.headers().get(CONTENT_TYPE).cloned();
     let served = (outcome == Outcome::Ok).then_some(Served { content_type, body });
     Ended { outcome, elapsed, report, metered: used.map(|percent| percent / 100.0), served }
@@ -278,71 +365,65 @@
     text.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
 }
 
-/// `name=value` pairs; what is garbled or unknown is passed over.
-fn report(text: &str) -> Report {
-    let mut report = Report::default();
-    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
-        let value = number(value);
-        match name.trim() {
-            "latency_ms" => report.service = value,
-            "queue" => report.queue = value,
-            "inflight" => report.held = value,
-            "util" => report.busy = value,
-            _ => {}
-        }
-    }
-    report
-}
-
 /// A stream that counts the bytes that its socket took.
 struct Counted {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     written: Rc<Cell<usize>>,
 }
 
 impl Counted {
-    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = result {
-            self.written.set(self.written.get() + bytes);
+    fn poll_try(
+        &self,
+        context: &mut Context,
+        attempt: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match attempt(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => {
+                    self.written.set(self.written.get() + *result.as_ref().unwrap_or(&0));
+                    return Poll::Ready(result);
+                }
+            }
         }
-        result
     }
 }
 
 impl AsyncRead for Counted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context,
-        into: &mut ReadBuf,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, into)
+    fn poll_read(self: Pin<&mut Self>, context: &mut Context, into: &mut ReadBuf) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read_buf(into) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result.map(drop)),
+            }
+        }
     }
 }
 
 impl AsyncWrite for Counted {
-    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(context, from);
-        self.count(result)
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_try(context, |stream| stream.try_write(from))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context,
         from: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(context, from);
-        self.count(result)
+        self.poll_try(context, |stream| stream.try_write_vectored(from))
     }
 
     fn is_write_vectored(&self) -> bool {
         true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
