Give an attempt as long as another would still meet the aim; prune advice with its customers

Ruled out: spoilt answers (they end in a few ms), throttling (0.7 % refused with room), places and CPU. Cause (patience, brain.rs): work belongs to the request, so a heavy one that is cut off and sent again is as slow elsewhere, and late. Advice is dropped with its customer: it was kept for ever.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,9 +60,10 @@
 const IDLE: Millis = 60_000.0;
 /// Weight of the newest in averages.
 const GAIN: f64 = 0.1;
-/// An attempt may take the mean plus so many deviations, and this share of the aim, before another.
+/// An attempt may take the mean plus so many deviations before another, and longer for as long as another of
+/// so many means would still meet the aim: most slow answers are heavy requests, as slow anywhere else.
 const PATIENCE: f64 = 6.0;
-const PATIENCE_AIM: f64 = 0.5;
+const PATIENCE_MEANS: f64 = 2.0;
 /// Second attempts after one that may have run are held to this share of the requests.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
@@ -543,7 +544,8 @@
         let class = &self.settings.classes[open.request.class.0];
         let latency = self.latency[open.request.class.0];
         let repeatable = class.effect != Effect::Unsafe && open.attempts == 0;
-        let usual = (latency.mean + PATIENCE * latency.deviation).max(class.aim * PATIENCE_AIM);
+        let usual =
+            (latency.mean + PATIENCE * latency.deviation).max(class.aim - PATIENCE_MEANS * latency.mean);
         let in_window = match class.effect {
             Effect::Keyed { window, .. } => usual < window * (1.0 - WINDOW_MARGIN),
             _ => true,
@@ -754,6 +756,7 @@
         });
         self.kept.retain(|id| self.customers.contains_key(id));
         self.news.retain(|id| self.customers.contains_key(id));
+        self.advice.retain(|id, _| self.customers.contains_key(id));
     }
 
     /// Tells news of customers to those that keep their stores, what is most untold for its plan first.
