--- a/src/brain.rs
+++ b/src/brain.rs
@@ -60,10 +60,9 @@
 const IDLE: Millis = 60_000.0;
 /// Weight of the newest in averages.
 const GAIN: f64 = 0.1;
-/// An attempt may take the mean plus so many deviations before another, and longer for as long as another of
-/// so many means would still meet the aim: most slow answers are heavy requests, as slow anywhere else.
+/// An attempt may take the mean and so many deviations; longer while a repeat of so many means meets the aim.
 const PATIENCE: f64 = 6.0;
-const PATIENCE_MEANS: f64 = 2.0;
+const REPEAT: f64 = 2.0;
 /// Second attempts after one that may have run are held to this share of the requests.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
@@ -536,16 +535,14 @@
         }
     }
 
-    /// How long the next attempt may take: all the time left, unless a further attempt would be
-    /// allowed and could still be in time.
+    /// How long the next attempt may take: all the time left, unless a further one could still be in time.
     fn patience(&self, now: Millis, id: RequestId) -> Option<Millis> {
         let open = self.requests.get(&id)?;
         let left = open.deadline - now;
         let class = &self.settings.classes[open.request.class.0];
         let latency = self.latency[open.request.class.0];
         let repeatable = class.effect != Effect::Unsafe && open.attempts == 0;
-        let usual =
-            (latency.mean + PATIENCE * latency.deviation).max(class.aim - PATIENCE_MEANS * latency.mean);
+        let usual = (latency.mean + PATIENCE * latency.deviation).max(class.aim - REPEAT * latency.mean);
         let in_window = match class.effect {
             Effect::Keyed { window, .. } => usual < window * (1.0 - WINDOW_MARGIN),
             _ => true,
@@ -745,8 +742,8 @@
         let serving = self.servers.values().filter(|s| s.info.condition == Condition::InService);
         let sizes = serving.map(|s| s.info.size.max(0.01) * self.warmth(now, &s.info));
         let carry = joint * f64::from(self.settings.group_size.max(1)) / sizes.sum::<f64>().max(0.01);
-        let young = now - self.born < PEAK_TIME;
         let rise = (carry - self.load.carry).min(self.load.carry.max(1.0)) * span / CARRY_TIME;
+        let young = now - self.born < PEAK_TIME;
         self.load.carry = if young { carry } else { carry.min(self.load.carry + rise.max(0.0)) };
         self.gossip(now, actions);
         let plans = &self.settings.plans;
@@ -756,7 +753,7 @@
         });
         self.kept.retain(|id| self.customers.contains_key(id));
         self.news.retain(|id| self.customers.contains_key(id));
-        self.advice.retain(|id, _| self.customers.contains_key(id));
+        self.advice.retain(|id, (_, at)| now - *at < ADVICE_LIFE || self.customers.contains_key(id));
     }
 
     /// Tells news of customers to those that keep their stores, what is most untold for its plan first.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -460,6 +460,36 @@
     assert!(sent(&bench.arrive_with(SAFE, 0, 1, 1.0, 0).1).is_some(), "no rate: no such quota");
 }
 
+// ---- What is waited for, and what is kept ----
+
+/// An attempt that is cut off early is a heavy request's, as slow at the next server and late then: it may
+/// take all of the aim but what another needs.
+#[test]
+fn an_attempt_is_cut_off_only_when_another_can_still_meet_the_aim() {
+    let mut bench = Bench::new(settings(), 12);
+    bench.serve_for(50.0, 5_000.0);
+    let (_, actions) = bench.arrive(SAFE, 0, 1);
+    let Some(Action::Send { timeout, .. }) = actions.first() else { panic!("sent: {actions:?}") };
+    // Answers take 20 ms of an aim of 500.
+    assert!((400.0..480.0).contains(timeout), "{timeout}");
+}
+
+/// Advice on customers that are not known here must not stay for ever.
+#[test]
+fn advice_on_the_unknown_is_forgotten() {
+    let mut bench = Bench::new(settings(), 12);
+    let size = |bench: &Bench| format!("{:?}", bench.gateway).len();
+    let before = size(&bench);
+    for number in 0..2_000 {
+        let mut message = gossip::Writer::new(bench.now as u32, 0.0, 0.0);
+        assert!(message.push(gossip::Entry::Advice { customer: 500_000 + number, chance: 0.5 }));
+        peer(&mut bench, 1, message.finish());
+    }
+    assert!(size(&bench) > before + 20_000, "heard");
+    bench.pass(20_000.0);
+    assert!(size(&bench) < before + 2_000, "{} from {before}", size(&bench));
+}
+
 // ---- The module's size ----
 
 #[test]
