--- a/src/bin/emberpin/servers.rs
+++ b/src/bin/emberpin/servers.rs
@@ -322,7 +322,7 @@
         })?;
         // One more turn, in which a connection that ends with this answer says so, or one with more on it.
         self.drive(std::future::ready(())).await;
-        let reusable = !self.closed && !self.sender.is_closed() && self.is_quiet();
+        let reusable = !self.closed && !self.sender.is_closed();
         Ok((Response::from_parts(parts, ()), body.to_bytes(), reusable.then_some(self)))
     }
 }
