--- a/src/bin/emberpin/admission.rs
+++ b/crates/emberpin/src/admission.rs
@@ -1,7 +1,7 @@
 //! Which requests are well formed: checked on the head alone, before anything is kept for one.
 
 use crate::config::Config;
-use crate::servers::MAX_BODY;
+use crate::messages::MAX_BODY;
 use dillpass::settings::{stable_hash, Names};
 use dillpass::{ClassId, CustomerId, Effect, GatewayId, PlanId};
 use hyper::body::Body;
--- a/src/bin/emberpin/clients.rs
+++ b/crates/emberpin/src/clients.rs
@@ -3,8 +3,7 @@
 use crate::admission::Admission;
 use crate::config::Config;
 use crate::connections::{Connection, Connections, Place, Watched, HEAD_LIMIT};
-use crate::driver::{Answer, Call, Input};
-use crate::servers::{Outgoing, MAX_BODY};
+use crate::messages::{Answer, Call, Input, Outgoing, MAX_BODY};
 use bytes::Bytes;
 use dillpass::RequestId;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
--- /dev/null
+++ b/crates/emberpin/src/command.rs
@@ -0,0 +1,93 @@
+//! The command line: the platform's bare `emberpin`, operator files, and the check of both.
+
+use crate::config::{Config, PLATFORM_FILE};
+use crate::{limiter, operator};
+use clap::{Parser, Subcommand};
+use operator::Operator;
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The exit status of a command line or of files that cannot be used.
+const UNUSABLE: u8 = 2;
+
+/// A limiter that holds member firms to their quotas in front of a shared back end.
+///
+/// Without arguments it is configured by the file that GW_CONFIG names alone.
+#[derive(Parser)]
+#[command(name = "emberpin", version, max_term_width = 100)]
+struct Line {
+    /// An operator file that switches on or sets a subsystem; may be given several times
+    #[arg(long = "with", value_name = "FILE", global = true)]
+    with: Vec<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Read everything, print what is in force, start nothing; exit 0 if it is good, 2 if not
+    Check,
+}
+
+/// The whole program: `arguments` begin with its own name. Returns when the limiter has ended.
+pub fn main(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let line = match Line::try_parse_from(arguments) {
+        Ok(line) => line,
+        Err(problem) => {
+            _ = problem.print();
+            return if problem.use_stderr() { ExitCode::from(UNUSABLE) } else { ExitCode::SUCCESS };
+        }
+    };
+    match line.command {
+        None => run(&line.with),
+        Some(Command::Check) => check(&line.with),
+    }
+}
+
+fn run(with: &[PathBuf]) -> ExitCode {
+    let config = Operator::read(with).and_then(|operator| Config::from_env(&operator));
+    match config.and_then(limiter::serve) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            complain(&problem);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn check(with: &[PathBuf]) -> ExitCode {
+    let operator = match Operator::read(with) {
+        Ok(operator) => operator,
+        Err(problem) => {
+            complain(&problem);
+            return ExitCode::from(UNUSABLE);
+        }
+    };
+    print!("{operator}");
+    if std::env::var_os(PLATFORM_FILE).is_none() {
+        println!("{PLATFORM_FILE} is not set: only the operator files were checked");
+        return ExitCode::SUCCESS;
+    }
+    match Config::from_env(&operator) {
+        Ok(config) => {
+            print!("{config}");
+            ExitCode::SUCCESS
+        }
+        Err(problem) => {
+            complain(&problem);
+            ExitCode::from(UNUSABLE)
+        }
+    }
+}
+
+/// One line on standard error, whatever the problem's text holds.
+fn complain(problem: &str) {
+    eprintln!("emberpin: {}", problem.replace('\n', " "));
+}
+
+/// The command line's own description is sound; clap checks it only when asked.
+#[test]
+fn the_command_line_is_sound() {
+    <Line as clap::CommandFactory>::command().debug_assert();
+}
--- a/src/bin/emberpin/config.rs
+++ b/crates/emberpin/src/config.rs
@@ -1,39 +1,40 @@
 //! The configuration that `GW_CONFIG` names, checked and in the program's own types.
 
-use crate::discovery::Listing;
+use crate::listing::Listing;
+use crate::operator::{Connections, Operator};
 use dillpass::settings::{Conf, Names};
 use dillpass::Settings;
 use serde::Deserialize;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Descriptors for what is neither a client's nor a server's: listeners, discovery, the runtime's own; some
 /// more than there are.
 const OTHER_SOCKETS: usize = 24;
-/// Clients' part of the rest: they may hold a third of all for requests, and beside those stand silent and
-/// idle ones.
-const CLIENT_SHARE: f64 = 0.55;
-/// A server closes idle connections at its limit; ours go at this share of it, so that none is used then.
-const IDLE_SHARE: f64 = 0.8;
+/// The environment variable that names the platform's file.
+pub const PLATFORM_FILE: &str = "GW_CONFIG";
 
 /// What one limiter is told at its start.
 pub struct Config {
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub seed: u64,
-    pub peer_listen: Option<SocketAddr>,
-    pub peers: Vec<SocketAddr>,
-    pub peers_all: Option<SocketAddr>,
-    pub known: Listing,
-    pub settings: Settings,
-    pub names: Names,
+    pub(crate) listen: SocketAddr,
+    pub(crate) discovery: SocketAddr,
+    pub(crate) seed: u64,
+    pub(crate) peer_listen: Option<SocketAddr>,
+    pub(crate) peers: Vec<SocketAddr>,
+    pub(crate) peers_all: Option<SocketAddr>,
+    pub(crate) known: Listing,
+    pub(crate) settings: Settings,
+    pub(crate) names: Names,
     /// Most connections with clients, and most with servers.
-    pub client_sockets: usize,
-    pub server_sockets: usize,
+    pub(crate) client_sockets: usize,
+    pub(crate) server_sockets: usize,
     /// Most units of one request.
-    pub most_units: f64,
-    pub connect_timeout: Duration,
-    pub idle_limit: Duration,
+    pub(crate) most_units: f64,
+    pub(crate) connect_timeout: Duration,
+    pub(crate) idle_limit: Duration,
+    /// As the operator has them.
+    pub(crate) connections: Connections,
 }
 
 #[derive(Deserialize)]
@@ -57,22 +58,26 @@
 }
 
 impl Config {
-    /// Reads the file that `GW_CONFIG` names; the error is one clear line.
-    pub fn from_env() -> Result<Config, String> {
-        let path = std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG names no configuration file")?;
+    /// Reads the file that `GW_CONFIG` names, for a limiter that the operator has set so.
+    ///
+    /// # Errors
+    ///
+    /// One clear line: which file, where in it, and what was found and expected.
+    pub fn from_env(operator: &Operator) -> Result<Config, String> {
+        let path = std::env::var_os(PLATFORM_FILE).ok_or("GW_CONFIG names no configuration file")?;
         let shown = path.to_string_lossy();
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {shown}: {e}"))?;
         let file: File = serde_json::from_slice(&text).map_err(|e| format!("{shown}: {e}"))?;
-        Config::new(file).map_err(|problem| format!("{shown}: {problem}"))
+        Config::new(file, operator).map_err(|problem| format!("{shown}: {problem}"))
     }
 
     /// No client waits for an answer longer than this.
-    pub fn longest_deadline(&self) -> Duration {
+    pub(crate) fn longest_deadline(&self) -> Duration {
         let longest = self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
         Duration::try_from_secs_f64(longest / 1000.0).unwrap_or_default()
     }
 
-    fn new(file: File) -> Result<Config, String> {
+    fn new(file: File, operator: &Operator) -> Result<Config, String> {
         let (settings, names) = file.settings.translate()?;
         if settings.classes.is_empty() || settings.plans.is_empty() {
             return Err("settings: no classes or no plans".into());
@@ -86,7 +91,7 @@
             let value = value.filter(|v| v.is_finite() && *v > 0.0).unwrap_or(usual);
             Duration::try_from_secs_f64(value / 1000.0).map_err(|e| format!("settings: {value} ms: {e}"))
         };
-        let client_sockets = (sockets as f64 * CLIENT_SHARE) as usize;
+        let client_sockets = (sockets as f64 * operator.connections.client_share) as usize;
         // Where the settings do not say, no request may hold more than the largest store.
         let largest = settings.plans.iter().map(|plan| plan.burst).fold(1.0, f64::max);
         Ok(Config {
@@ -98,7 +103,9 @@
             peers_all: file.peers_all,
             known: file.known,
             connect_timeout: millis(file.settings.connect_timeout(), 250.0)?,
-            idle_limit: millis(file.settings.idle_close(), 15_000.0)?.mul_f64(IDLE_SHARE),
+            idle_limit: millis(file.settings.idle_close(), 15_000.0)?
+                .mul_f64(operator.connections.idle_share),
+            connections: operator.connections.clone(),
             most_units: file.settings.most_units().unwrap_or(largest),
             settings,
             names,
@@ -107,3 +114,23 @@
         })
     }
 }
+
+impl fmt::Display for Config {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(to, "listens on {}, discovery at {}", self.listen, self.discovery)?;
+        writeln!(to, "limiter {} of {}", self.settings.me.0, self.settings.group_size)?;
+        match self.peer_listen {
+            Some(at) => writeln!(to, "hears {} peers on {at}", self.peers.len())?,
+            None => writeln!(to, "hears no peers")?,
+        }
+        writeln!(
+            to,
+            "clients {} connections, servers {} connections",
+            self.client_sockets, self.server_sockets
+        )?;
+        writeln!(to, "connect timeout {} ms", self.connect_timeout.as_millis())?;
+        writeln!(to, "idle connections to servers end after {} ms", self.idle_limit.as_millis())?;
+        writeln!(to, "a request counts at most {} units", self.most_units)?;
+        writeln!(to, "known servers {}", self.known.targets.len())
+    }
+}
--- a/src/bin/emberpin/discovery.rs
+++ b/crates/emberpin/src/discovery.rs
@@ -1,12 +1,11 @@
 //! Discovery: the list of servers, its watch, and how to get back in step when that breaks.
 
-use crate::driver::Input;
+use crate::listing::Listing;
+use crate::messages::Input;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use serde::de::IgnoredAny;
-use serde::Deserialize;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -24,49 +23,6 @@
 const SILENCE: Duration = Duration::from_millis(4_500);
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1_000));
 
-/// A list of servers, or the changes to it.
-#[derive(Debug, Default, Deserialize)]
-pub struct Listing {
-    pub rev: u64,
-    #[serde(rename = "all")]
-    pub whole: bool,
-    pub targets: Vec<Entry>,
-}
-
-/// An entry that cannot be read must not take the others of its line with it.
-#[derive(Debug, Deserialize)]
-#[serde(untagged)]
-pub enum Entry {
-    Target(Target),
-    Garbled(IgnoredAny),
-}
-
-/// A server's entry.
-#[derive(Debug, Deserialize)]
-pub struct Target {
-    pub uid: String,
-    pub endpoint: Option<SocketAddr>,
-    #[serde(rename = "az")]
-    pub zone: String,
-    pub model: Option<String>,
-    pub pod_group: Option<u32>,
-    pub state: State,
-    pub capacity_hint: Option<f64>,
-    #[serde(default)]
-    pub boot_ms: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum State {
-    Ready,
-    Draining,
-    Gone,
-    /// A state that this program does not know gets nothing new.
-    #[serde(other)]
-    Unknown,
-}
-
 /// Where the list comes from, and what may be asked of its watch.
 pub struct Discovery {
     address: watch::Sender<SocketAddr>,
--- a/src/bin/emberpin/driver.rs
+++ b/crates/emberpin/src/driver.rs
@@ -1,84 +1,22 @@
 //! The only owner of the decision module: feeds it what happened and carries out what it says. Keeps
 //! its timers and the table of requests and attempts. No decision is taken here.
 
+use crate::clock::Clock;
 use crate::config::Config;
-use crate::discovery::{Entry, Listing, State, Target};
+use crate::listing::{Entry, Listing, State, Target};
+use crate::messages::{Answer, Call, Ended, Input, Outgoing};
 use crate::peers::Peers;
-use crate::servers::{Ended, Outgoing, Pool, Served, Upstream};
+use crate::servers::{Pool, Upstream};
 use dillpass::settings::{stable_hash, Listed, Names};
 use dillpass::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
 
-/// The module's clock: Unix milliseconds as they were at the start, and steady from then on. Common to
-/// all limiters and growing over restarts, as lives are told apart by it; a step of the wall clock
-/// within a life is none here.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    begun: Instant,
-    at_begin: Millis,
-}
-
-impl Clock {
-    pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { begun: Instant::now(), at_begin: unix.as_secs_f64() * 1000.0 }
-    }
-
-    fn now(&self) -> Millis {
-        self.at_begin + self.begun.elapsed().as_secs_f64() * 1000.0
-    }
-}
-
-/// A request that a client made; dropping its answer's receiver says nothing, [`Input::Gone`] does.
-pub struct Call {
-    pub id: RequestId,
-    pub class: ClassId,
-    pub plan: PlanId,
-    pub customer: CustomerId,
-    pub units: f64,
-    pub set_size: u32,
-    pub set_first: GatewayId,
-    /// When the last byte of its answer must be out.
-    pub expires: Instant,
-    pub outgoing: Rc<Outgoing>,
-    pub answer: oneshot::Sender<Answer>,
-}
-
-/// The one final answer.
-pub enum Answer {
-    Served(Served),
-    Refused { retry_after: Millis },
-    Failed,
-}
-
-/// What the driver hears of.
-pub enum Input {
-    Call(Call),
-    /// A client went away without its answer.
-    Gone(RequestId),
-    Ended {
-        request: RequestId,
-        attempt: u32,
-        server: ServerId,
-        ended: Ended,
-    },
-    Probed {
-        server: ServerId,
-        ended: Ended,
-    },
-    Listing(Listing),
-    Peer {
-        from: GatewayId,
-        bytes: Vec<u8>,
-    },
-}
-
 /// A request that is owed an answer or still has an attempt out.
 struct Held {
     outgoing: Rc<Outgoing>,
--- /dev/null
+++ b/crates/emberpin/src/lib.rs
@@ -0,0 +1,20 @@
+//! The limiter: hosts the decisions of [`dillpass`] on sockets, with HTTP clients in front and servers behind.
+//!
+//! It takes no decision about a request itself; [`limiter`] puts the parts together in the order in which a
+//! request meets them. For embedding the decisions alone, without sockets, use `dillpass`.
+#![forbid(unsafe_code)]
+
+mod admission;
+mod clients;
+mod clock;
+pub mod command;
+pub mod config;
+mod connections;
+mod discovery;
+mod driver;
+pub mod limiter;
+mod listing;
+mod messages;
+pub mod operator;
+mod peers;
+mod servers;
--- a/src/bin/emberpin/main.rs
+++ b/crates/emberpin/src/limiter.rs
@@ -1,19 +1,21 @@
-//! The real limiter: HTTP clients in front, servers behind, one decision module in the middle.
-#![forbid(unsafe_code)]
+//! One limiter, put together in the order in which a request meets its parts:
+//!
+//! ```text
+//! client ─ clients + connections ─ admission ─ driver + dillpass ─ servers ─ server
+//!                                                 │
+//!                                  discovery, peers, timers
+//! ```
+//!
+//! All inputs reach the driver through one bounded channel, on one thread. A stage of the door, once there is
+//! one, is composed here, at the start: one that is off is not in the way at all.
 
-mod admission;
-mod clients;
-mod config;
-mod connections;
-mod discovery;
-mod driver;
-mod peers;
-mod servers;
-
-use config::Config;
-use discovery::Discovery;
-use std::process::ExitCode;
-use std::time::Duration;
+use crate::clients::Front;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::discovery::Discovery;
+use crate::driver::Driver;
+use crate::operator::Operator;
+use crate::peers;
 use tokio::net::{TcpSocket, UdpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
@@ -21,30 +23,28 @@
 
 /// Most inputs that wait for the driver; whoever has more waits, or drops what may be lost.
 const INPUTS: usize = 1024;
-/// After SIGTERM clients go on coming for a while before the front has noticed.
-const LEAVING: Duration = Duration::from_millis(700);
 const BACKLOG: u32 = 512;
 
-fn main() -> ExitCode {
-    let outcome = Config::from_env().and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, run(config))
-    });
-    match outcome {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            eprintln!("emberpin: {}", problem.replace('\n', " "));
-            ExitCode::FAILURE
-        }
-    }
+/// Runs one limiter on this thread until it is told to end.
+///
+/// # Errors
+///
+/// One line that says why it could not start or go on.
+pub fn serve(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(config))
 }
 
 /// Serves until SIGTERM, then leaves without losing what was taken.
+///
+/// # Errors
+///
+/// One line that says what could not be had: a signal, a socket, a part that ended before its time.
 async fn run(config: Config) -> Result<(), String> {
     let caught = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
     let (mut terminated, hung_up) = (caught(SignalKind::terminate())?, caught(SignalKind::hangup())?);
-    let clock = driver::Clock::start();
+    let clock = Clock::start();
     let (inputs, received) = mpsc::channel(INPUTS);
 
     // A killed predecessor leaves connections in TIME_WAIT: rebinding must not wait for them.
@@ -69,10 +69,10 @@
     let discovery = Discovery::start(config.discovery, config.known.rev, inputs.clone());
     let refetch = discovery.refetch();
     spawn_local(reload(hung_up, discovery));
-    let longest = config.longest_deadline();
-    let front = clients::Front::new(&config, inputs.clone());
+    let (longest, leaving) = (config.longest_deadline(), config.connections.leaving);
+    let front = Front::new(&config, inputs.clone());
     let accepting = spawn_local(front.clone().accept(listener));
-    let driver = spawn_local(driver::Driver::new(config, clock, inputs, peers, refetch).run(received));
+    let driver = spawn_local(Driver::new(config, clock, inputs, peers, refetch).run(received));
 
     tokio::select! {
         _ = terminated.recv() => {}
@@ -80,7 +80,7 @@
         ended = accepting => return Err(format!("no more clients: {ended:?}")),
     }
     front.leave();
-    tokio::time::sleep(LEAVING).await;
+    tokio::time::sleep(leaving).await;
     front.close();
     // What was taken is answered within the longest deadline: a client that has sent half a request must
     // not keep the process for ever.
@@ -91,8 +91,10 @@
 /// Reads the configuration again at each SIGHUP, for as long as the process lives: while it leaves, too. Of
 /// a changed file only the address of discovery is taken over; one that can't be read changes nothing.
 async fn reload(mut hung_up: Signal, discovery: Discovery) {
+    // What operators set holds for the process's life.
+    let operator = Operator::default();
     while hung_up.recv().await.is_some() {
-        match Config::from_env() {
+        match Config::from_env(&operator) {
             Ok(config) => {
                 eprintln!("emberpin: configuration read again, discovery at {}", config.discovery);
                 discovery.move_to(config.discovery);
--- /dev/null
+++ b/crates/emberpin/src/listing.rs
@@ -0,0 +1,48 @@
+//! The list of servers as discovery words it: whole, or the changes to it.
+
+use serde::de::IgnoredAny;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// A list of servers, or the changes to it.
+#[derive(Debug, Default, Deserialize)]
+pub struct Listing {
+    pub rev: u64,
+    #[serde(rename = "all")]
+    pub whole: bool,
+    pub targets: Vec<Entry>,
+}
+
+/// An entry that cannot be read must not take the others of its line with it.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+pub enum Entry {
+    Target(Target),
+    Garbled(IgnoredAny),
+}
+
+/// A server's entry.
+#[derive(Debug, Deserialize)]
+pub struct Target {
+    pub uid: String,
+    pub endpoint: Option<SocketAddr>,
+    #[serde(rename = "az")]
+    pub zone: String,
+    pub model: Option<String>,
+    pub pod_group: Option<u32>,
+    pub state: State,
+    pub capacity_hint: Option<f64>,
+    #[serde(default)]
+    pub boot_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+    /// A state that this program does not know gets nothing new.
+    #[serde(other)]
+    Unknown,
+}
--- /dev/null
+++ b/crates/emberpin/src/main.rs
@@ -0,0 +1,8 @@
+//! The limiter's program; everything is in the library.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    emberpin::command::main(std::env::args_os())
+}
--- /dev/null
+++ b/crates/emberpin/src/messages.rs
@@ -0,0 +1,80 @@
+//! What the limiter's parts tell each other: requests, answers, attempts and news, beneath them all so that
+//! none of them needs another for its types.
+
+use crate::listing::Listing;
+use bytes::Bytes;
+use dillpass::{ClassId, CustomerId, GatewayId, Millis, Outcome, PlanId, Report, RequestId, ServerId};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Uri};
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// Bodies hold no more than this.
+pub const MAX_BODY: usize = 64 * 1024;
+/// A client's request as it goes on to servers.
+pub struct Outgoing {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// A server's good answer.
+pub struct Served {
+    pub content_type: Option<HeaderValue>,
+    pub body: Bytes,
+}
+
+/// How an attempt or a probe ended. Its connection is closed or back in the pool by then.
+pub struct Ended {
+    pub outcome: Outcome,
+    pub elapsed: Millis,
+    pub report: Report,
+    pub metered: Option<f64>,
+    pub served: Option<Served>,
+}
+
+/// A request that a client made; dropping its answer's receiver says nothing, [`Input::Gone`] does.
+pub struct Call {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub plan: PlanId,
+    pub customer: CustomerId,
+    pub units: f64,
+    pub set_size: u32,
+    pub set_first: GatewayId,
+    /// When the last byte of its answer must be out.
+    pub expires: Instant,
+    pub outgoing: Rc<Outgoing>,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// The one final answer.
+pub enum Answer {
+    Served(Served),
+    Refused { retry_after: Millis },
+    Failed,
+}
+
+/// What the driver hears of.
+pub enum Input {
+    Call(Call),
+    /// A client went away without its answer.
+    Gone(RequestId),
+    Ended {
+        request: RequestId,
+        attempt: u32,
+        server: ServerId,
+        ended: Ended,
+    },
+    Probed {
+        server: ServerId,
+        ended: Ended,
+    },
+    Listing(Listing),
+    Peer {
+        from: GatewayId,
+        bytes: Vec<u8>,
+    },
+}
--- /dev/null
+++ b/crates/emberpin/src/operator.rs
@@ -0,0 +1,205 @@
+//! Operator files: TOML, one table for each subsystem, unknown keys refused. What no file sets is as the
+//! platform has it.
+
+use serde::{Deserialize, Deserializer};
+use std::fmt;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// What all operator files together set.
+#[derive(Debug, Default, PartialEq)]
+pub struct Operator {
+    /// How connections are dealt out.
+    pub connections: Connections,
+}
+
+/// How the limiter deals with its connections: the table `[connections]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Connections {
+    /// The clients' part of the descriptors that are not the limiter's own; servers get the rest.
+    #[serde(deserialize_with = "client_share")]
+    pub client_share: f64,
+    /// Idle connections kept to one server.
+    #[serde(deserialize_with = "idle_per_server")]
+    pub idle_per_server: usize,
+    /// A server closes idle connections at its limit; the limiter's go at this part of it.
+    #[serde(deserialize_with = "idle_share")]
+    pub idle_share: f64,
+    /// How long new clients are still taken after SIGTERM, until the front has noticed.
+    #[serde(rename = "leaving_ms", deserialize_with = "leaving")]
+    pub leaving: Duration,
+}
+
+impl Default for Connections {
+    fn default() -> Connections {
+        Connections {
+            // Clients may hold a third of all for requests, and beside those stand silent and idle ones.
+            client_share: 0.55,
+            idle_per_server: 16,
+            // Below 1, so that none is used just when the server closes it.
+            idle_share: 0.8,
+            leaving: Duration::from_millis(700),
+        }
+    }
+}
+
+/// One file: each table at most once over all files.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    connections: Option<Connections>,
+}
+
+impl Operator {
+    /// Reads the files in order.
+    ///
+    /// # Errors
+    ///
+    /// One line: file, line and column, what was found and what was expected.
+    pub fn read(files: &[PathBuf]) -> Result<Operator, String> {
+        let mut operator = Operator::default();
+        let mut connections_from: Option<&Path> = None;
+        for path in files {
+            let shown = path.display();
+            let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
+            let file: File = toml::from_str(&text).map_err(|e| place(&shown.to_string(), &text, &e))?;
+            let Some(connections) = file.connections else { continue };
+            if let Some(before) = connections_from.replace(path) {
+                let before = before.display();
+                return Err(format!("{shown}: [connections] is set already, by {before}; keep one of them"));
+            }
+            operator.connections = connections;
+        }
+        Ok(operator)
+    }
+}
+
+impl fmt::Display for Operator {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Connections { client_share, idle_per_server, idle_share, leaving } = &self.connections;
+        writeln!(to, "[connections]")?;
+        writeln!(to, "client_share = {client_share} of the descriptors")?;
+        writeln!(to, "idle_per_server = {idle_per_server} connections")?;
+        writeln!(to, "idle_share = {idle_share} of the servers' idle limit")?;
+        writeln!(to, "leaving_ms = {} ms", leaving.as_millis())
+    }
+}
+
+/// `file:line:column: what is wrong`.
+pub fn place(file: &str, text: &str, error: &toml::de::Error) -> String {
+    let message = error.message().replace('\n', " ");
+    match error.span() {
+        Some(span) => {
+            let (line, column) = position(text, span.start);
+            format!("{file}:{line}:{column}: {message}")
+        }
+        None => format!("{file}: {message}"),
+    }
+}
+
+/// Line and column of a byte's offset, counted from 1 as editors do.
+pub fn position(text: &str, offset: usize) -> (usize, usize) {
+    let before = text.get(..offset).unwrap_or(text);
+    let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+    (before.matches('\n').count() + 1, column)
+}
+
+/// A number within its bounds, or an error that names both.
+fn within<'de, D: Deserializer<'de>>(
+    from: D,
+    bounds: RangeInclusive<f64>,
+    unit: &str,
+) -> Result<f64, D::Error> {
+    let value = f64::deserialize(from)?;
+    match bounds.contains(&value) {
+        true => Ok(value),
+        false => {
+            let (least, most) = bounds.into_inner();
+            Err(serde::de::Error::custom(format!("found {value}, expected {least} to {most} {unit}")))
+        }
+    }
+}
+
+fn client_share<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    within(from, 0.1..=0.9, "of the descriptors")
+}
+
+fn idle_per_server<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    let value = u32::deserialize(from)?;
+    match (1..=4096).contains(&value) {
+        true => Ok(value as usize),
+        false => Err(serde::de::Error::custom(format!("found {value}, expected 1 to 4096 connections"))),
+    }
+}
+
+fn idle_share<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    within(from, 0.1..=0.95, "of the servers' idle limit")
+}
+
+fn leaving<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
+    within(from, 0.0..=60_000.0, "ms").map(|ms| Duration::from_secs_f64(ms / 1000.0))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The files with these texts, read in order; they are gone afterwards.
+    fn read(texts: &[&str]) -> Result<Operator, String> {
+        static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("emberpin-operator-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let files = texts.iter().enumerate().map(|(i, text)| {
+            let path = folder.join(format!("{i}.toml"));
+            std::fs::write(&path, text).expect("written");
+            path
+        });
+        let operator = Operator::read(&files.collect::<Vec<_>>());
+        std::fs::remove_dir_all(&folder).expect("removed");
+        operator.map_err(|e| e.replace(&format!("{}/", folder.display()), ""))
+    }
+
+    #[test]
+    fn what_no_file_sets_is_the_platforms() {
+        assert_eq!(read(&[]), Ok(Operator::default()));
+        assert_eq!(read(&["# nothing", "[connections]"]), Ok(Operator::default()));
+    }
+
+    #[test]
+    fn a_value_is_taken_over_and_shown_with_its_unit() {
+        let operator = read(&["[connections]\nidle_per_server = 3\nleaving_ms = 250"]).expect("good");
+        assert_eq!(operator.connections.idle_per_server, 3);
+        assert_eq!(operator.connections.leaving, Duration::from_millis(250));
+        assert!(operator.to_string().contains("idle_per_server = 3 connections"));
+        assert!(operator.to_string().contains("leaving_ms = 250 ms"));
+    }
+
+    #[test]
+    fn errors_name_file_line_column_found_and_expected() {
+        let cases = [
+            ("\n[conections]\n", "0.toml:2:2: unknown field `conections`, expected `connections`"),
+            ("[connections]\nidle = 1", "0.toml:2:1: unknown field `idle`, expected one of `client_share`"),
+            ("[connections]\n  client_share = 1.5", "0.toml:2:18: found 1.5, expected 0.1 to 0.9"),
+            ("[connections]\nclient_share = nan", "0.toml:2:16: found NaN, expected 0.1 to 0.9"),
+            ("[connections]\nidle_per_server = 0", "0.toml:2:19: found 0, expected 1 to 4096 connections"),
+            (
+                "[connections]\nleaving_ms = \"1 s\"",
+                "0.toml:2:14: invalid type: string \"1 s\", expected f64",
+            ),
+            ("[connections", "0.toml:1:13: "),
+        ];
+        for (text, expected) in cases {
+            let problem = read(&[text]).expect_err(text);
+            assert!(problem.starts_with(expected), "{text:?}: {problem}");
+        }
+    }
+
+    #[test]
+    fn a_table_that_stands_twice_is_refused_with_both_places() {
+        let problem = read(&["[connections]", "", "[connections]"]).expect_err("twice");
+        assert_eq!(problem, "2.toml: [connections] is set already, by 0.toml; keep one of them");
+    }
+}
--- a/src/bin/emberpin/peers.rs
+++ b/crates/emberpin/src/peers.rs
@@ -1,7 +1,7 @@
 //! Messages between limiters: one UDP socket, and who stands behind which address.
 
 use crate::config::Config;
-use crate::driver::Input;
+use crate::messages::Input;
 use dillpass::{gossip, GatewayId};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/bin/emberpin/servers.rs
+++ b/crates/emberpin/src/servers.rs
@@ -1,14 +1,15 @@
 //! The server side: attempts, probes, and one bounded pool of connections for each server.
 
 use crate::config::Config;
+use crate::messages::{Ended, Outgoing, Served, MAX_BODY};
 use bytes::Bytes;
 use dillpass::settings::report;
-use dillpass::{Millis, Outcome, Report};
+use dillpass::{Outcome, Report};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -26,42 +27,17 @@
 use tokio::sync::{oneshot, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{interval, timeout_at, Instant, MissedTickBehavior};
 
-/// Bodies hold no more than this.
-pub const MAX_BODY: usize = 64 * 1024;
 /// An answer's head holds no more than this.
 const MAX_HEAD: usize = 16 * 1024;
-/// Idle connections kept to one server.
-const MAX_IDLE: usize = 16;
 /// How often idle connections are looked at.
 const RETIRE: Duration = Duration::from_millis(500);
 
-/// A client's request as it goes on to servers.
-pub struct Outgoing {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
-/// A server's good answer.
-pub struct Served {
-    pub content_type: Option<HeaderValue>,
-    pub body: Bytes,
-}
-
-/// How an attempt or a probe ended. Its connection is closed or back in the pool by then.
-pub struct Ended {
-    pub outcome: Outcome,
-    pub elapsed: Millis,
-    pub report: Report,
-    pub metered: Option<f64>,
-    pub served: Option<Served>,
-}
-
 /// What all servers share: limits on time and on sockets, and the connections that wait for work.
 pub struct Pool {
     connect_timeout: Duration,
     idle_limit: Duration,
+    /// Most idle connections to one server.
+    most_idle: usize,
     sockets: Arc<Semaphore>,
     /// The longest idle first.
     idle: RefCell<Vec<Idle>>,
@@ -79,6 +55,7 @@
         Rc::new(Pool {
             connect_timeout: config.connect_timeout,
             idle_limit: config.idle_limit,
+            most_idle: config.connections.idle_per_server,
             sockets: Arc::new(Semaphore::new(config.server_sockets)),
             idle: RefCell::default(),
             next: Cell::new(0),
@@ -108,7 +85,7 @@
 
     fn keep(&self, key: u64, conn: Conn) {
         let mut idle = self.idle.borrow_mut();
-        if idle.iter().filter(|idle| idle.key == key).count() < MAX_IDLE {
+        if idle.iter().filter(|idle| idle.key == key).count() < self.most_idle {
             idle.push(Idle { key, conn, since: Instant::now() });
         }
     }
--- /dev/null
+++ b/crates/emberpin/tests/command.rs
@@ -0,0 +1,48 @@
+//! The program's command line: what it refuses, and with which status.
+#![allow(missing_docs)]
+
+use std::process::{Command, Output};
+
+fn emberpin(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_emberpin"));
+    command.args(arguments).env_remove("GW_CONFIG").output().expect("runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn the_shipped_operator_files_are_what_holds_without_them() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy");
+    let file = format!("{folder}/connections.toml");
+    let (with, without) = (emberpin(&["check", "--with", &file]), emberpin(&["check"]));
+    assert_eq!((with.status.code(), without.status.code()), (Some(0), Some(0)));
+    assert_eq!(text(&with.stdout), text(&without.stdout));
+    assert!(text(&with.stdout).contains("leaving_ms = 700 ms"), "{}", text(&with.stdout));
+}
+
+#[test]
+fn a_check_of_a_bad_file_says_where_and_ends_with_2() {
+    let path = std::env::temp_dir().join(format!("emberpin-command-{}.toml", std::process::id()));
+    std::fs::write(&path, "[connections]\nclient_share = 7\n").expect("written");
+    let file = path.to_str().expect("text");
+    let checked = emberpin(&["check", "--with", file]);
+    let started = emberpin(&["--with", file]);
+    std::fs::remove_file(&path).expect("removed");
+    assert_eq!((checked.status.code(), started.status.code()), (Some(2), Some(1)));
+    let expected = format!("emberpin: {file}:2:16: found 7, expected 0.1 to 0.9 of the descriptors\n");
+    assert_eq!(text(&checked.stderr), expected);
+    assert_eq!(text(&started.stderr), expected);
+    let missing = emberpin(&["check", "--with", file]);
+    assert_eq!(missing.status.code(), Some(2));
+    assert!(text(&missing.stderr).starts_with(&format!("emberpin: cannot read {file}: ")));
+}
+
+#[test]
+fn help_and_version_are_good_and_unknown_words_are_not() {
+    assert_eq!(emberpin(&["--help"]).status.code(), Some(0));
+    assert!(text(&emberpin(&["--version"]).stdout).starts_with("emberpin "));
+    assert_eq!(emberpin(&["--without"]).status.code(), Some(2));
+    assert_eq!(emberpin(&[]).status.code(), Some(1), "bare, it needs the platform's file");
+}
