--- /dev/null
+++ b/crates/emberpin-site/src/discovery.rs
@@ -0,0 +1,257 @@
+//! The stand-in discovery: an agent beside each limiter that answers at once with what it has been sent, is
+//! late as the scenario says, and silent while discovery is down.
+
+use crate::figures::hall_name;
+use crate::http::Wire;
+use crate::servers::{Server, World};
+use crate::trace::{Life, Standing, What};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::sync::{watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+/// While nothing changes, an empty line comes so often.
+const HEARTBEAT: Duration = Duration::from_secs(2);
+
+/// A server's entry, as one limiter is told it.
+#[derive(Clone)]
+struct Entry {
+    life: Life,
+    standing: Standing,
+    json: Value,
+}
+
+/// What one limiter's agent has been sent.
+struct Agent {
+    address: SocketAddr,
+    rev: Cell<u64>,
+    /// What was sent last arrives then; what is sent later does not overtake it.
+    last_due: Cell<Instant>,
+    /// By id: the entry, and the version that it came with.
+    listed: RefCell<BTreeMap<String, (u64, Entry)>>,
+    news: Notify,
+}
+
+/// Discovery and its agents.
+pub struct Discovery {
+    world: Rc<World>,
+    agents: Vec<Rc<Agent>>,
+    silent: watch::Sender<bool>,
+    rng: RefCell<ChaCha8Rng>,
+}
+
+impl Discovery {
+    /// Starts an agent for each limiter.
+    ///
+    /// # Errors
+    ///
+    /// No free port.
+    pub async fn start(world: Rc<World>) -> std::io::Result<Rc<Discovery>> {
+        let mut agents = Vec::new();
+        let mut listeners = Vec::new();
+        for _ in 0..world.scenario.site.limiters {
+            let listener = TcpListener::bind((world.host, 0)).await?;
+            agents.push(Rc::new(Agent {
+                address: listener.local_addr()?,
+                rev: Cell::new(1),
+                last_due: Cell::new(Instant::now()),
+                listed: RefCell::default(),
+                news: Notify::new(),
+            }));
+            listeners.push(listener);
+        }
+        let rng = ChaCha8Rng::seed_from_u64(world.scenario.seed ^ 0xd15c);
+        let silent = watch::Sender::new(false);
+        let discovery = Rc::new(Discovery { world, agents, silent, rng: RefCell::new(rng) });
+        for (limiter, listener) in listeners.into_iter().enumerate() {
+            spawn_local(discovery.clone().accept(limiter, listener));
+        }
+        Ok(discovery)
+    }
+
+    /// Where a limiter's agent listens.
+    pub fn address(&self, limiter: usize) -> SocketAddr {
+        self.agents[limiter].address
+    }
+
+    /// Tells nothing more for a while, or goes on.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.send_replace(silent);
+    }
+
+    /// A server's standing has changed; each agent is sent it late.
+    pub fn announce(self: &Rc<Self>, server: &Server, standing: Standing) {
+        let Some(process) = server.process() else { return };
+        self.send(server, process.life, process.boot_ms, standing);
+    }
+
+    /// A life has ended, or ends: its entry goes.
+    pub fn withdraw(self: &Rc<Self>, server: &Server, life: Life, boot_ms: f64) {
+        self.send(server, life, boot_ms, Standing::Gone);
+    }
+
+    fn send(self: &Rc<Self>, server: &Server, life: Life, boot_ms: f64, standing: Standing) {
+        let uid = server.uid();
+        for limiter in 0..self.agents.len() {
+            let entry = self.entry(server, limiter, life, boot_ms, standing);
+            let [soonest, latest] = self.world.scenario.site.notice_ms;
+            let late = soonest + (latest - soonest) * self.rng.borrow_mut().random::<f64>();
+            let due = Instant::now() + Duration::from_secs_f64(late / 1000.0);
+            let due = due.max(self.agents[limiter].last_due.get() + Duration::from_millis(1));
+            self.agents[limiter].last_due.set(due);
+            let (discovery, uid) = (self.clone(), uid.clone());
+            spawn_local(async move {
+                tokio::time::sleep_until(due).await;
+                let mut silent = discovery.silent.subscribe();
+                _ = silent.wait_for(|silent| !silent).await;
+                discovery.agents[limiter].take(uid, entry);
+            });
+        }
+    }
+
+    /// Every agent knows this server from the start.
+    pub fn list(&self, server: &Server) {
+        let Some(process) = server.process() else { return };
+        for (limiter, agent) in self.agents.iter().enumerate() {
+            let entry = self.entry(server, limiter, process.life, process.boot_ms, Standing::Ready);
+            agent.take(server.uid(), entry);
+        }
+    }
+
+    fn entry(&self, server: &Server, limiter: usize, life: Life, boot_ms: f64, standing: Standing) -> Entry {
+        let json = json!({
+            "uid": server.uid(), "endpoint": server.addresses.borrow()[limiter].to_string(),
+            "az": hall_name(self.world.hall(server.number)), "model": "std-2c",
+            "pod_group": server.number / self.world.scenario.site.halls,
+            "state": match standing {
+                Standing::Ready => "ready",
+                Standing::Draining => "draining",
+                Standing::Gone => "gone",
+            },
+            "capacity_hint": 1.0, "boot_ms": boot_ms,
+        });
+        Entry { life, standing, json }
+    }
+
+    /// The whole list as a limiter last had it, for its start.
+    pub fn known(&self, limiter: usize) -> Value {
+        let agent = &self.agents[limiter];
+        self.tell(limiter, agent.rev.get(), agent.whole())
+    }
+
+    /// The line for some entries, which counts as told from now on.
+    fn tell(&self, limiter: usize, rev: u64, (all, entries): (bool, Vec<Entry>)) -> Value {
+        for entry in &entries {
+            let (life, standing) = (entry.life, entry.standing);
+            self.world.recorder.note(What::Told { limiter, life, standing });
+        }
+        let targets: Vec<&Value> = entries.iter().map(|entry| &entry.json).collect();
+        json!({"rev": rev, "all": all, "targets": targets})
+    }
+
+    async fn accept(self: Rc<Self>, limiter: usize, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let discovery = self.clone();
+            spawn_local(async move { discovery.serve(limiter, Wire::new(stream)).await });
+        }
+    }
+
+    /// One connection of a limiter: lists, or one watch until it ends.
+    async fn serve(&self, limiter: usize, mut wire: Wire) {
+        let agent = &self.agents[limiter];
+        let mut silent = self.silent.subscribe();
+        while let Ok((head, _)) = wire.read(false, || ()).await {
+            _ = silent.wait_for(|silent| !silent).await;
+            let (path, query) = head.path.split_once('?').unwrap_or((&head.path, ""));
+            if path != "/registry/instances" {
+                _ = wire.stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await;
+                continue;
+            }
+            let value = |name: &str| {
+                query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)
+            };
+            if value("follow").is_none() {
+                let body = self.tell(limiter, agent.rev.get(), agent.whole()).to_string();
+                let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                if wire.stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let since = value("since").and_then(|(_, rev)| rev.parse().ok());
+            self.follow(limiter, &mut wire, since).await;
+            return;
+        }
+    }
+
+    /// A watch: what has changed after a version, or the whole list, then each change as it comes.
+    async fn follow(&self, limiter: usize, wire: &mut Wire, since: Option<u64>) {
+        let agent = &self.agents[limiter];
+        let mut silent = self.silent.subscribe();
+        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        if wire.stream.write_all(head).await.is_err() {
+            return;
+        }
+        let mut known = since;
+        loop {
+            let news = agent.news.notified();
+            let rev = agent.rev.get();
+            let line = match known {
+                None => Some(agent.whole()),
+                Some(known) if known < rev => Some((false, agent.changed_after(known))),
+                Some(_) => None,
+            };
+            if let Some(line) = line {
+                known = Some(rev);
+                let line = self.tell(limiter, rev, line).to_string();
+                if write_line(wire, &line).await.is_err() {
+                    return;
+                }
+            }
+            tokio::select! {
+                () = wire.ended() => return,
+                () = news => {}
+                () = tokio::time::sleep(HEARTBEAT) => {
+                    if !*silent.borrow_and_update() && write_line(wire, "").await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn write_line(wire: &mut Wire, line: &str) -> std::io::Result<()> {
+    let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+    wire.stream.write_all(chunk.as_bytes()).await
+}
+
+impl Agent {
+    fn take(&self, uid: String, entry: Entry) {
+        self.rev.set(self.rev.get() + 1);
+        self.listed.borrow_mut().insert(uid, (self.rev.get(), entry));
+        self.news.notify_waiters();
+    }
+
+    /// All that is not gone.
+    fn whole(&self) -> (bool, Vec<Entry>) {
+        let listed = self.listed.borrow();
+        let here = listed.values().filter(|(_, entry)| entry.standing != Standing::Gone);
+        (true, here.map(|(_, entry)| entry.clone()).collect())
+    }
+
+    fn changed_after(&self, rev: u64) -> Vec<Entry> {
+        let listed = self.listed.borrow();
+        listed.values().filter(|(at, _)| *at > rev).map(|(_, entry)| entry.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/emberpin-site/src/http.rs
@@ -0,0 +1,170 @@
+//! Just enough of HTTP/1.1 for stand-ins that see every byte's time: heads through `httparse`, bodies by their
+//! length, nothing read ahead of what is asked for.
+
+use std::io;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+/// Largest head and body that are taken.
+const MAX_HEAD: usize = 32 * 1024;
+const MAX_BODY: usize = 1 << 20;
+const MAX_HEADERS: usize = 64;
+
+/// A message's head.
+#[derive(Debug, Default)]
+pub struct Head {
+    /// Method of a request; empty for an answer.
+    pub method: String,
+    /// Path and query of a request.
+    pub path: String,
+    /// Status of an answer.
+    pub status: u16,
+    headers: Vec<(String, String)>,
+}
+
+impl Head {
+    /// The first header of this name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    }
+
+    /// Whether the sender ends the connection after this message.
+    pub fn closes(&self) -> bool {
+        self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+
+    fn keep(&mut self, headers: &[httparse::Header]) {
+        let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+        self.headers = headers.iter().map(|header| (header.name.to_string(), text(header.value))).collect();
+    }
+
+    /// Reads a head off the front of the bytes: its length too, or nothing if it is not whole yet.
+    fn parse(bytes: &[u8], answer: bool) -> Result<Option<(Head, usize)>, Broken> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = Head::default();
+        let parsed = if answer {
+            let mut response = httparse::Response::new(&mut headers);
+            let status = response.parse(bytes).map_err(|_| Broken::Garbled)?;
+            if status.is_complete() {
+                head.status = response.code.unwrap_or(0);
+                head.keep(response.headers);
+            }
+            status
+        } else {
+            let mut request = httparse::Request::new(&mut headers);
+            let status = request.parse(bytes).map_err(|_| Broken::Garbled)?;
+            if status.is_complete() {
+                head.method = request.method.unwrap_or_default().into();
+                head.path = request.path.unwrap_or_default().into();
+                head.keep(request.headers);
+            }
+            status
+        };
+        match parsed {
+            httparse::Status::Complete(length) => Ok(Some((head, length))),
+            httparse::Status::Partial if bytes.len() > MAX_HEAD => Err(Broken::Garbled),
+            httparse::Status::Partial => Ok(None),
+        }
+    }
+
+    fn body_length(&self) -> Result<usize, Broken> {
+        if self.header("transfer-encoding").is_some() {
+            return Err(Broken::Garbled);
+        }
+        match self.header("content-length").map(str::parse) {
+            None => Ok(0),
+            Some(Ok(length)) if length <= MAX_BODY => Ok(length),
+            Some(_) => Err(Broken::Garbled),
+        }
+    }
+}
+
+/// Why no message came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// The other side ended the connection, or it was reset; nothing of a message had come.
+    Ended,
+    /// The same with part of a message come.
+    Cut,
+    /// What came is no message that this side understands.
+    Garbled,
+}
+
+/// A connection and what was read of it beyond the last message.
+pub struct Wire {
+    /// The socket.
+    pub stream: TcpStream,
+    held: Vec<u8>,
+}
+
+impl Wire {
+    /// Wraps a connection on which nothing has been read.
+    pub fn new(stream: TcpStream) -> Wire {
+        // Loopback has no reason to refuse; a message that waits for another would only be late.
+        _ = stream.set_nodelay(true);
+        Wire { stream, held: Vec::with_capacity(1024) }
+    }
+
+    /// One message; `first_byte` is called when its first byte is there.
+    ///
+    /// # Errors
+    ///
+    /// How the connection broke.
+    pub async fn read(&mut self, answer: bool, first_byte: impl FnOnce()) -> Result<(Head, Vec<u8>), Broken> {
+        let mut first_byte = Some(first_byte);
+        if self.held.is_empty() {
+            self.fill().await.map_err(|_| Broken::Ended)?;
+        }
+        if let Some(first_byte) = first_byte.take() {
+            first_byte();
+        }
+        let (head, length) = loop {
+            match Head::parse(&self.held, answer)? {
+                Some(parsed) => break parsed,
+                None => self.fill().await.map_err(|_| Broken::Cut)?,
+            }
+        };
+        let whole = length + head.body_length()?;
+        while self.held.len() < whole {
+            self.fill().await.map_err(|_| Broken::Cut)?;
+        }
+        let body = self.held[length..whole].to_vec();
+        self.held.drain(..whole);
+        Ok((head, body))
+    }
+
+    async fn fill(&mut self) -> io::Result<()> {
+        match self.stream.read_buf(&mut self.held).await? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns when the other side has ended the connection or its sending; what else comes is kept.
+    pub async fn ended(&mut self) {
+        while self.held.len() <= MAX_HEAD + MAX_BODY && self.fill().await.is_ok() {}
+    }
+
+    /// Waits for anything at all: whether bytes came, else the connection ended.
+    pub async fn anything(&mut self) -> bool {
+        !self.held.is_empty() || self.fill().await.is_ok()
+    }
+
+    /// What stands unread on an idle connection, as far as the system knows now: nothing, bytes (`true`), or
+    /// its end (`false`).
+    pub fn unread(&self) -> Option<bool> {
+        if !self.held.is_empty() {
+            return Some(true);
+        }
+        match self.stream.try_read(&mut [0; 1]) {
+            Ok(read) => Some(read > 0),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
+            Err(_) => Some(false),
+        }
+    }
+
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        _ = self.stream.set_zero_linger();
+    }
+}
--- /dev/null
+++ b/crates/emberpin-site/src/main.rs
@@ -0,0 +1,169 @@
+//! The stand-in site's command: plays a scenario with limiters, servers, discovery, peers and clients on
+//! loopback, shows how it goes, and ends with a table and the referee's verdict.
+#![forbid(unsafe_code)]
+
+use clap::Parser;
+use emberpin_site::page;
+use emberpin_site::process::Program;
+use emberpin_site::report::{stories, Summary};
+use emberpin_site::scenario::Scenario;
+use emberpin_site::site::{self, Outcome, Progress};
+use emberpin_site::trace::{seconds, Micros, SECOND};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The word by which this program runs itself again as a limiter.
+const AS_LIMITER: &str = "limiter";
+/// Between two lines of progress where there is no terminal.
+const EVERY: Micros = 2 * SECOND;
+/// A rule broke.
+const BROKEN: u8 = 1;
+/// A command line or a scenario that cannot be used, or a site that does not stand up.
+const UNUSABLE: u8 = 2;
+/// Nothing is known to be broken, but the stand-ins ran too late to be sure.
+const LATE: u8 = 3;
+
+/// Play a scenario with limiters between stand-ins on loopback, and judge it.
+///
+/// Exit status: 0 every rule held, 1 a rule broke, 2 it could not be played, 3 the stand-ins ran too late to
+/// be sure.
+#[derive(Parser)]
+#[command(name = "emberpin-site", version, max_term_width = 100)]
+struct Line {
+    /// A scenario file; without it nothing goes wrong
+    #[arg(long, value_name = "FILE")]
+    scenario: Option<PathBuf>,
+    /// Play so many seconds, whatever the scenario says
+    #[arg(long, value_name = "N")]
+    seconds: Option<f64>,
+    /// Draw everything random from this, whatever the scenario says
+    #[arg(long, value_name = "N")]
+    seed: Option<u64>,
+    /// Write one page with tables and plots over time
+    #[arg(long, value_name = "FILE.html")]
+    report: Option<PathBuf>,
+    /// Write the figures and the verdict as JSON
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Another build of the limiter, in place of this program's own
+    #[arg(long, value_name = "PATH")]
+    limiter: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    if std::env::args_os().nth(1).is_some_and(|word| word == AS_LIMITER) {
+        return emberpin::command::main(std::env::args_os().skip(1));
+    }
+    match play(&Line::parse()) {
+        Ok(status) => status,
+        Err(problem) => {
+            eprintln!("emberpin-site: {}", problem.replace('\n', " "));
+            ExitCode::from(UNUSABLE)
+        }
+    }
+}
+
+fn play(line: &Line) -> Result<ExitCode, String> {
+    let scenario = line.scenario()?;
+    let program = match &line.limiter {
+        Some(path) => Program { path: path.clone(), arguments: Vec::new() },
+        None => {
+            let path = std::env::current_exe().map_err(|e| format!("cannot find this program: {e}"))?;
+            Program { path, arguments: vec![AS_LIMITER.into()] }
+        }
+    };
+    println!("{}: {}", scenario.name, scenario.about);
+    let shown = Shown::new(scenario.length);
+    let outcome = site::run(&scenario, &program, move |progress| shown.show(progress))?;
+    let summary = Summary::of(&outcome);
+    println!("{}", summary.to_text());
+    line.write(&outcome, &summary)?;
+    let judgement = &outcome.judgement;
+    if judgement.is_clean() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("{}", stories(judgement));
+    println!("To bring it back: {}", line.again(&scenario));
+    Ok(ExitCode::from(if judgement.is_broken() { BROKEN } else { LATE }))
+}
+
+impl Line {
+    fn scenario(&self) -> Result<Scenario, String> {
+        let mut scenario = match &self.scenario {
+            Some(path) => Scenario::read(path)?,
+            None => Scenario::calm(),
+        };
+        if let Some(length) = self.seconds {
+            scenario.set_seconds(length).map_err(|problem| format!("--seconds: {problem}"))?;
+        }
+        scenario.seed = self.seed.unwrap_or(scenario.seed);
+        Ok(scenario)
+    }
+
+    fn write(&self, outcome: &Outcome, summary: &Summary) -> Result<(), String> {
+        let save = |path: &PathBuf, text: String| {
+            std::fs::write(path, text).map_err(|e| format!("cannot write {}: {e}", path.display()))
+        };
+        if let Some(path) = &self.json {
+            let text = serde_json::to_string_pretty(summary).map_err(|e| format!("the figures: {e}"))?;
+            save(path, text + "\n")?;
+        }
+        if let Some(path) = &self.report {
+            save(path, page::page(outcome, summary)?)?;
+        }
+        Ok(())
+    }
+
+    /// The command that plays the same again.
+    fn again(&self, scenario: &Scenario) -> String {
+        let file =
+            self.scenario.as_ref().map_or(String::new(), |path| format!("--scenario {} ", path.display()));
+        let (seed, length) = (scenario.seed, seconds(scenario.length));
+        format!("emberpin-site {file}--seed {seed} --seconds {length}")
+    }
+}
+
+/// How far a run is: a bar on a terminal, plain lines elsewhere.
+struct Shown {
+    bar: Option<ProgressBar>,
+    last: std::cell::Cell<Micros>,
+    length: Micros,
+}
+
+impl Shown {
+    fn new(length: Micros) -> Shown {
+        let bar = std::io::stderr().is_terminal().then(|| {
+            let style = ProgressStyle::with_template("{bar:40} {percent:>3} %  {msg}");
+            let bar = ProgressBar::new(length);
+            bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+            bar
+        });
+        Shown { bar, last: std::cell::Cell::new(0), length }
+    }
+
+    fn show(&self, Progress { at, begun, open }: Progress) {
+        let text = format!("{begun} asked, {open} open");
+        match &self.bar {
+            Some(bar) => {
+                bar.set_position(at.min(self.length));
+                bar.set_message(text);
+            }
+            None if at >= self.last.get() + EVERY => {
+                self.last.set(at);
+                eprintln!("{:.0} of {} s: {text}", seconds(at), seconds(self.length));
+            }
+            None => {}
+        }
+    }
+}
+
+/// The bar goes; what comes after it is the result.
+impl Drop for Shown {
+    fn drop(&mut self) {
+        if let Some(bar) = &self.bar {
+            bar.finish_and_clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/emberpin-site/src/peers.rs
@@ -0,0 +1,124 @@
+//! The network between limiters: every datagram goes through a socket of this stand-in, which loses, delays
+//! and reorders it, or splits the limiters into groups that do not hear each other.
+//!
+//! `seen[a][b]` is the socket at whose address limiter `a` sees limiter `b`: what `a` sends there goes on to
+//! `b` from `seen[b][a]`, as `b` knows its peers by their addresses.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+
+/// A longer datagram than any limiter may send.
+const LONGEST: usize = 257;
+
+/// What is wrong between limiters.
+#[derive(Default)]
+struct Trouble {
+    /// Those in the group hear each other, and so do those outside it.
+    split: Option<Vec<usize>>,
+    /// Share that is lost.
+    loss: f64,
+    /// The rest comes up to so much later, each by itself, so that they overtake each other.
+    delay: Duration,
+}
+
+/// The network between limiters.
+pub struct PeerNet {
+    seen: Vec<Vec<UdpSocket>>,
+    /// A datagram that comes here goes to all others.
+    all: Vec<UdpSocket>,
+    /// Where the limiters listen.
+    listen: Vec<SocketAddr>,
+    trouble: RefCell<Trouble>,
+    rng: RefCell<ChaCha8Rng>,
+}
+
+impl PeerNet {
+    /// Starts the network between so many limiters.
+    ///
+    /// # Errors
+    ///
+    /// No free port.
+    pub async fn start(host: Ipv4Addr, limiters: usize, seed: u64) -> std::io::Result<Rc<PeerNet>> {
+        let (mut seen, mut all, mut listen) = (Vec::new(), Vec::new(), Vec::new());
+        for _ in 0..limiters {
+            let mut row = Vec::new();
+            for _ in 0..limiters {
+                row.push(UdpSocket::bind((host, 0)).await?);
+            }
+            seen.push(row);
+            all.push(UdpSocket::bind((host, 0)).await?);
+            listen.push(UdpSocket::bind((host, 0)).await?.local_addr()?);
+        }
+        let rng = RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x9ee5));
+        let net = Rc::new(PeerNet { seen, all, listen, trouble: RefCell::default(), rng });
+        for from in 0..limiters {
+            for to in (0..limiters).filter(|to| *to != from) {
+                let net = net.clone();
+                spawn_local(async move { net.clone().relay(&net.seen[from][to], from, vec![to]).await });
+            }
+            let net = net.clone();
+            let others = (0..limiters).filter(|to| *to != from).collect();
+            spawn_local(async move { net.clone().relay(&net.all[from], from, others).await });
+        }
+        Ok(net)
+    }
+
+    /// Where a limiter listens, at which addresses it sees every limiter, and the one for all.
+    ///
+    /// # Errors
+    ///
+    /// A socket that has no address.
+    pub fn addresses(&self, of: usize) -> std::io::Result<(SocketAddr, Vec<SocketAddr>, SocketAddr)> {
+        let seen: std::io::Result<Vec<_>> = self.seen[of].iter().map(UdpSocket::local_addr).collect();
+        Ok((self.listen[of], seen?, self.all[of].local_addr()?))
+    }
+
+    /// Splits the limiters into this group and the rest, or heals the split.
+    pub fn split(&self, group: Option<Vec<usize>>) {
+        self.trouble.borrow_mut().split = group;
+    }
+
+    /// Loses a share and delays the rest.
+    pub fn make_poor(&self, loss: f64, delay: Duration) {
+        let mut trouble = self.trouble.borrow_mut();
+        (trouble.loss, trouble.delay) = (loss, delay);
+    }
+
+    async fn relay(self: Rc<Self>, at: &UdpSocket, from: usize, to: Vec<usize>) {
+        let mut buffer = [0; LONGEST];
+        loop {
+            // An error here is that of an earlier datagram to a limiter that is down.
+            let Ok((length, _)) = at.recv_from(&mut buffer).await else { continue };
+            for to in &to {
+                self.clone().pass(from, *to, buffer[..length].to_vec());
+            }
+        }
+    }
+
+    fn pass(self: Rc<Self>, from: usize, to: usize, bytes: Vec<u8>) {
+        let trouble = self.trouble.borrow();
+        let apart = trouble.split.as_ref().is_some_and(|group| group.contains(&from) != group.contains(&to));
+        let (lost, late) = {
+            let mut rng = self.rng.borrow_mut();
+            (rng.random::<f64>() < trouble.loss, trouble.delay.mul_f64(rng.random::<f64>()))
+        };
+        drop(trouble);
+        if apart || lost {
+            return;
+        }
+        if late.is_zero() {
+            _ = self.seen[to][from].try_send_to(&bytes, self.listen[to]);
+            return;
+        }
+        spawn_local(async move {
+            tokio::time::sleep(late).await;
+            _ = self.seen[to][from].try_send_to(&bytes, self.listen[to]);
+        });
+    }
+}
--- /dev/null
+++ b/crates/emberpin-site/src/process.rs
@@ -0,0 +1,262 @@
+//! Limiters as processes of their own: started, watched, killed, measured. A limiter is met on sockets only.
+
+use crate::figures;
+use crate::http::Wire;
+use crate::scenario::Site;
+use crate::trace::{ProcessEnd, Recorder, What};
+use rustix::process::{kill_process, Pid, Signal};
+use serde::Serialize;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+/// Far longer than a start takes on any machine; only a failure waits for it.
+const START: Duration = Duration::from_secs(20);
+/// SIGKILL follows SIGTERM after the longest deadline and so much more.
+const LEAVE: Duration = Duration::from_millis(3700);
+
+/// Which program plays the limiter.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// Its file.
+    pub path: PathBuf,
+    /// Its arguments.
+    pub arguments: Vec<OsString>,
+}
+
+/// What a limiter's processes used, over all their lives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Usage {
+    /// Processor time, user and system, in milliseconds.
+    pub cpu_ms: f64,
+    /// Largest resident set, in KiB.
+    pub peak_kib: u64,
+    /// Times that it was started.
+    pub starts: u32,
+}
+
+/// One limiter.
+pub struct Limiter {
+    /// Its number.
+    pub number: usize,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    recorder: Recorder,
+    program: Program,
+    folder: PathBuf,
+    seed: Cell<u64>,
+    usage: Cell<Usage>,
+    /// Of the lives before this one.
+    before: Cell<f64>,
+    pid: Cell<Option<u32>>,
+    expected: Cell<Option<ProcessEnd>>,
+    ended: watch::Sender<bool>,
+    last_words: RefCell<String>,
+}
+
+impl Limiter {
+    /// A limiter that is not started yet.
+    pub fn new(
+        number: usize,
+        address: SocketAddr,
+        recorder: Recorder,
+        program: Program,
+        folder: &Path,
+        seed: u64,
+    ) -> Rc<Limiter> {
+        Rc::new(Limiter {
+            number,
+            address,
+            recorder,
+            program,
+            folder: folder.to_path_buf(),
+            seed: Cell::new(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64),
+            usage: Cell::default(),
+            before: Cell::new(0.0),
+            pid: Cell::new(None),
+            expected: Cell::new(None),
+            ended: watch::Sender::new(true),
+            last_words: RefCell::default(),
+        })
+    }
+
+    /// Starts its process with this configuration, and returns once it is ready.
+    ///
+    /// # Errors
+    ///
+    /// It does not start, or does not become ready.
+    pub async fn start(self: &Rc<Self>, config: Value) -> Result<(), String> {
+        let number = self.number;
+        let file = self.folder.join(format!("limiter-{number}.json"));
+        let log = self.folder.join(format!("limiter-{number}.log"));
+        let context = |what: &str, e: std::io::Error| format!("limiter {number}: {what}: {e}");
+        std::fs::write(&file, config.to_string()).map_err(|e| context("its configuration", e))?;
+        let log_file = std::fs::OpenOptions::new().create(true).append(true).open(&log);
+        let log_file = log_file.map_err(|e| context("its log", e))?;
+        let mut child = Command::new(&self.program.path)
+            .args(&self.program.arguments)
+            .env("GW_CONFIG", &file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log_file)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| context(&format!("cannot start {}", self.program.path.display()), e))?;
+        self.pid.set(child.id());
+        self.expected.set(None);
+        self.ended.send_replace(false);
+        let mut usage = self.usage.get();
+        usage.starts += 1;
+        self.usage.set(usage);
+        let ready = async {
+            while !self.is_ready().await {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        tokio::select! {
+            ended = child.wait() => {
+                let said = std::fs::read_to_string(&log).unwrap_or_default();
+                let last = said.lines().last().unwrap_or("nothing").to_string();
+                self.pid.set(None);
+                return Err(format!("limiter {number} ended before it was ready ({ended:?}); it said: {last}"));
+            }
+            late = tokio::time::timeout(START, ready) => {
+                late.map_err(|_| format!("limiter {number} is not ready after {} s", START.as_secs()))?;
+            }
+        }
+        self.recorder.note(What::LimiterUp { limiter: number });
+        spawn_local(self.clone().watch(child, log));
+        Ok(())
+    }
+
+    /// Notes the end of a process that nobody asked to end.
+    async fn watch(self: Rc<Self>, mut child: Child, log: PathBuf) {
+        _ = child.wait().await;
+        let how = self.expected.get().unwrap_or(ProcessEnd::Crashed);
+        if how == ProcessEnd::Crashed {
+            let said = std::fs::read_to_string(log).unwrap_or_default();
+            *self.last_words.borrow_mut() = said.lines().last().unwrap_or_default().to_string();
+        }
+        if how != ProcessEnd::Killed && how != ProcessEnd::Overdue {
+            self.recorder.note(What::LimiterDown { limiter: self.number, how });
+        }
+        self.pid.set(None);
+        self.ended.send_replace(true);
+    }
+
+    async fn is_ready(&self) -> bool {
+        let Ok(stream) = TcpStream::connect(self.address).await else { return false };
+        let mut wire = Wire::new(stream);
+        let asked = b"GET /health/ready HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n";
+        if wire.stream.write_all(asked).await.is_err() {
+            return false;
+        }
+        wire.read(true, || ()).await.is_ok_and(|(head, _)| head.status == 200)
+    }
+
+    /// kill -9; returns when the process is gone.
+    pub async fn kill(&self) {
+        // Noted before the signal goes out, so that nothing that it causes seems to come first.
+        self.end_by(ProcessEnd::Killed);
+        self.gone().await;
+    }
+
+    fn end_by(&self, how: ProcessEnd) {
+        self.measure();
+        if self.pid.get().is_some() {
+            self.expected.set(Some(how));
+            self.recorder.note(What::LimiterDown { limiter: self.number, how });
+            self.signal(Signal::KILL);
+        }
+    }
+
+    /// SIGTERM, and SIGKILL once its time is over; returns when the process is gone.
+    pub async fn leave(&self) {
+        if self.pid.get().is_some() {
+            self.expected.set(Some(ProcessEnd::Left));
+            self.recorder.note(What::Terminated { limiter: self.number });
+            self.signal(Signal::TERM);
+        }
+        if tokio::time::timeout(LEAVE, self.gone()).await.is_err() {
+            self.end_by(ProcessEnd::Overdue);
+            self.gone().await;
+        }
+    }
+
+    async fn gone(&self) {
+        _ = self.ended.subscribe().wait_for(|ended| *ended).await;
+        let mut usage = self.usage.get();
+        usage.cpu_ms = usage.cpu_ms.max(self.before.get());
+        self.usage.set(usage);
+        self.before.set(usage.cpu_ms);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.pid.get().and_then(|pid| Pid::from_raw(pid as i32));
+        if let Some(pid) = pid {
+            _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Reads what its process has used by now.
+    pub fn measure(&self) -> Usage {
+        if let Some((cpu_ms, peak_kib)) = self.pid.get().and_then(used) {
+            let mut usage = self.usage.get();
+            usage.cpu_ms = self.before.get() + cpu_ms;
+            usage.peak_kib = usage.peak_kib.max(peak_kib);
+            self.usage.set(usage);
+        }
+        self.usage.get()
+    }
+
+    /// What it said last before it ended unasked.
+    pub fn last_words(&self) -> String {
+        self.last_words.borrow().clone()
+    }
+
+    /// The platform's file for its next start.
+    pub fn config(
+        &self,
+        site: &Site,
+        discovery: SocketAddr,
+        known: Value,
+        (peer_listen, peers, all): (SocketAddr, Vec<SocketAddr>, SocketAddr),
+    ) -> Value {
+        let seed = self.seed.replace(self.seed.get().wrapping_add(1));
+        json!({
+            "name": format!("n{}", self.number), "listen": self.address, "discovery": discovery,
+            "seed": format!("{seed:016x}"), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "peer_listen": peer_listen, "peers": peers, "peers_all": all, "known": known,
+            "settings": figures::settings(site, self.number),
+        })
+    }
+}
+
+/// Ends a process that is left, when the site goes without having ended it.
+impl Drop for Limiter {
+    fn drop(&mut self) {
+        self.signal(Signal::KILL);
+    }
+}
+
+/// Processor time in milliseconds and the largest resident set in KiB (proc(5)).
+pub fn used(pid: u32) -> Option<(f64, u64)> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name in brackets may hold anything; fields are counted from behind it.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let peak = peak.split_whitespace().next()?.parse().ok()?;
+    Some((ticks * 1000.0 / rustix::param::clock_ticks_per_second() as f64, peak))
+}
--- /dev/null
+++ b/crates/emberpin-site/src/report.rs
@@ -0,0 +1,425 @@
+//! What a run comes to: figures by class and plan, what each limiter used, and the verdict by rule; as a table,
+//! as JSON and as one page.
+
+use crate::figures::{CLASSES, PLANS};
+use crate::process::Usage;
+use crate::referee::{Finding, Judgement};
+use crate::schedule::{Schedule, TRIES};
+use crate::site::Outcome;
+use crate::trace::{seconds, Event, Micros, Try, What, SECOND};
+use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use comfy_table::{CellAlignment, Table, TableComponent};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// How pieces of work came out, counted by their first tries.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Row {
+    /// A class or a plan.
+    pub name: String,
+    /// Pieces of work asked for, less those whose client left before its time.
+    pub asked: u64,
+    /// Served within the class's aim, counted from the first try.
+    pub in_time: u64,
+    /// Served later.
+    pub late: u64,
+    /// The last try was refused.
+    pub refused: u64,
+    /// The last try failed, was given up or reached nobody.
+    pub failed: u64,
+    /// Median time to a served answer from the first try, in milliseconds.
+    pub p50_ms: f64,
+    /// The 99th percentile of the same.
+    pub p99_ms: f64,
+    /// Of the units sent on, the share beyond the customers' quotas; of a plan.
+    pub beyond_quota: Option<f64>,
+}
+
+/// What one limiter did and used.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LimiterRow {
+    /// Its number.
+    pub limiter: usize,
+    /// Tries that came to it.
+    pub asked: u64,
+    /// Processor time, user and system, in milliseconds.
+    pub cpu_ms: f64,
+    /// The same for each try, in microseconds.
+    pub cpu_us_per_request: f64,
+    /// Largest resident set, in KiB.
+    pub peak_kib: u64,
+    /// Times that it was started.
+    pub starts: u32,
+}
+
+/// The whole of it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Summary {
+    /// The scenario's name.
+    pub scenario: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Seconds of load.
+    pub seconds: f64,
+    /// All work.
+    pub total: Row,
+    /// By class.
+    pub classes: Vec<Row>,
+    /// By plan.
+    pub plans: Vec<Row>,
+    /// By limiter.
+    pub limiters: Vec<LimiterRow>,
+    /// Attempts that came whole to servers.
+    pub attempts: u64,
+    /// Keys whose effect was had more than once, over all tries of clients.
+    pub second_effects: u64,
+    /// The most that the stand-ins themselves were late, in milliseconds.
+    pub stand_ins_late_ms: f64,
+    /// The trace was cut short.
+    pub cut_short: bool,
+    /// By rule.
+    pub verdict: Vec<Finding>,
+}
+
+/// How one piece of work came out.
+#[derive(Clone, Copy, Default)]
+struct Piece {
+    left: bool,
+    asked: Option<Micros>,
+    served: Option<Micros>,
+    refused: bool,
+}
+
+/// The pieces of work by arrival.
+fn pieces(events: &[Event], arrivals: usize) -> Vec<Piece> {
+    let mut pieces = vec![Piece::default(); arrivals];
+    for event in events {
+        let (What::Asked { what, .. }
+        | What::Unreached { what, .. }
+        | What::Answered { what, .. }
+        | What::Dropped { what, .. }
+        | What::GaveUp { what }
+        | What::Left { what }) = &event.what
+        else {
+            continue;
+        };
+        let Some(piece) = pieces.get_mut((what.0 / TRIES) as usize) else { continue };
+        match &event.what {
+            What::Asked { .. } | What::Unreached { .. } => {
+                piece.asked = piece.asked.or(Some(event.at));
+                piece.refused = false;
+            }
+            What::Answered { status: 200, .. } => piece.served = piece.served.or(Some(event.at)),
+            What::Answered { status, .. } => piece.refused = matches!(status, 429 | 503),
+            What::Left { .. } => piece.left = true,
+            _ => piece.refused = false,
+        }
+    }
+    pieces
+}
+
+/// Collects a row and its times.
+#[derive(Default)]
+struct Counting {
+    row: Row,
+    times: Vec<f64>,
+}
+
+impl Counting {
+    fn named(name: &str) -> Counting {
+        Counting { row: Row { name: name.into(), ..Row::default() }, times: Vec::new() }
+    }
+
+    fn count(&mut self, piece: &Piece, aim: Micros) {
+        let Some(asked) = piece.asked else { return };
+        if piece.left {
+            return;
+        }
+        self.row.asked += 1;
+        match piece.served {
+            Some(at) => {
+                let time = at.saturating_sub(asked);
+                self.times.push(time as f64 / 1000.0);
+                *(if time <= aim { &mut self.row.in_time } else { &mut self.row.late }) += 1;
+            }
+            None if piece.refused => self.row.refused += 1,
+            None => self.row.failed += 1,
+        }
+    }
+
+    fn done(mut self) -> Row {
+        self.times.sort_by(f64::total_cmp);
+        (self.row.p50_ms, self.row.p99_ms) = (percentile(&self.times, 0.5), percentile(&self.times, 0.99));
+        self.row
+    }
+}
+
+/// The value below which this part of the sorted values lies; 0 without any.
+pub fn percentile(sorted: &[f64], part: f64) -> f64 {
+    let rank = (part * sorted.len() as f64).ceil() as usize;
+    sorted.get(rank.max(1) - 1).copied().unwrap_or(0.0)
+}
+
+/// By plan: the units sent on, and those of them beyond the customers' quotas.
+fn beyond_quota(events: &[Event], schedule: &Schedule) -> Vec<(f64, f64)> {
+    let mut sums = vec![(0.0, 0.0); PLANS.len()];
+    let mut stores: HashMap<u32, (f64, Micros)> = HashMap::new();
+    let mut sent = HashSet::new();
+    for event in events {
+        let What::Whole { what: Some(of), .. } = &event.what else { continue };
+        let Some(arrival) = schedule.arrival(*of).filter(|_| sent.insert(*of)) else { continue };
+        let index = schedule.customers[arrival.customer as usize].plan;
+        let (plan, units) = (&PLANS[index], arrival.class().units);
+        let (store, last) = stores.entry(arrival.customer).or_insert((plan.burst, event.at));
+        *store = (*store + plan.rate * seconds(event.at - *last)).min(plan.burst);
+        *last = event.at;
+        sums[index].0 += units;
+        match *store >= units {
+            true => *store -= units,
+            false => sums[index].1 += units,
+        }
+    }
+    sums
+}
+
+impl Summary {
+    /// Sums a run up.
+    pub fn of(outcome: &Outcome) -> Summary {
+        let scenario = &outcome.scenario;
+        let schedule = Schedule::draw(scenario);
+        let mut total = Counting::named("all");
+        let mut classes: Vec<_> = CLASSES.iter().map(|class| Counting::named(class.name)).collect();
+        let mut plans: Vec<_> = PLANS.iter().map(|plan| Counting::named(plan.name)).collect();
+        for (arrival, piece) in
+            schedule.arrivals.iter().zip(&pieces(&outcome.events, schedule.arrivals.len()))
+        {
+            let aim = arrival.class().aim;
+            total.count(piece, aim);
+            classes[arrival.class].count(piece, aim);
+            plans[schedule.customers[arrival.customer as usize].plan].count(piece, aim);
+        }
+        let mut plans: Vec<Row> = plans.into_iter().map(Counting::done).collect();
+        for (row, (sent, beyond)) in plans.iter_mut().zip(beyond_quota(&outcome.events, &schedule)) {
+            row.beyond_quota = (sent > 0.0).then_some(beyond / sent);
+        }
+        let mut asked = vec![0; outcome.usage.len()];
+        let (mut attempts, mut second_effects, mut late) = (0, 0, 0);
+        for event in &outcome.events {
+            match &event.what {
+                What::Asked { limiter, .. } => asked[*limiter] += 1,
+                What::Whole { .. } => attempts += 1,
+                What::Ran { second: true, .. } => second_effects += 1,
+                What::Late { by } => late = late.max(*by),
+                _ => {}
+            }
+        }
+        let limiters = outcome.usage.iter().zip(&asked).enumerate().map(|(limiter, (usage, asked))| {
+            let Usage { cpu_ms, peak_kib, starts } = *usage;
+            let cpu_us_per_request = cpu_ms * 1000.0 / (*asked as f64).max(1.0);
+            LimiterRow { limiter, asked: *asked, cpu_ms, cpu_us_per_request, peak_kib, starts }
+        });
+        Summary {
+            scenario: scenario.name.clone(),
+            seed: scenario.seed,
+            seconds: seconds(scenario.length),
+            total: total.done(),
+            classes: classes.into_iter().map(Counting::done).collect(),
+            plans,
+            limiters: limiters.collect(),
+            attempts,
+            second_effects,
+            stand_ins_late_ms: late as f64 / 1000.0,
+            cut_short: outcome.cut_short,
+            verdict: outcome.judgement.findings.clone(),
+        }
+    }
+
+    /// The tables for a terminal or a log.
+    pub fn to_text(&self) -> String {
+        let header =
+            ["", "asked", "in time", "late", "refused", "failed", "p50 ms", "p99 ms", "beyond quota"];
+        let mut work = table(&header);
+        for row in [&self.total].into_iter().chain(&self.classes).chain(&self.plans) {
+            if row.asked > 0 {
+                work.add_row(row.cells());
+            }
+        }
+        let header = ["limiter", "asked", "CPU ms", "CPU µs a request", "peak MiB", "starts"];
+        let mut limiters = table(&header);
+        for row in &self.limiters {
+            limiters.add_row([
+                row.limiter.to_string(),
+                row.asked.to_string(),
+                format!("{:.0}", row.cpu_ms),
+                format!("{:.0}", row.cpu_us_per_request),
+                format!("{:.1}", row.peak_kib as f64 / 1024.0),
+                row.starts.to_string(),
+            ]);
+        }
+        let mut rules = table(&["rule", "verdict"]);
+        for finding in &self.verdict {
+            rules.add_row([finding.rule.to_string(), verdict(finding)]);
+        }
+        let late = match self.stand_ins_late_ms {
+            late if late > 0.0 => format!("the stand-ins ran up to {late:.0} ms late"),
+            _ => "the stand-ins kept time".into(),
+        };
+        let cut = if self.cut_short { "; the run was cut short: its trace was full" } else { "" };
+        let (name, seed, length) = (&self.scenario, self.seed, self.seconds);
+        format!(
+            "{name}, seed {seed}, {length} s\n{work}\n{limiters}\n{rules}\n{} attempts at servers; {} effects had \
+             again over clients' own tries; {late}{cut}",
+            self.attempts, self.second_effects
+        )
+    }
+}
+
+/// The first break of each rule that has one, with its story.
+pub fn stories(judgement: &Judgement) -> String {
+    let mut text = String::new();
+    for first in judgement.findings.iter().filter_map(|finding| finding.first.as_ref()) {
+        let when = if first.late { ", while the stand-ins ran late" } else { "" };
+        text += &format!("\n{}: {}, at {:.6} s{when}\n", first.rule, first.what, seconds(first.at));
+        for line in &first.story {
+            text += &format!("  {line}\n");
+        }
+    }
+    text
+}
+
+/// A finding in a few words.
+pub fn verdict(finding: &Finding) -> String {
+    match (finding.broken, finding.late) {
+        (0, 0) => "held".into(),
+        (0, late) => format!("late: {late} times, while the stand-ins ran late"),
+        (broken, 0) => format!("BROKEN {broken} times"),
+        (broken, late) => format!("BROKEN {broken} times; {late} more while the stand-ins ran late"),
+    }
+}
+
+impl Row {
+    /// Its cells as they are shown.
+    pub fn cells(&self) -> Vec<String> {
+        let part = |count: u64| match count {
+            0 => "0".into(),
+            count => format!("{count} ({:.1} %)", 100.0 * count as f64 / self.asked as f64),
+        };
+        vec![
+            self.name.clone(),
+            self.asked.to_string(),
+            part(self.in_time),
+            part(self.late),
+            part(self.refused),
+            part(self.failed),
+            format!("{:.0}", self.p50_ms),
+            format!("{:.0}", self.p99_ms),
+            self.beyond_quota.map_or(String::new(), |share| format!("{:.1} %", share * 100.0)),
+        ]
+    }
+}
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(UTF8_HORIZONTAL_ONLY).set_header(header.iter().copied());
+    table.remove_style(TableComponent::HorizontalLines).remove_style(TableComponent::MiddleIntersections);
+    table.column_iter_mut().skip(1).for_each(|column| column.set_cell_alignment(CellAlignment::Right));
+    table
+}
+
+/// What happened in each stretch of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Bin {
+    /// Tries that came to limiters.
+    pub asked: f64,
+    /// Answers by kind.
+    pub served: f64,
+    /// 429 and 503.
+    pub refused: f64,
+    /// Any other end.
+    pub failed: f64,
+    /// Median time of tries served then, in milliseconds.
+    pub p50_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+}
+
+/// A stretch's length.
+pub const BIN: Micros = SECOND / 2;
+
+/// The run in stretches, each as rates a second.
+pub fn bins(events: &[Event], length: Micros) -> Vec<Bin> {
+    let count = (length / BIN + 1) as usize;
+    let mut bins = vec![Bin::default(); count];
+    let mut times: Vec<Vec<f64>> = vec![Vec::new(); count];
+    let mut asked: BTreeMap<Try, Micros> = BTreeMap::new();
+    let rate = SECOND as f64 / BIN as f64;
+    for event in events {
+        let at = (event.at / BIN) as usize;
+        let Some(bin) = bins.get_mut(at) else { continue };
+        match &event.what {
+            What::Asked { what, .. } => {
+                asked.insert(*what, event.at);
+                bin.asked += rate;
+            }
+            What::Answered { what, status: 200, .. } => {
+                bin.served += rate;
+                let time = asked.get(what).map_or(0, |asked| event.at - asked);
+                times[at].push(time as f64 / 1000.0);
+            }
+            What::Answered { status: 429 | 503, .. } => bin.refused += rate,
+            What::Answered { .. } | What::Dropped { .. } | What::GaveUp { .. } => bin.failed += rate,
+            _ => {}
+        }
+    }
+    for (bin, times) in bins.iter_mut().zip(&mut times) {
+        times.sort_by(f64::total_cmp);
+        (bin.p50_ms, bin.p99_ms) = (percentile(times, 0.5), percentile(times, 0.99));
+    }
+    bins
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_percentile_is_a_value_that_was_seen() {
+        let values: Vec<f64> = (1..=100).map(f64::from).collect();
+        assert_eq!((percentile(&values, 0.5), percentile(&values, 0.99)), (50.0, 99.0));
+        assert_eq!((percentile(&values, 0.0), percentile(&values, 1.0)), (1.0, 100.0));
+        assert_eq!(percentile(&[], 0.5), 0.0);
+    }
+
+    /// A refused try whose retry is served is served late or in time by its first try's clock.
+    #[test]
+    fn a_retry_belongs_to_its_first_try() {
+        let asked = |number, at| Event {
+            at,
+            what: What::Asked {
+                what: Try(number),
+                first: Try(0),
+                limiter: 0,
+                class: 0,
+                plan: 0,
+                customer: 0,
+                units: 1.0,
+                key: 0,
+                patience: SECOND,
+                reused: false,
+            },
+        };
+        let answered = |number, at, status| Event {
+            at,
+            what: What::Answered { what: Try(number), status, sound: true, retry_after: None },
+        };
+        let events = [asked(0, 0), answered(0, 1000, 429), asked(1, 300_000), answered(1, 450_000, 200)];
+        let pieces = pieces(&events, 1);
+        let mut counting = Counting::default();
+        counting.count(&pieces[0], 400_000);
+        let row = counting.done();
+        assert_eq!((row.asked, row.in_time, row.late, row.p50_ms), (1, 0, 1, 450.0));
+        let bins = bins(&events, SECOND);
+        assert_eq!((bins[0].asked, bins[0].served, bins[0].refused), (4.0, 2.0, 2.0));
+        assert_eq!(bins[0].p50_ms, 150.0);
+    }
+}
--- /dev/null
+++ b/crates/emberpin-site/src/scenario.rs
@@ -0,0 +1,776 @@
+//! Scenarios: site, load and faults as data. Read from TOML with unknown keys refused; every error is one line
+//! that names file, line, column, what was found and what was expected.
+
+use crate::figures::PLANS;
+use crate::trace::{Micros, SECOND};
+use serde::Deserialize;
+use std::path::Path;
+use toml::Spanned;
+
+/// One scenario, checked.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// What there is to see, in a sentence.
+    pub about: String,
+    /// Everything random comes from it.
+    pub seed: u64,
+    /// Requests come for so long.
+    pub length: Micros,
+    /// What stands there.
+    pub site: Site,
+    /// What is asked of it.
+    pub load: Load,
+    /// What goes wrong, by time.
+    pub faults: Vec<TimedFault>,
+    /// A key's second effect is a broken rule even over several tries.
+    pub keys_once: bool,
+}
+
+/// Limiters, halls and servers: the table `[site]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Site {
+    /// How many limiters.
+    pub limiters: usize,
+    /// How many halls; servers and limiters are dealt round over them.
+    pub halls: usize,
+    /// How many servers.
+    pub servers: usize,
+    /// Cores of each server.
+    pub cores: usize,
+    /// Least and greatest speed of a core; 1 is the yardstick.
+    pub speed: [f64; 2],
+    /// Requests that wait at a server at most.
+    pub queue: usize,
+    /// Connections that a server holds at most.
+    pub connections: usize,
+    /// A server closes connections that were idle for so long, in seconds.
+    pub idle_s: f64,
+    /// The part of its capacity that a server has when it starts.
+    pub cold_from: f64,
+    /// How long it takes to be warm, in seconds.
+    pub warm_s: f64,
+    /// A change of the list reaches a limiter between the first and the second of these, in milliseconds.
+    pub notice_ms: [f64; 2],
+    /// Load reports and the meter are refreshed this often, in milliseconds.
+    pub report_ms: f64,
+    /// A connection that is not up by then counts as failed, in milliseconds.
+    pub connect_timeout_ms: f64,
+    /// Share of requests that end as an error.
+    pub error_rate: f64,
+}
+
+impl Default for Site {
+    fn default() -> Site {
+        Site {
+            limiters: 3,
+            halls: 3,
+            servers: 9,
+            cores: 2,
+            speed: [0.85, 1.1],
+            queue: 40,
+            connections: 1000,
+            idle_s: 15.0,
+            cold_from: 0.35,
+            warm_s: 8.0,
+            notice_ms: [300.0, 1500.0],
+            report_ms: 250.0,
+            connect_timeout_ms: 250.0,
+            error_rate: 0.0002,
+        }
+    }
+}
+
+/// What clients ask: the table `[load]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Load {
+    /// First tries a second.
+    pub rate: f64,
+    /// Share of `job-submit`.
+    pub submit: f64,
+    /// Share of `job-release`, which may never be repeated.
+    pub release: f64,
+    /// What customers use of their quotas, on the mean.
+    pub usage: f64,
+    /// Times that a client tries again.
+    pub retries: u32,
+    /// Share of clients that wait as advised.
+    pub honour: f64,
+    /// Mean of a client's own first wait before it tries again, in milliseconds; doubled each time.
+    pub backoff_ms: f64,
+    /// A try is given up after this part of its class's deadline, from the first to the second.
+    pub patience: [f64; 2],
+    /// Share of clients that leave before their time.
+    pub impatient: f64,
+    /// A customer's busiest limiter changes this often, in seconds.
+    pub shift_s: f64,
+    /// The front goes on sending to a dead limiter for so long, in seconds.
+    pub front_notice_s: f64,
+    /// Share of keyed requests that are asked again, with the same key and a new id.
+    pub repeat_keys: f64,
+    /// How long after the first, from the first to the second, in milliseconds.
+    pub repeat_after_ms: [f64; 2],
+    /// Bytes of a body.
+    pub body: usize,
+    /// Multiply all work of requests, to make a run cheap or servers slow.
+    pub work: f64,
+}
+
+impl Default for Load {
+    fn default() -> Load {
+        Load {
+            rate: 150.0,
+            submit: 0.36,
+            release: 0.0,
+            usage: 0.6,
+            retries: 2,
+            honour: 0.9,
+            backoff_ms: 80.0,
+            patience: [0.5, 1.0],
+            impatient: 0.002,
+            shift_s: 10.0,
+            front_notice_s: 1.5,
+            repeat_keys: 0.0,
+            repeat_after_ms: [0.0, 1000.0],
+            body: 256,
+            work: 1.0,
+        }
+    }
+}
+
+/// A fault and when it begins.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TimedFault {
+    /// When.
+    pub at: Micros,
+    /// What.
+    pub fault: Fault,
+}
+
+/// Which way a link is cut, as the limiter sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Way {
+    /// Nothing passes.
+    Both,
+    /// Requests do not reach the servers; answers to earlier ones still come.
+    Out,
+    /// Requests arrive and run; their answers do not come.
+    Back,
+}
+
+/// How a server spoils its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Spoil {
+    /// 500.
+    Error,
+    /// Declines everything.
+    Decline,
+    /// Stops in the middle of its answer and leaves the connection open.
+    Stall,
+    /// Half a body, then the connection ends.
+    Half,
+    /// Resets the connection once it has the request's last byte; the work runs.
+    Reset,
+    /// Bytes that are no HTTP.
+    Garbled,
+    /// A byte at a time, slower than any client waits.
+    Trickle,
+    /// Runs the work and never answers.
+    Mute,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// kill -9; the limiter starts again after `back`.
+    LimiterKilled {
+        /// Which.
+        limiter: usize,
+        /// After how long.
+        back: Micros,
+    },
+    /// SIGTERM; it starts again as soon as it has left.
+    LimiterRestarted {
+        /// Which.
+        limiter: usize,
+    },
+    /// Its process dies; the same server comes back cold.
+    ServerKilled {
+        /// Which.
+        server: usize,
+        /// After how long.
+        back: Micros,
+    },
+    /// It drains, and a successor with a new id starts cold at the same address.
+    ServerReplaced {
+        /// Which.
+        server: usize,
+    },
+    /// It drains for a while and then takes work again.
+    ServerDrained {
+        /// Which.
+        server: usize,
+        /// How long.
+        length: Micros,
+    },
+    /// It stands still: takes connections, answers nothing.
+    ServerStalled {
+        /// Which.
+        server: usize,
+        /// How long.
+        length: Micros,
+    },
+    /// It spoils answers.
+    ServerSpoils {
+        /// Which.
+        server: usize,
+        /// How.
+        how: Spoil,
+        /// What share of them.
+        share: f64,
+        /// How long.
+        length: Micros,
+    },
+    /// It takes no new connections.
+    ServerRefuses {
+        /// Which.
+        server: usize,
+        /// How long.
+        length: Micros,
+    },
+    /// It listens elsewhere from now on; discovery tells so.
+    ServerMoved {
+        /// Which.
+        server: usize,
+    },
+    /// All servers of a hall fall silent and come back cold.
+    HallLost {
+        /// Which.
+        hall: usize,
+        /// After how long.
+        back: Micros,
+    },
+    /// The link between a limiter and a hall is cut.
+    LinkCut {
+        /// Which limiter.
+        limiter: usize,
+        /// Which hall.
+        hall: usize,
+        /// Which way.
+        way: Way,
+        /// How long.
+        length: Micros,
+    },
+    /// The link between a limiter and a hall is slow.
+    LinkSlow {
+        /// Which limiter.
+        limiter: usize,
+        /// Which hall.
+        hall: usize,
+        /// So much later each way.
+        delay: Micros,
+        /// How long.
+        length: Micros,
+    },
+    /// Limiters hear only those of their own group.
+    PeersSplit {
+        /// The first group; the others are the second.
+        group: Vec<usize>,
+        /// How long.
+        length: Micros,
+    },
+    /// Messages between limiters are lost or late, and overtake each other.
+    PeersPoor {
+        /// Share that is lost.
+        loss: f64,
+        /// The rest comes up to so much later.
+        delay: Micros,
+        /// How long.
+        length: Micros,
+    },
+    /// Discovery tells nothing.
+    DiscoverySilent {
+        /// How long.
+        length: Micros,
+    },
+    /// Customers move to others of their limiters at one stroke.
+    FirmsHop {
+        /// What share of them.
+        share: f64,
+    },
+    /// The first customer of a plan asks for a multiple of its quota, and never waits as advised.
+    FirmHammers {
+        /// Which plan.
+        plan: usize,
+        /// The multiple.
+        times: f64,
+        /// How long.
+        length: Micros,
+    },
+    /// All customers ask for so many times as much.
+    Rush {
+        /// The multiple.
+        times: f64,
+        /// How long.
+        length: Micros,
+    },
+}
+
+/// The scenario as its file has it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    name: String,
+    about: String,
+    seed: u64,
+    seconds: Spanned<f64>,
+    site: Option<Spanned<Site>>,
+    load: Option<Spanned<Load>>,
+    #[serde(default)]
+    rules: RuleSwitches,
+    #[serde(default, rename = "fault")]
+    faults: Vec<Spanned<RawFault>>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct RuleSwitches {
+    keys_once: bool,
+}
+
+/// All that any fault may be told; which of it one needs and takes is checked by [`RawFault::check`].
+#[derive(Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawFault {
+    at_s: f64,
+    what: Kind,
+    limiter: Option<usize>,
+    server: Option<usize>,
+    hall: Option<usize>,
+    plan: Option<String>,
+    for_s: Option<f64>,
+    back_s: Option<f64>,
+    every_s: Option<f64>,
+    share: Option<f64>,
+    times: Option<f64>,
+    delay_ms: Option<f64>,
+    how: Option<Spoil>,
+    way: Option<Way>,
+    group: Option<Vec<usize>>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Kind {
+    LimiterKilled,
+    LimiterRestarted,
+    LimitersRolled,
+    ServerKilled,
+    ServerReplaced,
+    ServersRolled,
+    ServerDrained,
+    ServerStalled,
+    ServerSpoils,
+    ServerRefuses,
+    ServerMoved,
+    HallLost,
+    LinkCut,
+    LinkSlow,
+    PeersSplit,
+    PeersPoor,
+    DiscoverySilent,
+    FirmsHop,
+    FirmHammers,
+    Rush,
+}
+
+/// Longest run, and most of anything else that a scenario may ask for: it is bounded whatever it says.
+const MOST_SECONDS: f64 = 7200.0;
+const LEAST_SECONDS: f64 = 0.1;
+const MOST_LIMITERS: usize = 16;
+const MOST_SERVERS: usize = 100;
+const MOST_FAULTS: usize = 10_000;
+const MOST_RATE: f64 = 20_000.0;
+
+impl Scenario {
+    /// The scenario of the newcomer's command: a calm site.
+    pub fn calm() -> Scenario {
+        Scenario::parse("calm.toml", include_str!("../scenarios/calm.toml"))
+            .expect("the built-in scenario is sound")
+    }
+
+    /// Reads one from a file.
+    ///
+    /// # Errors
+    ///
+    /// One line that names file, line, column, what was found and what was expected.
+    pub fn read(path: &Path) -> Result<Scenario, String> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
+        Scenario::parse(&shown, &text)
+    }
+
+    /// Plays so many seconds instead; faults beyond them are left out.
+    ///
+    /// # Errors
+    ///
+    /// A length out of bounds, with the bounds.
+    pub fn set_seconds(&mut self, seconds: f64) -> Result<(), String> {
+        number("seconds", seconds, LEAST_SECONDS, MOST_SECONDS)?;
+        self.length = micros(seconds);
+        Ok(())
+    }
+
+    /// Reads one from text; `file` is named in errors, which are those of [`Scenario::read`].
+    pub fn parse(file: &str, text: &str) -> Result<Scenario, String> {
+        let raw: File = toml::from_str(text).map_err(|e| emberpin::operator::place(file, text, &e))?;
+        let at = |offset: usize, problem: String| {
+            let (line, column) = emberpin::operator::position(text, offset);
+            format!("{file}:{line}:{column}: {problem}")
+        };
+        let seconds = *raw.seconds.get_ref();
+        number("seconds", seconds, LEAST_SECONDS, MOST_SECONDS)
+            .map_err(|problem| at(raw.seconds.span().start, problem))?;
+        let (site, site_at) = table(raw.site);
+        let (load, load_at) = table(raw.load);
+        site.check().map_err(|problem| at(site_at, problem))?;
+        load.check().map_err(|problem| at(load_at, problem))?;
+        let mut faults = Vec::new();
+        for fault in &raw.faults {
+            let checked = fault.get_ref().check(&site);
+            faults.extend(checked.map_err(|problem| at(fault.span().start, problem))?);
+        }
+        if faults.len() > MOST_FAULTS {
+            return Err(format!("{file}: found {} faults, expected {MOST_FAULTS} at most", faults.len()));
+        }
+        faults.sort_by_key(|fault| fault.at);
+        Ok(Scenario {
+            name: raw.name,
+            about: raw.about,
+            seed: raw.seed,
+            length: micros(seconds),
+            site,
+            load,
+            faults,
+            keys_once: raw.rules.keys_once,
+        })
+    }
+}
+
+/// A table and where it stands; without one its defaults hold.
+fn table<T: Default>(table: Option<Spanned<T>>) -> (T, usize) {
+    match table {
+        Some(table) => {
+            let start = table.span().start;
+            (table.into_inner(), start)
+        }
+        None => (T::default(), 0),
+    }
+}
+
+impl Site {
+    fn check(&self) -> Result<(), String> {
+        count("limiters", self.limiters, 1, MOST_LIMITERS)?;
+        count("halls", self.halls, 1, 26)?;
+        count("servers", self.servers, 1, MOST_SERVERS)?;
+        count("cores", self.cores, 1, 64)?;
+        count("queue", self.queue, 0, 100_000)?;
+        count("connections", self.connections, 1, 100_000)?;
+        range("speed", self.speed, 0.01, 100.0)?;
+        range("notice_ms", self.notice_ms, 0.0, 60_000.0)?;
+        number("idle_s", self.idle_s, 0.1, 3600.0)?;
+        number("cold_from", self.cold_from, 0.01, 1.0)?;
+        number("warm_s", self.warm_s, 0.0, 3600.0)?;
+        number("report_ms", self.report_ms, 1.0, 60_000.0)?;
+        number("connect_timeout_ms", self.connect_timeout_ms, 1.0, 60_000.0)?;
+        number("error_rate", self.error_rate, 0.0, 1.0)
+    }
+}
+
+impl Load {
+    fn check(&self) -> Result<(), String> {
+        number("rate", self.rate, 0.1, MOST_RATE)?;
+        number("submit", self.submit, 0.0, 1.0)?;
+        number("release", self.release, 0.0, 1.0 - self.submit)?;
+        number("usage", self.usage, 0.01, 100.0)?;
+        count("retries", self.retries as usize, 0, 10)?;
+        number("honour", self.honour, 0.0, 1.0)?;
+        number("backoff_ms", self.backoff_ms, 1.0, 60_000.0)?;
+        range("patience", self.patience, 0.01, 1.0)?;
+        number("impatient", self.impatient, 0.0, 1.0)?;
+        number("shift_s", self.shift_s, 0.01, MOST_SECONDS)?;
+        number("front_notice_s", self.front_notice_s, 0.0, 60.0)?;
+        number("repeat_keys", self.repeat_keys, 0.0, 1.0)?;
+        range("repeat_after_ms", self.repeat_after_ms, 0.0, 60_000.0)?;
+        count("body", self.body, 0, 64 * 1024)?;
+        number("work", self.work, 0.0, 1000.0)
+    }
+}
+
+fn micros(seconds: f64) -> Micros {
+    (seconds * SECOND as f64).round() as Micros
+}
+
+fn number(name: &str, value: f64, least: f64, most: f64) -> Result<(), String> {
+    match (least..=most).contains(&value) {
+        true => Ok(()),
+        false => Err(format!("found {name} = {value}, expected {least} to {most}")),
+    }
+}
+
+fn count(name: &str, value: usize, least: usize, most: usize) -> Result<(), String> {
+    match (least..=most).contains(&value) {
+        true => Ok(()),
+        false => Err(format!("found {name} = {value}, expected {least} to {most}")),
+    }
+}
+
+fn range(name: &str, [low, high]: [f64; 2], least: f64, most: f64) -> Result<(), String> {
+    number(name, low, least, most)?;
+    match (low..=most).contains(&high) {
+        true => Ok(()),
+        false => Err(format!("found {name} = [{low}, {high}], expected the second from {low} to {most}")),
+    }
+}
+
+/// What a fault needs, taken out of its table; whatever is left over then is of no use to it.
+struct Taking<'a> {
+    raw: RawFault,
+    site: &'a Site,
+}
+
+impl Taking<'_> {
+    fn limiter(&mut self) -> Result<usize, String> {
+        index("limiter", self.raw.limiter.take(), self.site.limiters)
+    }
+
+    fn server(&mut self) -> Result<usize, String> {
+        index("server", self.raw.server.take(), self.site.servers)
+    }
+
+    fn hall(&mut self) -> Result<usize, String> {
+        index("hall", self.raw.hall.take(), self.site.halls)
+    }
+
+    fn length(&mut self) -> Result<Micros, String> {
+        time("for_s", self.raw.for_s.take(), 1.0)
+    }
+
+    fn back(&mut self) -> Result<Micros, String> {
+        time("back_s", self.raw.back_s.take(), 1.0)
+    }
+
+    fn every(&mut self) -> Result<Micros, String> {
+        time("every_s", self.raw.every_s.take(), 1.0)
+    }
+
+    fn delay(&mut self) -> Result<Micros, String> {
+        time("delay_ms", self.raw.delay_ms.take(), 1000.0)
+    }
+
+    fn share(&mut self) -> Result<f64, String> {
+        needed("share", self.raw.share.take()).and_then(|v| number("share", v, 0.0, 1.0).map(|()| v))
+    }
+
+    fn times(&mut self) -> Result<f64, String> {
+        needed("times", self.raw.times.take()).and_then(|v| number("times", v, 0.0, 1000.0).map(|()| v))
+    }
+
+    fn plan(&mut self) -> Result<usize, String> {
+        let name = needed("plan", self.raw.plan.take())?;
+        PLANS.iter().position(|plan| plan.name == name).ok_or_else(|| {
+            let names: Vec<&str> = PLANS.iter().map(|plan| plan.name).collect();
+            format!("found plan = \"{name}\", expected one of {}", names.join(", "))
+        })
+    }
+
+    fn group(&mut self) -> Result<Vec<usize>, String> {
+        let group = needed("group", self.raw.group.take())?;
+        for limiter in &group {
+            index("group", Some(*limiter), self.site.limiters)?;
+        }
+        Ok(group)
+    }
+
+    /// Guards against a value that its writer believes to matter.
+    fn rest(&self) -> Result<(), String> {
+        let raw = &self.raw;
+        let left = [
+            ("limiter", raw.limiter.is_some()),
+            ("server", raw.server.is_some()),
+            ("hall", raw.hall.is_some()),
+            ("plan", raw.plan.is_some()),
+            ("for_s", raw.for_s.is_some()),
+            ("back_s", raw.back_s.is_some()),
+            ("every_s", raw.every_s.is_some()),
+            ("share", raw.share.is_some()),
+            ("times", raw.times.is_some()),
+            ("delay_ms", raw.delay_ms.is_some()),
+            ("how", raw.how.is_some()),
+            ("way", raw.way.is_some()),
+            ("group", raw.group.is_some()),
+        ];
+        match left.iter().find(|(_, left)| *left) {
+            None => Ok(()),
+            Some((name, _)) => Err(format!("found {name}, which this fault has no use for; take it out")),
+        }
+    }
+}
+
+fn needed<T>(name: &str, value: Option<T>) -> Result<T, String> {
+    value.ok_or_else(|| format!("expected {name}, which this fault needs"))
+}
+
+fn index(name: &str, value: Option<usize>, count: usize) -> Result<usize, String> {
+    let value = needed(name, value)?;
+    match value < count {
+        true => Ok(value),
+        false => Err(format!("found {name} = {value}, expected 0 to {}", count - 1)),
+    }
+}
+
+fn time(name: &str, value: Option<f64>, per_second: f64) -> Result<Micros, String> {
+    let value = needed(name, value)?;
+    number(name, value, 0.0, MOST_SECONDS * per_second)?;
+    Ok(micros(value / per_second))
+}
+
+impl RawFault {
+    fn check(&self, site: &Site) -> Result<Vec<TimedFault>, String> {
+        number("at_s", self.at_s, 0.0, MOST_SECONDS)?;
+        let at = micros(self.at_s);
+        let mut of = Taking { raw: self.clone(), site };
+        let one = |fault| vec![TimedFault { at, fault }];
+        let faults = match self.what {
+            Kind::LimiterKilled => one(Fault::LimiterKilled { limiter: of.limiter()?, back: of.back()? }),
+            Kind::LimiterRestarted => one(Fault::LimiterRestarted { limiter: of.limiter()? }),
+            Kind::LimitersRolled => {
+                let every = of.every()?;
+                let each = |limiter: usize| TimedFault {
+                    at: at + every * limiter as Micros,
+                    fault: Fault::LimiterRestarted { limiter },
+                };
+                (0..site.limiters).map(each).collect()
+            }
+            Kind::ServerKilled => one(Fault::ServerKilled { server: of.server()?, back: of.back()? }),
+            Kind::ServerReplaced => one(Fault::ServerReplaced { server: of.server()? }),
+            Kind::ServersRolled => {
+                let every = of.every()?;
+                let each = |server: usize| TimedFault {
+                    at: at + every * server as Micros,
+                    fault: Fault::ServerReplaced { server },
+                };
+                (0..site.servers).map(each).collect()
+            }
+            Kind::ServerDrained => one(Fault::ServerDrained { server: of.server()?, length: of.length()? }),
+            Kind::ServerStalled => one(Fault::ServerStalled { server: of.server()?, length: of.length()? }),
+            Kind::ServerSpoils => one(Fault::ServerSpoils {
+                server: of.server()?,
+                how: needed("how", of.raw.how.take())?,
+                share: of.share()?,
+                length: of.length()?,
+            }),
+            Kind::ServerRefuses => one(Fault::ServerRefuses { server: of.server()?, length: of.length()? }),
+            Kind::ServerMoved => one(Fault::ServerMoved { server: of.server()? }),
+            Kind::HallLost => one(Fault::HallLost { hall: of.hall()?, back: of.back()? }),
+            Kind::LinkCut => one(Fault::LinkCut {
+                limiter: of.limiter()?,
+                hall: of.hall()?,
+                way: needed("way", of.raw.way.take())?,
+                length: of.length()?,
+            }),
+            Kind::LinkSlow => one(Fault::LinkSlow {
+                limiter: of.limiter()?,
+                hall: of.hall()?,
+                delay: of.delay()?,
+                length: of.length()?,
+            }),
+            Kind::PeersSplit => one(Fault::PeersSplit { group: of.group()?, length: of.length()? }),
+            Kind::PeersPoor => {
+                one(Fault::PeersPoor { loss: of.share()?, delay: of.delay()?, length: of.length()? })
+            }
+            Kind::DiscoverySilent => one(Fault::DiscoverySilent { length: of.length()? }),
+            Kind::FirmsHop => one(Fault::FirmsHop { share: of.share()? }),
+            Kind::FirmHammers => {
+                one(Fault::FirmHammers { plan: of.plan()?, times: of.times()?, length: of.length()? })
+            }
+            Kind::Rush => one(Fault::Rush { times: of.times()?, length: of.length()? }),
+        };
+        of.rest()?;
+        Ok(faults)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HEAD: &str = "name = \"t\"\nabout = \"t\"\nseed = 1\nseconds = 2\n";
+
+    #[test]
+    fn errors_name_the_place_what_was_found_and_what_was_expected() {
+        let cases = [
+            ("[site]\nlimiters = 0", "t.toml:5:1: found limiters = 0, expected 1 to 16"),
+            ("[site]\nserver = 3", "t.toml:6:1: unknown field `server`, expected one of"),
+            ("[load]\nsubmit = 1.5", "t.toml:5:1: found submit = 1.5, expected 0 to 1"),
+            ("[load]\npatience = [0.9, 0.1]", "t.toml:5:1: found patience = [0.9, 0.1], expected the second"),
+            (
+                "[[fault]]\nat_s = 1\nwhat = \"meteor\"",
+                "t.toml:7:8: unknown variant `meteor`, expected one of",
+            ),
+            ("[[fault]]\nat_s = 1\nwhat = \"rush\"\ntimes = 2", "t.toml:5:1: expected for_s"),
+            (
+                "[[fault]]\nat_s = 1\nwhat = \"server-moved\"\nserver = 9",
+                "t.toml:5:1: found server = 9, expected 0 to 8",
+            ),
+            (
+                "[[fault]]\nat_s = 1\nwhat = \"server-moved\"\nserver = 1\nshare = 0.5",
+                "t.toml:5:1: found share, which this fault has no use for",
+            ),
+            (
+                "[[fault]]\nat_s = 1\nwhat = \"firm-hammers\"\nplan = \"gold\"\ntimes = 2\nfor_s = 1",
+                "t.toml:5:1: found plan = \"gold\", expected one of bas, mellan, stor",
+            ),
+            ("seconds = 3", "t.toml:5:1: duplicate key"),
+        ];
+        for (text, expected) in cases {
+            let problem = Scenario::parse("t.toml", &format!("{HEAD}{text}")).expect_err(text);
+            assert!(problem.starts_with(expected), "{text:?}: {problem}");
+            assert!(!problem.contains('\n'), "{problem:?}");
+        }
+        let endless = HEAD.replace("seconds = 2", "seconds = 1e9");
+        let problem = Scenario::parse("t.toml", &endless).expect_err("endless");
+        assert_eq!(problem, "t.toml:4:11: found seconds = 1000000000, expected 0.1 to 7200");
+        assert!(Scenario::parse("t.toml", &HEAD.replace("seconds = 2", "seconds = nan")).is_err());
+    }
+
+    #[test]
+    fn a_rolling_deploy_is_one_replacement_after_the_other() {
+        let text = format!("{HEAD}[[fault]]\nat_s = 1\nwhat = \"servers-rolled\"\nevery_s = 0.5");
+        let scenario = Scenario::parse("t.toml", &text).expect("sound");
+        assert_eq!(scenario.faults.len(), 9);
+        assert_eq!(
+            scenario.faults[8],
+            TimedFault { at: 5 * SECOND, fault: Fault::ServerReplaced { server: 8 } }
+        );
+    }
+
+    #[test]
+    fn every_scenario_of_the_folder_is_sound_and_says_what_to_see() {
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+        let mut count = 0;
+        for entry in std::fs::read_dir(folder).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            let scenario = Scenario::read(&path).expect("sound");
+            assert!(scenario.about.len() > 20, "{}", path.display());
+            assert_eq!(path.file_stem().and_then(|s| s.to_str()), Some(scenario.name.as_str()));
+            count += 1;
+        }
+        assert!(count >= 12, "{count} scenarios");
+    }
+}
--- /dev/null
+++ b/crates/emberpin-site/src/schedule.rs
@@ -0,0 +1,345 @@
+//! Who asks for what and when: drawn whole from the scenario and its seed before anything starts, so that the
+//! same seed gives the same schedule. What cannot be drawn ahead is only what answers make of it.
+
+use crate::figures::{Class, CLASSES, PLANS};
+use crate::scenario::{Fault, Scenario};
+use crate::trace::{Micros, Try, SECOND};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp, LogNormal};
+
+/// Tries that one arrival may make; [`Try`] numbers them through.
+pub const TRIES: u32 = 16;
+/// No request is heavier than so many times the mean of its class.
+const HEAVIEST: f64 = 10.0;
+
+/// A member firm.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Customer {
+    /// Its account: below 2^33.
+    pub account: u64,
+    /// Index of its plan.
+    pub plan: usize,
+    /// The first limiter of its set.
+    pub first: usize,
+    /// How many limiters its set has.
+    pub spread: usize,
+    /// Its part of all demand.
+    weight: f64,
+    /// Where its turns begin.
+    phase: f64,
+    /// When it moves to others of its limiters at one stroke.
+    hops: Vec<Micros>,
+}
+
+impl Customer {
+    /// The limiter of its set that most of its requests come through at this time.
+    pub fn busiest(&self, at: Micros, shift: Micros) -> usize {
+        let turn = (at as f64 / shift.max(1) as f64 + self.phase) as usize;
+        let hops = self.hops.iter().filter(|hop| **hop <= at).count();
+        turn + hops
+    }
+}
+
+/// One piece of work that a client wants done, with up to [`TRIES`] tries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// When its first try is made.
+    pub at: Micros,
+    /// Index of its customer.
+    pub customer: u32,
+    /// Index of its class.
+    pub class: usize,
+    /// Core milliseconds at yardstick speed.
+    pub work: f64,
+    /// The number of its idempotency key: that of the arrival that it repeats, or its own.
+    pub key: u32,
+    /// Each try is given up after this.
+    pub patience: Micros,
+    /// The limiter of its set, from [`Customer::first`] on, that its first try goes to.
+    pub through: usize,
+    /// It leaves its first try after this, for no reason.
+    pub leaves: Option<Micros>,
+    /// It waits as it is advised.
+    pub honours: bool,
+    /// Its own waits before its tries are this many times the mean.
+    pub haste: f64,
+}
+
+impl Arrival {
+    /// Its class.
+    pub fn class(&self) -> &'static Class {
+        &CLASSES[self.class]
+    }
+}
+
+/// All of them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Schedule {
+    /// By index.
+    pub customers: Vec<Customer>,
+    /// By time.
+    pub arrivals: Vec<Arrival>,
+    /// Speed of a core of each server.
+    pub speeds: Vec<f64>,
+    /// Marks this run's ids on the wire.
+    pub tag: u32,
+}
+
+impl Schedule {
+    /// Draws the schedule of a scenario.
+    pub fn draw(scenario: &Scenario) -> Schedule {
+        let mut rng = ChaCha8Rng::seed_from_u64(scenario.seed);
+        let tag = rng.random();
+        let [slow, fast] = scenario.site.speed;
+        let speeds = (0..scenario.site.servers).map(|_| slow + (fast - slow) * rng.random::<f64>()).collect();
+        let customers = customers(scenario, &mut rng);
+        let mut arrivals = arrivals(scenario, &customers, &mut rng);
+        repeat_keys(scenario, &customers, &mut arrivals, &mut rng);
+        Schedule { customers, arrivals, speeds, tag }
+    }
+
+    /// The arrival that a try belongs to.
+    pub fn arrival(&self, of: Try) -> Option<&Arrival> {
+        self.arrivals.get((of.0 / TRIES) as usize)
+    }
+
+    /// A try's `Req-Id`.
+    pub fn id(&self, of: Try) -> String {
+        format!("{:08x}{:08x}", self.tag, of.0)
+    }
+
+    /// The try of a `Req-Id`, if it is one of this run's.
+    pub fn parse_id(&self, id: &str) -> Option<Try> {
+        let (tag, number) = id.split_at_checked(8)?;
+        let sound = number.len() == 8 && u32::from_str_radix(tag, 16).ok()? == self.tag;
+        let of = Try(u32::from_str_radix(number, 16).ok()?);
+        (sound && self.arrival(of).is_some()).then_some(of)
+    }
+
+    /// A key's `Idempotency-Key`.
+    pub fn key(&self, key: u32) -> String {
+        format!("{:08x}{key:024x}", self.tag)
+    }
+}
+
+fn mean_units(scenario: &Scenario) -> f64 {
+    let load = &scenario.load;
+    let status = 1.0 - load.submit - load.release;
+    status * CLASSES[0].units + load.submit * CLASSES[1].units + load.release * CLASSES[2].units
+}
+
+fn customers(scenario: &Scenario, rng: &mut ChaCha8Rng) -> Vec<Customer> {
+    let units = scenario.load.rate * mean_units(scenario);
+    let mut customers = Vec::new();
+    for (index, plan) in PLANS.iter().enumerate() {
+        let count = (units * plan.share / (plan.rate * scenario.load.usage)).round().clamp(1.0, 100_000.0);
+        for _ in 0..count as usize {
+            let limiters = scenario.site.limiters;
+            let spread = rng.random_range(limiters.min(2)..=limiters.min(4));
+            customers.push(Customer {
+                account: rng.random_range(0..1 << 33),
+                plan: index,
+                first: rng.random_range(0..limiters),
+                spread,
+                weight: plan.rate * rng.random_range(0.5..1.5),
+                phase: rng.random_range(0.0..16.0),
+                hops: Vec::new(),
+            });
+        }
+    }
+    for timed in &scenario.faults {
+        if let Fault::FirmsHop { share } = timed.fault {
+            customers.iter_mut().filter(|_| rng.random_bool(share)).for_each(|c| c.hops.push(timed.at));
+        }
+    }
+    customers
+}
+
+fn arrivals(scenario: &Scenario, customers: &[Customer], rng: &mut ChaCha8Rng) -> Vec<Arrival> {
+    let total: f64 = customers.iter().map(|customer| customer.weight).sum();
+    let mut ends = Vec::with_capacity(customers.len());
+    let mut sum = 0.0;
+    for customer in customers {
+        sum += customer.weight / total;
+        ends.push(sum);
+    }
+    let rush = |at: Micros| -> f64 {
+        let in_force = scenario.faults.iter().filter_map(|timed| match timed.fault {
+            Fault::Rush { times, length } if (timed.at..timed.at + length).contains(&at) => Some(times),
+            _ => None,
+        });
+        in_force.product()
+    };
+    let mut arrivals = Vec::new();
+    // Times by thinning: drawn at the greatest rate there ever is, and kept in proportion to the present one.
+    let edges = scenario.faults.iter().map(|timed| timed.at).chain([0]);
+    let most = edges.map(rush).fold(1.0, f64::max);
+    let mut at = 0.0;
+    loop {
+        at += exponential(1.0 / (scenario.load.rate * most), rng);
+        let now = (at * SECOND as f64) as Micros;
+        if now >= scenario.length {
+            break;
+        }
+        if rng.random::<f64>() * most >= rush(now) {
+            continue;
+        }
+        let roll: f64 = rng.random();
+        let customer = ends.partition_point(|end| *end < roll).min(customers.len() - 1);
+        arrivals.push(arrival(scenario, customers, customer, now, rng));
+    }
+    for timed in &scenario.faults {
+        let Fault::FirmHammers { plan, times, length } = timed.fault else { continue };
+        let customer = customers.iter().position(|customer| customer.plan == plan);
+        let Some(customer) = customer.filter(|_| times > 0.0) else { continue };
+        let gap = mean_units(scenario) / (PLANS[plan].rate * times);
+        let mut at = timed.at as f64 / SECOND as f64;
+        let end = ((timed.at + length).min(scenario.length)) as f64 / SECOND as f64;
+        loop {
+            at += exponential(gap, rng);
+            if at >= end {
+                break;
+            }
+            let drawn = arrival(scenario, customers, customer, (at * SECOND as f64) as Micros, rng);
+            arrivals.push(Arrival { honours: false, ..drawn });
+        }
+    }
+    arrivals.sort_by_key(|arrival| arrival.at);
+    for (index, arrival) in arrivals.iter_mut().enumerate() {
+        arrival.key = index as u32;
+    }
+    arrivals
+}
+
+fn arrival(
+    scenario: &Scenario,
+    customers: &[Customer],
+    customer: usize,
+    at: Micros,
+    rng: &mut ChaCha8Rng,
+) -> Arrival {
+    let load = &scenario.load;
+    let roll: f64 = rng.random();
+    let class = match roll {
+        roll if roll < load.release => 2,
+        roll if roll < load.release + load.submit => 1,
+        _ => 0,
+    };
+    let [least, most] = load.patience;
+    let patience = CLASSES[class].deadline as f64 * (least + (most - least) * rng.random::<f64>());
+    // Spread over the heavy tail that the letter tells of: mean 1, coefficient of variation 0.8.
+    let variance = (1.0f64 + 0.8 * 0.8).ln();
+    let heaviness = LogNormal::new(-variance / 2.0, variance.sqrt()).map_or(1.0, |d| d.sample(rng));
+    let busiest = customers[customer].busiest(at, (load.shift_s * SECOND as f64) as Micros);
+    let elsewhere = if rng.random_bool(0.7) { 0 } else { rng.random_range(0..customers[customer].spread) };
+    Arrival {
+        at,
+        customer: customer as u32,
+        class,
+        work: CLASSES[class].work * load.work * heaviness.min(HEAVIEST),
+        key: 0,
+        patience: patience as Micros,
+        through: (busiest + elsewhere) % customers[customer].spread,
+        leaves: rng.random_bool(load.impatient).then(|| (patience * rng.random_range(0.1..0.9)) as Micros),
+        honours: rng.random_bool(load.honour),
+        haste: rng.random_range(0.5..1.5),
+    }
+}
+
+/// Adds arrivals that ask again for what an earlier one of the same customer asked, under its key.
+fn repeat_keys(
+    scenario: &Scenario,
+    customers: &[Customer],
+    arrivals: &mut Vec<Arrival>,
+    rng: &mut ChaCha8Rng,
+) {
+    let load = &scenario.load;
+    if load.repeat_keys == 0.0 {
+        return;
+    }
+    let [soonest, latest] = load.repeat_after_ms;
+    let mut repeats = Vec::new();
+    for first in arrivals.iter().filter(|arrival| arrival.class == 1) {
+        if rng.random_bool(load.repeat_keys) {
+            let after = soonest + (latest - soonest) * rng.random::<f64>();
+            let through = rng.random_range(0..customers[first.customer as usize].spread);
+            repeats.push(Arrival { at: first.at + (after * 1000.0) as Micros, through, ..first.clone() });
+        }
+    }
+    // Keys stay with the index that the arrival had when it was drawn; indices here only number tries.
+    arrivals.append(&mut repeats);
+    arrivals.sort_by_key(|arrival| arrival.at);
+}
+
+fn exponential(mean: f64, rng: &mut ChaCha8Rng) -> f64 {
+    Exp::new(1.0 / mean).map_or(mean, |d| d.sample(rng))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn scenario(text: &str) -> Scenario {
+        let head = "name = \"t\"\nabout = \"t\"\nseed = 5\nseconds = 20\n";
+        Scenario::parse("t", &format!("{head}{text}")).expect("sound")
+    }
+
+    #[test]
+    fn the_same_seed_gives_the_same_schedule_and_another_seed_another() {
+        let mut scenario = scenario("[load]\nrepeat_keys = 0.3\n");
+        let drawn = Schedule::draw(&scenario);
+        assert_eq!(drawn, Schedule::draw(&scenario));
+        scenario.seed += 1;
+        assert_ne!(drawn, Schedule::draw(&scenario));
+    }
+
+    #[test]
+    fn demand_is_as_the_scenario_says() {
+        let drawn = Schedule::draw(&scenario("[load]\nrate = 200\n"));
+        assert!((3600..4400).contains(&drawn.arrivals.len()), "{}", drawn.arrivals.len());
+        let submits = drawn.arrivals.iter().filter(|arrival| arrival.class == 1).count();
+        assert!((0.3..0.42).contains(&(submits as f64 / drawn.arrivals.len() as f64)));
+        assert!(drawn.arrivals.is_sorted_by_key(|arrival| arrival.at));
+        for arrival in &drawn.arrivals {
+            let customer = &drawn.customers[arrival.customer as usize];
+            assert!(arrival.through < customer.spread && arrival.patience <= arrival.class().deadline);
+            assert!(arrival.work > 0.0 && arrival.work <= HEAVIEST * arrival.class().work);
+        }
+    }
+
+    #[test]
+    fn a_rush_multiplies_what_is_asked_while_it_lasts() {
+        let text = "[load]\nrate = 100\n[[fault]]\nat_s = 5\nwhat = \"rush\"\ntimes = 3\nfor_s = 10\n";
+        let drawn = Schedule::draw(&scenario(text));
+        let inside = drawn.arrivals.iter().filter(|a| (5 * SECOND..15 * SECOND).contains(&a.at)).count();
+        assert!((2600..3400).contains(&inside), "{inside}");
+        assert!((800..1200).contains(&(drawn.arrivals.len() - inside)));
+    }
+
+    #[test]
+    fn a_hammering_firm_asks_a_multiple_of_its_quota_and_does_not_wait() {
+        let text =
+            "[load]\nrate = 20\n[[fault]]\nat_s = 0\nwhat = \"firm-hammers\"\nplan = \"mellan\"\ntimes = 20\nfor_s = 20\n";
+        let drawn = Schedule::draw(&scenario(text));
+        let firm = drawn.customers.iter().position(|c| c.plan == 1).expect("one") as u32;
+        let own = drawn.arrivals.iter().filter(|a| a.customer == firm);
+        let units: f64 = own.map(|a| a.class().units).sum();
+        assert!((2400.0..4600.0).contains(&units), "{units}");
+    }
+
+    #[test]
+    fn repeats_carry_the_key_of_their_first() {
+        let drawn = Schedule::draw(&scenario("[load]\nrepeat_keys = 0.5\n"));
+        let mut keys: Vec<u32> = drawn.arrivals.iter().map(|a| a.key).collect();
+        keys.sort_unstable();
+        let all = keys.len();
+        keys.dedup();
+        let repeated = all - keys.len();
+        assert!(repeated * 5 > all / 2, "{repeated} of {all}");
+        let id = drawn.id(Try(17));
+        assert_eq!(drawn.parse_id(&id), Some(Try(17)));
+        assert_eq!(drawn.parse_id("00000000ffffffff"), None);
+        assert_eq!(drawn.parse_id("å"), None);
+    }
+}
--- /dev/null
+++ b/crates/emberpin-site/src/servers.rs
@@ -0,0 +1,654 @@
+//! The stand-in servers: cores and a queue, cold starts, drains, declines, load reports, the meter, and for
+//! keyed work the memory of one hall. Each records every request that it received, and spoils answers as told.
+
+use crate::figures::{Repeat, CLASSES, FALL_MULTIPLE, FALL_TIME, METER_PERIOD, PLANS, WINDOW};
+use crate::http::{Broken, Head, Wire};
+use crate::link::Link;
+use crate::scenario::{Scenario, Spoil};
+use crate::schedule::Schedule;
+use crate::trace::{AttemptEnd, AttemptId, Life, Micros, Recorder, Try, What};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{watch, Semaphore};
+use tokio::task::{spawn_local, JoinHandle};
+
+/// A trickling server's pause between two bytes.
+const TRICKLE: Duration = Duration::from_millis(100);
+/// A repeat that the hall remembers costs this much work, in core milliseconds.
+const REMEMBERED_WORK: f64 = 1.0;
+/// What the meter says of a period comes so long after its end.
+const METER_LATE: Micros = 300_000;
+
+/// What all stand-ins share.
+pub struct World {
+    /// The clock and the record.
+    pub recorder: Recorder,
+    /// What is played.
+    pub scenario: Scenario,
+    /// Who asks for what.
+    pub schedule: Schedule,
+    /// The loopback address that all stand-ins of this site listen on.
+    pub host: Ipv4Addr,
+    /// By limiter, then hall.
+    pub links: Vec<Vec<Link>>,
+    attempts: Cell<u32>,
+    lives: Cell<u32>,
+    /// When each hall last ran a key's work.
+    memory: RefCell<Vec<HashMap<u32, Micros>>>,
+    /// Keys whose effect was had.
+    effects: RefCell<HashSet<u32>>,
+    meter: RefCell<Meter>,
+}
+
+/// Use by customer in the present period and those before it.
+#[derive(Default)]
+struct Meter {
+    used: HashMap<u32, VecDeque<(u64, f64)>>,
+    counted: HashSet<Try>,
+}
+
+impl Meter {
+    /// Counts a try's units, when first sent on.
+    fn count(&mut self, of: Try, customer: u32, units: f64, now: Micros) {
+        if !self.counted.insert(of) {
+            return;
+        }
+        let periods = self.used.entry(customer).or_default();
+        let period = now / METER_PERIOD;
+        match periods.back_mut().filter(|(last, _)| *last == period) {
+            Some((_, sum)) => *sum += units,
+            None => periods.push_back((period, units)),
+        }
+        while periods.len() > 4 {
+            periods.pop_front();
+        }
+    }
+
+    /// Units used in the last period of which is known by now.
+    fn last(&self, customer: u32, now: Micros) -> Option<f64> {
+        let period = (now.checked_sub(METER_LATE)? / METER_PERIOD).checked_sub(1)?;
+        let periods = self.used.get(&customer)?;
+        Some(periods.iter().find(|(at, _)| *at == period).map_or(0.0, |(_, units)| *units))
+    }
+}
+
+impl World {
+    /// What stands before anything starts.
+    pub fn new(recorder: Recorder, scenario: Scenario, schedule: Schedule, host: Ipv4Addr) -> Rc<World> {
+        let site = &scenario.site;
+        let row = || (0..site.halls).map(|_| Link::default()).collect();
+        let links = (0..site.limiters).map(|_| row()).collect();
+        let memory = RefCell::new(vec![HashMap::new(); site.halls]);
+        Rc::new(World {
+            recorder,
+            host,
+            links,
+            attempts: Cell::new(0),
+            lives: Cell::new(0),
+            memory,
+            effects: RefCell::default(),
+            meter: RefCell::default(),
+            scenario,
+            schedule,
+        })
+    }
+
+    /// The hall that a server stands in.
+    pub fn hall(&self, server: usize) -> usize {
+        server % self.scenario.site.halls
+    }
+
+    fn next(counter: &Cell<u32>) -> u32 {
+        counter.replace(counter.get() + 1)
+    }
+}
+
+/// One server: what stays when its process ends.
+pub struct Server {
+    world: Rc<World>,
+    /// Its number.
+    pub number: usize,
+    /// What limiters connect to, by limiter.
+    pub addresses: RefCell<Vec<SocketAddr>>,
+    /// Its id in the list: a successor has the next.
+    pub generation: Cell<u32>,
+    running: RefCell<Option<Rc<Process>>>,
+}
+
+/// One life of a server's process.
+pub struct Process {
+    world: Rc<World>,
+    server: usize,
+    /// Which life.
+    pub life: Life,
+    /// When it started, Unix milliseconds; 0 for long ago.
+    pub boot_ms: f64,
+    up: Micros,
+    warm_after: Micros,
+    speed: f64,
+    dead: watch::Sender<bool>,
+    /// The tasks that hold its listeners.
+    accepting: RefCell<Vec<JoinHandle<()>>>,
+    /// Which of its addresses it is at; connections to those before end when idle.
+    place: watch::Sender<u32>,
+    refusing: watch::Sender<bool>,
+    stalled: watch::Sender<bool>,
+    spoils: RefCell<Option<(Spoil, f64)>>,
+    cores: Semaphore,
+    waiting: Cell<usize>,
+    connections: Cell<usize>,
+    /// Mean service time of late, in milliseconds.
+    service: Cell<f64>,
+    /// The last load report, and when it was made.
+    report: RefCell<(Micros, String)>,
+    /// What came within the last time that a fall takes: when, and core milliseconds.
+    pressure: RefCell<VecDeque<(Micros, f64)>>,
+}
+
+/// How a request is answered.
+enum Reply {
+    Declined,
+    Served(String),
+}
+
+impl Server {
+    /// A server that is not running yet, with addresses of its own.
+    ///
+    /// # Errors
+    ///
+    /// No free port.
+    pub fn new(world: Rc<World>, number: usize) -> std::io::Result<Rc<Server>> {
+        let server = Server {
+            world,
+            number,
+            addresses: RefCell::default(),
+            generation: Cell::new(0),
+            running: RefCell::default(),
+        };
+        server.take_addresses()?;
+        Ok(Rc::new(server))
+    }
+
+    /// Listens at other addresses from now on; at the old ones too, until [`Process::leave_old_addresses`].
+    ///
+    /// # Errors
+    ///
+    /// No free port.
+    pub fn move_away(&self) -> std::io::Result<()> {
+        self.take_addresses()?;
+        match self.process() {
+            Some(process) => self.listen(&process, process.place.borrow().wrapping_add(1)),
+            None => Ok(()),
+        }
+    }
+
+    fn listen(&self, process: &Rc<Process>, place: u32) -> std::io::Result<()> {
+        for (limiter, address) in self.addresses.borrow().iter().enumerate() {
+            let listener = listen(*address)?;
+            let accepting = spawn_local(process.clone().accept(limiter, *address, place, listener));
+            process.accepting.borrow_mut().push(accepting);
+        }
+        Ok(())
+    }
+
+    fn take_addresses(&self) -> std::io::Result<()> {
+        let free = |_| std::net::TcpListener::bind((self.world.host, 0))?.local_addr();
+        let addresses: std::io::Result<Vec<_>> = (0..self.world.scenario.site.limiters).map(free).collect();
+        *self.addresses.borrow_mut() = addresses?;
+        Ok(())
+    }
+
+    /// Its name in the list.
+    pub fn uid(&self) -> String {
+        format!("s-{:03}-{}", self.number, self.generation.get())
+    }
+
+    /// The life that runs, if one does.
+    pub fn process(&self) -> Option<Rc<Process>> {
+        self.running.borrow().clone()
+    }
+
+    /// Starts its process, cold or as if it had always run.
+    ///
+    /// # Errors
+    ///
+    /// An address that cannot be listened on.
+    pub fn start(&self, cold: bool) -> std::io::Result<()> {
+        let world = &self.world;
+        let site = &world.scenario.site;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let process = Rc::new(Process {
+            world: world.clone(),
+            server: self.number,
+            life: Life(World::next(&world.lives)),
+            boot_ms: if cold { unix.as_secs_f64() * 1000.0 } else { 0.0 },
+            up: world.recorder.now(),
+            warm_after: if cold { (site.warm_s * 1e6) as Micros } else { 0 },
+            speed: world.schedule.speeds[self.number],
+            dead: watch::Sender::new(false),
+            accepting: RefCell::default(),
+            place: watch::Sender::new(0),
+            refusing: watch::Sender::new(false),
+            stalled: watch::Sender::new(false),
+            spoils: RefCell::default(),
+            cores: Semaphore::new(site.cores),
+            waiting: Cell::new(0),
+            connections: Cell::new(0),
+            service: Cell::new(CLASSES[0].work),
+            report: RefCell::default(),
+            pressure: RefCell::default(),
+        });
+        world.recorder.note(What::ServerUp {
+            life: process.life,
+            server: self.number,
+            capacity: process.speed * site.cores as f64,
+            cold_from: site.cold_from,
+            warm_after: process.warm_after,
+        });
+        self.listen(&process, 0)?;
+        *self.running.borrow_mut() = Some(process);
+        Ok(())
+    }
+
+    /// Ends its process at once: connections are reset, new ones refused; returns when its addresses are free.
+    pub async fn kill(&self) {
+        let Some(process) = self.running.borrow_mut().take() else { return };
+        process.die();
+        let accepting = process.accepting.take();
+        for task in accepting {
+            // It ends at the same signal; nothing is to be had of how.
+            _ = task.await;
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
+
+impl Process {
+    /// Stands still, or goes on.
+    pub fn stall(&self, on: bool) {
+        self.stalled.send_replace(on);
+    }
+
+    /// Takes no new connections, or takes them again.
+    pub fn refuse(&self, on: bool) {
+        self.refusing.send_replace(on);
+    }
+
+    /// Listens no more at the addresses before the present ones.
+    pub fn leave_old_addresses(&self) {
+        self.place.send_modify(|place| *place = place.wrapping_add(1));
+    }
+
+    /// Nothing is out at it.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.get() == 0 && self.cores.available_permits() == self.world.scenario.site.cores
+    }
+
+    /// Spoils this share of answers, or none any more.
+    pub fn spoil(&self, how: Option<(Spoil, f64)>) {
+        *self.spoils.borrow_mut() = how;
+    }
+
+    fn die(&self) {
+        if !self.dead.send_replace(true) {
+            self.world.recorder.note(What::ServerDown { life: self.life });
+        }
+    }
+
+    /// The part of its capacity that it has now.
+    fn warmth(&self, now: Micros) -> f64 {
+        if self.warm_after == 0 {
+            return 1.0;
+        }
+        let part = (now - self.up) as f64 / self.warm_after as f64;
+        let from = self.world.scenario.site.cold_from;
+        from + (1.0 - from) * part.min(1.0)
+    }
+
+    async fn accept(self: Rc<Self>, limiter: usize, address: SocketAddr, place: u32, listener: TcpListener) {
+        let (mut dead, mut refusing) = (self.dead.subscribe(), self.refusing.subscribe());
+        let mut places = self.place.subscribe();
+        let mut listener = Some(listener);
+        loop {
+            let accepting = async {
+                match &listener {
+                    Some(listener) => listener.accept().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                _ = dead.wait_for(|dead| *dead) => return,
+                _ = places.wait_for(|now| *now > place) => return,
+                changed = refusing.changed() => {
+                    let refuse = changed.is_err() || *refusing.borrow_and_update();
+                    listener = if refuse { None } else { listen(address).ok() };
+                }
+                accepted = accepting => if let Ok((stream, _)) = accepted {
+                    spawn_local(self.clone().connection(limiter, place, Wire::new(stream)));
+                },
+            }
+        }
+    }
+
+    async fn connection(self: Rc<Self>, limiter: usize, place: u32, mut wire: Wire) {
+        self.connections.set(self.connections.get() + 1);
+        let mut dead = self.dead.subscribe();
+        // The attempt that is out on this connection.
+        let out = Cell::new(None);
+        let ended = tokio::select! {
+            biased;
+            _ = dead.wait_for(|dead| *dead) => None,
+            ended = self.converse(limiter, place, &mut wire, &out) => Some(ended),
+        };
+        self.connections.set(self.connections.get() - 1);
+        if let Some(attempt) = out.get() {
+            let how = match ended {
+                Some(Over::TheirEnd) => AttemptEnd::Withdrawn,
+                Some(Over::OurEnd | Over::Reset) | None => AttemptEnd::Broken,
+            };
+            self.world.recorder.note(What::Ended { attempt, how });
+        }
+        if !matches!(ended, Some(Over::TheirEnd | Over::OurEnd)) {
+            wire.reset();
+        }
+    }
+
+    /// Requests and answers, one after the other, until a side ends the connection.
+    async fn converse(
+        &self,
+        limiter: usize,
+        place: u32,
+        wire: &mut Wire,
+        out: &Cell<Option<AttemptId>>,
+    ) -> Over {
+        let world = &self.world;
+        let link = &world.links[limiter][world.hall(self.server)];
+        let idle = Duration::from_secs_f64(world.scenario.site.idle_s);
+        let mut places = self.place.subscribe();
+        loop {
+            tokio::select! {
+                biased;
+                came = wire.anything() => if !came {
+                    return Over::TheirEnd;
+                },
+                _ = places.wait_for(|now| *now > place) => return Over::OurEnd,
+                () = tokio::time::sleep(idle) => return Over::OurEnd,
+            }
+            let began = world.recorder.now();
+            let (head, body) = match wire.read(false, || ()).await {
+                Ok(message) => message,
+                Err(Broken::Ended | Broken::Cut) => return Over::TheirEnd,
+                Err(Broken::Garbled) => return Over::OurEnd,
+            };
+            if let Some(answer) = self.probed(&head) {
+                tokio::select! {
+                    () = wire.ended() => return Over::TheirEnd,
+                    () = async { self.stands().await; link.out().await; link.back().await } => {}
+                }
+                if wire.stream.write_all(answer.as_bytes()).await.is_err() {
+                    return Over::TheirEnd;
+                }
+                continue;
+            }
+            let attempt = AttemptId(World::next(&world.attempts));
+            world.recorder.note_at(began, What::Begun { attempt, life: self.life, limiter });
+            out.set(Some(attempt));
+            // On the way; whoever ends the connection meanwhile has taken it back.
+            let arrives = async {
+                link.out().await;
+                self.stands().await;
+            };
+            tokio::select! {
+                biased;
+                () = wire.ended() => return Over::TheirEnd,
+                () = arrives => {}
+            }
+            let of = head.header("req-id").and_then(|id| world.schedule.parse_id(id));
+            let work = of.and_then(|of| world.schedule.arrival(of)).map_or(0.0, |arrival| arrival.work);
+            world.recorder.note(What::Whole { attempt, what: of, work });
+            let Some(of) = of else {
+                _ = wire.stream.write_all(b"HTTP/1.1 400 Unknown\r\nContent-Length: 0\r\n\r\n").await;
+                world.recorder.note(What::Ended { attempt, how: AttemptEnd::Errored });
+                out.set(None);
+                continue;
+            };
+            if let Some(arrival) = world.schedule.arrival(of) {
+                let (customer, units) = (arrival.customer, arrival.class().units);
+                world.meter.borrow_mut().count(of, customer, units, world.recorder.now());
+            }
+            if self.falls(work) {
+                self.die();
+                return Over::Reset;
+            }
+            let reply = tokio::select! {
+                biased;
+                () = wire.ended() => return Over::TheirEnd,
+                reply = async {
+                    let reply = self.work(attempt, of, work, &head, &body).await;
+                    self.stands().await;
+                    link.back().await;
+                    reply
+                } => reply,
+            };
+            if let Some(over) = self.reply(wire, attempt, of, reply, out).await {
+                return over;
+            }
+        }
+    }
+
+    async fn stands(&self) {
+        let mut stalled = self.stalled.subscribe();
+        _ = stalled.wait_for(|stalled| !stalled).await;
+    }
+
+    fn probed(&self, head: &Head) -> Option<String> {
+        let body = match (head.method.as_str(), head.path.as_str()) {
+            ("GET", "/health/live") => String::new(),
+            ("GET", "/stats") => self.load(),
+            _ => return None,
+        };
+        Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+    }
+
+    /// A cold server that is sent more than a multiple of what it can do, for the time that this takes, falls
+    /// over and stays down.
+    fn falls(&self, work: f64) -> bool {
+        let now = self.world.recorder.now();
+        if now > self.up + self.warm_after {
+            return false;
+        }
+        let mut pressure = self.pressure.borrow_mut();
+        pressure.push_back((now, work));
+        while pressure.front().is_some_and(|(at, _)| at + FALL_TIME < now) {
+            pressure.pop_front();
+        }
+        let sum: f64 = pressure.iter().map(|(_, work)| work).sum();
+        let heaviest = pressure.iter().map(|(_, work)| *work).fold(0.0, f64::max);
+        let capacity = self.speed * self.world.scenario.site.cores as f64;
+        sum > FALL_MULTIPLE * capacity * self.warmth(now) * FALL_TIME as f64 / 1000.0 + heaviest
+    }
+
+    /// Queue, cores and the hall's memory.
+    async fn work(&self, attempt: AttemptId, of: Try, work: f64, head: &Head, body: &[u8]) -> Reply {
+        let world = &self.world;
+        let Some(arrival) = world.schedule.arrival(of) else { return Reply::Declined };
+        let site = &world.scenario.site;
+        let spoil = self.spoils.borrow().is_some_and(|(how, _)| how == Spoil::Decline);
+        if spoil || self.connections.get() > site.connections || self.waiting.get() > site.queue {
+            return Reply::Declined;
+        }
+        let waiting = Waiting::enter(&self.waiting);
+        let permit = self.cores.acquire().await;
+        drop(waiting);
+        if permit.is_err() {
+            return Reply::Declined;
+        }
+        let now = world.recorder.now();
+        let keyed = arrival.class().repeat == Repeat::Keyed;
+        let mut remembered = false;
+        if keyed {
+            let mut memory = world.memory.borrow_mut();
+            let hall = &mut memory[world.hall(self.server)];
+            remembered = hall.get(&arrival.key).is_some_and(|at| now <= at + WINDOW);
+            if !remembered {
+                hall.insert(arrival.key, now);
+            }
+        }
+        // A safe class has no effect that could be had twice.
+        let effect = arrival.class().repeat != Repeat::Safe && !remembered;
+        let second = effect && !world.effects.borrow_mut().insert(arrival.key);
+        world.recorder.note(What::Ran { attempt, second, remembered });
+        let work = if remembered { REMEMBERED_WORK } else { work };
+        let time = work / (self.speed * self.warmth(now));
+        tokio::time::sleep(Duration::from_secs_f64(time / 1000.0)).await;
+        self.service.set(self.service.get() * 0.9 + time * 0.1);
+        let id = head.header("req-id").unwrap_or_default();
+        Reply::Served(format!("{id} life {} took {} bytes", self.life.0, body.len()))
+    }
+
+    /// Writes the answer, or what a spoilt one leaves of it; says if the connection is over.
+    async fn reply(
+        &self,
+        wire: &mut Wire,
+        attempt: AttemptId,
+        of: Try,
+        reply: Reply,
+        out: &Cell<Option<AttemptId>>,
+    ) -> Option<Over> {
+        let world = &self.world;
+        let (how, text) = match reply {
+            Reply::Declined => {
+                let head = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n";
+                (AttemptEnd::Declined, format!("{head}Srv-Load: {}\r\n\r\n", self.load()))
+            }
+            Reply::Served(body) => {
+                let headers = format!("Srv-Load: {}\r\n{}", self.load(), self.used(of));
+                let roll = draw(world.scenario.seed, attempt);
+                let spoilt = *self.spoils.borrow();
+                match spoilt.filter(|(_, share)| roll < *share).map(|(how, _)| how) {
+                    Some(how) if how != Spoil::Error => {
+                        return Some(spoil(how, wire, &headers, &body).await);
+                    }
+                    None if roll >= world.scenario.site.error_rate => {
+                        let length = body.len();
+                        let text =
+                            format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n{headers}\r\n{body}");
+                        (AttemptEnd::Served, text)
+                    }
+                    _ => {
+                        let text = format!("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n{headers}\r\n");
+                        (AttemptEnd::Errored, text)
+                    }
+                }
+            }
+        };
+        if wire.stream.write_all(text.as_bytes()).await.is_err() {
+            return Some(Over::TheirEnd);
+        }
+        world.recorder.note(What::Ended { attempt, how });
+        out.set(None);
+        None
+    }
+
+    /// The load report, made anew as often as the scenario says.
+    fn load(&self) -> String {
+        let now = self.world.recorder.now();
+        let mut report = self.report.borrow_mut();
+        let every = (self.world.scenario.site.report_ms * 1000.0) as Micros;
+        if report.1.is_empty() || now >= report.0 + every {
+            let text = format!("latency_ms={:.1},queue={}", self.service.get(), self.waiting.get());
+            *report = (now, text);
+        }
+        report.1.clone()
+    }
+
+    /// The customer's use in percent, less 1 being nothing.
+    fn used(&self, of: Try) -> String {
+        let world = &self.world;
+        let Some(arrival) = world.schedule.arrival(of) else { return String::new() };
+        let now = world.recorder.now();
+        let Some(units) = world.meter.borrow().last(arrival.customer, now) else { return String::new() };
+        let plan = &PLANS[world.schedule.customers[arrival.customer as usize].plan];
+        format!("X-RateLimit-Used: {:.1}\r\n", 100.0 * units / plan.rate)
+    }
+}
+
+/// Who ended a connection.
+#[derive(Clone, Copy, PartialEq)]
+enum Over {
+    TheirEnd,
+    OurEnd,
+    Reset,
+}
+
+async fn spoil(how: Spoil, wire: &mut Wire, headers: &str, body: &str) -> Over {
+    let length = body.len();
+    let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n{headers}\r\n{body}");
+    let half = &whole[..whole.len() - length / 2];
+    match how {
+        Spoil::Reset => Over::Reset,
+        Spoil::Half => {
+            _ = wire.stream.write_all(half.as_bytes()).await;
+            Over::OurEnd
+        }
+        Spoil::Garbled => {
+            _ = wire.stream.write_all(b"HTTP/one.one two hundred\r\n\x00\xff\r\n\r\n").await;
+            Over::OurEnd
+        }
+        Spoil::Stall => {
+            _ = wire.stream.write_all(half.as_bytes()).await;
+            wire.ended().await;
+            Over::TheirEnd
+        }
+        Spoil::Trickle => {
+            for byte in whole.as_bytes() {
+                let written = wire.stream.write_all(std::slice::from_ref(byte)).await;
+                let pause = tokio::time::timeout(TRICKLE, wire.ended()).await;
+                if written.is_err() || pause.is_ok() {
+                    return Over::TheirEnd;
+                }
+            }
+            Over::OurEnd
+        }
+        Spoil::Mute | Spoil::Error | Spoil::Decline => {
+            wire.ended().await;
+            Over::TheirEnd
+        }
+    }
+}
+
+/// A place in the queue, given back when dropped.
+struct Waiting<'a>(&'a Cell<usize>);
+
+impl Waiting<'_> {
+    fn enter(count: &Cell<usize>) -> Waiting<'_> {
+        count.set(count.get() + 1);
+        Waiting(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A number from 0 to 1 that depends on the seed and the attempt alone (SplitMix64, Steele et al. 2014).
+fn draw(seed: u64, attempt: AttemptId) -> f64 {
+    let mut z = seed.wrapping_add(u64::from(attempt.0).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/emberpin-site/src/trace.rs
@@ -0,0 +1,295 @@
+//! What crossed the sockets, at the clients' and the servers' side, and what was told to whom: all that the
+//! referee sees. One process plays every stand-in, so one monotonic clock stamps it all; nothing here comes
+//! from a limiter's clock, and no skew can enter.
+
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Microseconds since the site began.
+pub type Micros = u64;
+
+/// A second of it.
+pub const SECOND: Micros = 1_000_000;
+
+/// Seconds as operators write them.
+pub fn seconds(micros: Micros) -> f64 {
+    micros as f64 / SECOND as f64
+}
+
+/// One try of a client; on the wire it is `Req-Id`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct Try(pub u32);
+
+/// One request as one server received it, numbered over all servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct AttemptId(pub u32);
+
+/// One life of one server: a process that starts again has the next one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct Life(pub u32);
+
+/// What a server's entry in the list says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Standing {
+    /// Takes work.
+    Ready,
+    /// Finishes what it has.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// How an attempt ended at its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum AttemptEnd {
+    /// Turned away, and the answer that says so was written whole: it never ran.
+    Declined,
+    /// Its good answer was written whole.
+    Served,
+    /// Another answer was written whole, or one that is none; it may have run.
+    Errored,
+    /// The limiter closed the connection or ended its sending.
+    Withdrawn,
+    /// The server ended the connection, or died.
+    Broken,
+}
+
+/// How a limiter's process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum ProcessEnd {
+    /// By SIGKILL, as the scenario wants it.
+    Killed,
+    /// By itself after SIGTERM.
+    Left,
+    /// By SIGKILL, after it had not left in the time that SIGTERM gives it.
+    Overdue,
+    /// By itself, unasked.
+    Crashed,
+}
+
+/// One thing that happened.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum What {
+    /// A client's try: its last byte was written to a connection that the limiter's machine had accepted.
+    Asked {
+        /// Which try.
+        what: Try,
+        /// The first try of the same piece of work.
+        first: Try,
+        /// The limiter asked.
+        limiter: usize,
+        /// Index of its class.
+        class: usize,
+        /// Index of its plan.
+        plan: usize,
+        /// Its customer.
+        customer: u32,
+        /// Units that it takes from the quota.
+        units: f64,
+        /// Its idempotency key's number.
+        key: u32,
+        /// The client gives it up so long after.
+        patience: Micros,
+        /// The connection had carried other requests before.
+        reused: bool,
+    },
+    /// A whole answer came to a try.
+    Answered {
+        /// Which try.
+        what: Try,
+        /// HTTP status.
+        status: u16,
+        /// A 200 whose body some server made for this very try, or any other answer.
+        sound: bool,
+        /// What the limiter advises to wait.
+        retry_after: Option<Micros>,
+    },
+    /// A try's connection ended with no whole answer.
+    Dropped {
+        /// Which try.
+        what: Try,
+        /// Part of an answer had come.
+        begun: bool,
+    },
+    /// A client gave its try up, its whole patience and the slack after it being over.
+    GaveUp {
+        /// Which try.
+        what: Try,
+    },
+    /// A client left before its time.
+    Left {
+        /// Which try.
+        what: Try,
+    },
+    /// No connection to the limiter came up for a try.
+    Unreached {
+        /// Which try.
+        what: Try,
+        /// The limiter tried.
+        limiter: usize,
+    },
+    /// Bytes came on a client's connection that was owed no answer.
+    Unasked {
+        /// The limiter that sent them.
+        limiter: usize,
+        /// The last try on that connection.
+        after: Option<Try>,
+    },
+    /// An attempt's first byte came to a server.
+    Begun {
+        /// Which attempt.
+        attempt: AttemptId,
+        /// At which life of which server.
+        life: Life,
+        /// From which limiter.
+        limiter: usize,
+    },
+    /// An attempt's last byte came.
+    Whole {
+        /// Which attempt.
+        attempt: AttemptId,
+        /// Of which try, where a client sent one of that id.
+        what: Option<Try>,
+        /// Work that it brings: core milliseconds at yardstick speed.
+        work: f64,
+    },
+    /// Its work began, or was passed over as a repeat.
+    Ran {
+        /// Which attempt.
+        attempt: AttemptId,
+        /// The key's effect had been had before, anywhere, and this is a second one.
+        second: bool,
+        /// The hall remembered the key, so nothing ran.
+        remembered: bool,
+    },
+    /// It is over at its server.
+    Ended {
+        /// Which attempt.
+        attempt: AttemptId,
+        /// How.
+        how: AttemptEnd,
+    },
+    /// A server's process started.
+    ServerUp {
+        /// Which life.
+        life: Life,
+        /// Of which server.
+        server: usize,
+        /// Core milliseconds of yardstick work that it does in a millisecond, warm.
+        capacity: f64,
+        /// Its part of that at the start; it rises evenly from there.
+        cold_from: f64,
+        /// How long it takes to be warm; 0 if it is.
+        warm_after: Micros,
+    },
+    /// A server's process ended.
+    ServerDown {
+        /// Which life.
+        life: Life,
+    },
+    /// A limiter was told of a server's standing: the line was written to it.
+    Told {
+        /// Which limiter.
+        limiter: usize,
+        /// Of which life.
+        life: Life,
+        /// What.
+        standing: Standing,
+    },
+    /// A limiter's process is ready for clients.
+    LimiterUp {
+        /// Which.
+        limiter: usize,
+    },
+    /// SIGTERM was sent.
+    Terminated {
+        /// To which.
+        limiter: usize,
+    },
+    /// A limiter's process ended.
+    LimiterDown {
+        /// Which.
+        limiter: usize,
+        /// How.
+        how: ProcessEnd,
+    },
+    /// A fault of the scenario began or ended.
+    Fault {
+        /// What, in words.
+        name: String,
+    },
+    /// The stand-ins themselves ran late by so much until now.
+    Late {
+        /// By how much.
+        by: Micros,
+    },
+}
+
+/// One thing and its time.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Event {
+    /// When.
+    pub at: Micros,
+    /// What.
+    pub what: What,
+}
+
+/// Most events that are kept; a run that makes more is cut short, and says so.
+pub const MOST_EVENTS: usize = 40_000_000;
+
+/// The record that all stand-ins write to, and their clock.
+#[derive(Clone)]
+pub struct Recorder {
+    began: Rc<Cell<Instant>>,
+    events: Rc<RefCell<Vec<Event>>>,
+}
+
+impl Recorder {
+    /// A record whose clock begins now.
+    pub fn start() -> Recorder {
+        Recorder { began: Rc::new(Cell::new(Instant::now())), events: Rc::default() }
+    }
+
+    /// Everything stands: the clock begins now, and what was noted on the way here was before all else.
+    pub fn begin(&self) {
+        self.began.set(Instant::now());
+        self.events.borrow_mut().iter_mut().for_each(|event| event.at = 0);
+    }
+
+    /// The time on the site's clock.
+    pub fn now(&self) -> Micros {
+        self.began.get().elapsed().as_micros() as Micros
+    }
+
+    /// The moment that the clock counts from.
+    pub fn began(&self) -> Instant {
+        self.began.get()
+    }
+
+    /// Notes something that happens now.
+    pub fn note(&self, what: What) {
+        self.note_at(self.now(), what);
+    }
+
+    /// Notes something whose meaning only shows now, as of when it happened.
+    pub fn note_at(&self, at: Micros, what: What) {
+        let mut events = self.events.borrow_mut();
+        if events.len() < MOST_EVENTS {
+            events.push(Event { at, what });
+        }
+    }
+
+    /// All that has been noted, by time; the record starts anew.
+    pub fn take(&self) -> Vec<Event> {
+        let mut events = std::mem::take(&mut *self.events.borrow_mut());
+        events.sort_by_key(|event| event.at);
+        events
+    }
+
+    /// Whether no more can be noted.
+    pub fn is_full(&self) -> bool {
+        self.events.borrow().len() >= MOST_EVENTS
+    }
+}
