Catch limiters made wrong on purpose; bring about the site's hard cases in tests

Need: a referee that has never caught anything proves nothing.

Tests of the site: a limiter killed with requests out, a port reused under a new id, servers that never answer again, the stand-ins' own lateness, one clock, every kind of fault. Ports are given out once and bound again patiently, as a process being started may hold a copy of a closed listener. A client whose resent request reaches nobody no longer asks again for keyed work: the first sending may have been read.

--- a/crates/emberpin-site/src/clients.rs
+++ b/crates/emberpin-site/src/clients.rs
@@ -134,20 +134,25 @@
 
     async fn attempt(&self, of: Try, arrival: &Arrival, limiter: usize, number: u32) -> Ended {
         let world = &self.world;
-        let unreached = || {
+        // One that was sent before on a kept connection may have been read: it is not known never to have run.
+        let unreached = |sent_before: bool| {
             world.recorder.note(What::Unreached { what: of, limiter });
-            Ended::Unreached
+            if sent_before {
+                Ended::Failed
+            } else {
+                Ended::Unreached
+            }
         };
         let text = self.request(of, arrival);
-        let mut fresh = false;
+        let (mut fresh, mut sent) = (false, false);
         loop {
-            let Some((mut wire, reused)) = self.connect(limiter, fresh).await else { return unreached() };
+            let Some((mut wire, reused)) = self.connect(limiter, fresh).await else { return unreached(sent) };
             if wire.stream.write_all(&text).await.is_err() {
                 if reused {
                     fresh = true;
                     continue;
                 }
-                return unreached();
+                return unreached(sent);
             }
             let customer = &world.schedule.customers[arrival.customer as usize];
             world.recorder.note(What::Asked {
@@ -181,7 +186,7 @@
                     world.recorder.note(What::Dropped { what: of, begun: how != Broken::Ended });
                     // The limiter may have closed an idle connection as the request came: sent once more.
                     if how == Broken::Ended && reused && !fresh {
-                        fresh = true;
+                        (fresh, sent) = (true, true);
                         continue;
                     }
                     return Ended::Failed;
--- a/crates/emberpin-site/src/peers.rs
+++ b/crates/emberpin-site/src/peers.rs
@@ -4,10 +4,11 @@
 //! `seen[a][b]` is the socket at whose address limiter `a` sees limiter `b`: what `a` sends there goes on to
 //! `b` from `seen[b][a]`, as `b` knows its peers by their addresses.
 
+use crate::servers::World;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::RefCell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -39,12 +40,13 @@
 }
 
 impl PeerNet {
-    /// Starts the network between so many limiters.
+    /// Starts the network between the world's limiters.
     ///
     /// # Errors
     ///
     /// No free port.
-    pub async fn start(host: Ipv4Addr, limiters: usize, seed: u64) -> std::io::Result<Rc<PeerNet>> {
+    pub async fn start(world: &World) -> std::io::Result<Rc<PeerNet>> {
+        let (host, limiters, seed) = (world.host, world.scenario.site.limiters, world.scenario.seed);
         let (mut seen, mut all, mut listen) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..limiters {
             let mut row = Vec::new();
@@ -53,7 +55,7 @@
             }
             seen.push(row);
             all.push(UdpSocket::bind((host, 0)).await?);
-            listen.push(UdpSocket::bind((host, 0)).await?.local_addr()?);
+            listen.push(world.address()?);
         }
         let rng = RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x9ee5));
         let net = Rc::new(PeerNet { seen, all, listen, trouble: RefCell::default(), rng });
--- a/crates/emberpin-site/src/process.rs
+++ b/crates/emberpin-site/src/process.rs
@@ -4,7 +4,9 @@
 use crate::http::Wire;
 use crate::scenario::Site;
 use crate::trace::{ProcessEnd, Recorder, What};
-use rustix::process::{kill_process, Pid, Signal};
+use nix::sys::signal::{kill, Signal};
+use nix::time::clock_getcpuclockid;
+use nix::unistd::Pid;
 use serde::Serialize;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
@@ -176,7 +178,7 @@
         if self.pid.get().is_some() {
             self.expected.set(Some(how));
             self.recorder.note(What::LimiterDown { limiter: self.number, how });
-            self.signal(Signal::KILL);
+            self.signal(Signal::SIGKILL);
         }
     }
 
@@ -185,7 +187,7 @@
         if self.pid.get().is_some() {
             self.expected.set(Some(ProcessEnd::Left));
             self.recorder.note(What::Terminated { limiter: self.number });
-            self.signal(Signal::TERM);
+            self.signal(Signal::SIGTERM);
         }
         if tokio::time::timeout(LEAVE, self.gone()).await.is_err() {
             self.end_by(ProcessEnd::Overdue);
@@ -202,9 +204,8 @@
     }
 
     fn signal(&self, signal: Signal) {
-        let pid = self.pid.get().and_then(|pid| Pid::from_raw(pid as i32));
-        if let Some(pid) = pid {
-            _ = kill_process(pid, signal);
+        if let Some(pid) = self.pid.get() {
+            _ = kill(Pid::from_raw(pid as i32), signal);
         }
     }
 
@@ -245,18 +246,16 @@
 /// Ends a process that is left, when the site goes without having ended it.
 impl Drop for Limiter {
     fn drop(&mut self) {
-        self.signal(Signal::KILL);
+        self.signal(Signal::SIGKILL);
     }
 }
 
-/// Processor time in milliseconds and the largest resident set in KiB (proc(5)).
+/// What a running process has used: processor time in milliseconds, from its own clock (clock_getcpuclockid(3)),
+/// and the largest resident set in KiB (proc(5)).
 pub fn used(pid: u32) -> Option<(f64, u64)> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    // The name in brackets may hold anything; fields are counted from behind it.
-    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    let time = clock_getcpuclockid(Pid::from_raw(pid as i32)).and_then(|clock| clock.now()).ok()?;
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
     let peak = peak.split_whitespace().next()?.parse().ok()?;
-    Some((ticks * 1000.0 / rustix::param::clock_ticks_per_second() as f64, peak))
+    Some((time.tv_sec() as f64 * 1000.0 + time.tv_nsec() as f64 / 1e6, peak))
 }
--- a/crates/emberpin-site/src/referee.rs
+++ b/crates/emberpin-site/src/referee.rs
@@ -425,7 +425,7 @@
                     earlier.ended.is_none_or(|(at, _)| at > came + OVERLAP_ALLOWANCE)
                 };
                 if let Some(earlier) = before.iter().find(out) {
-                    broke(earlier.begun, came, "a second attempt while the first was out".into());
+                    broke(earlier.begun, next.begun, "a second attempt while the first was out".into());
                 }
                 let Some(first) = first_that_may.filter(|first| *first < place).map(|at| attempts[at]) else {
                     continue;
--- a/crates/emberpin-site/src/servers.rs
+++ b/crates/emberpin-site/src/servers.rs
@@ -17,6 +17,10 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::task::{spawn_local, JoinHandle};
 
+/// Below the ports that the system gives out itself.
+const FIRST_PORT: u16 = 10_000;
+/// A millisecond apart.
+const LISTEN_TRIES: usize = 2000;
 /// A trickling server's pause between two bytes.
 const TRICKLE: Duration = Duration::from_millis(100);
 /// A repeat that the hall remembers costs this much work, in core milliseconds.
@@ -36,6 +40,7 @@
     pub host: Ipv4Addr,
     /// By limiter, then hall.
     pub links: Vec<Vec<Link>>,
+    ports: Cell<u16>,
     attempts: Cell<u32>,
     lives: Cell<u32>,
     /// When each hall last ran a key's work.
@@ -88,6 +93,7 @@
             recorder,
             host,
             links,
+            ports: Cell::new(FIRST_PORT),
             attempts: Cell::new(0),
             lives: Cell::new(0),
             memory,
@@ -98,6 +104,23 @@
         })
     }
 
+    /// An address that nobody listens at, for TCP or UDP, and that is given out once: whoever gets it may come
+    /// back to it.
+    ///
+    /// # Errors
+    ///
+    /// No port is left.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        loop {
+            let port = self.ports.get();
+            self.ports.set(port.checked_add(1).ok_or(std::io::ErrorKind::AddrNotAvailable)?);
+            let address = SocketAddr::from((self.host, port));
+            if std::net::TcpListener::bind(address).is_ok() && std::net::UdpSocket::bind(address).is_ok() {
+                return Ok(address);
+            }
+        }
+    }
+
     /// The hall that a server stands in.
     pub fn hall(&self, server: usize) -> usize {
         server % self.scenario.site.halls
@@ -179,26 +202,30 @@
     /// # Errors
     ///
     /// No free port.
-    pub fn move_away(&self) -> std::io::Result<()> {
+    pub async fn move_away(&self) -> std::io::Result<()> {
         self.take_addresses()?;
         match self.process() {
-            Some(process) => self.listen(&process, process.place.borrow().wrapping_add(1)),
+            Some(process) => {
+                let place = process.place.borrow().wrapping_add(1);
+                self.listen(&process, place).await
+            }
             None => Ok(()),
         }
     }
 
-    fn listen(&self, process: &Rc<Process>, place: u32) -> std::io::Result<()> {
-        for (limiter, address) in self.addresses.borrow().iter().enumerate() {
-            let listener = listen(*address)?;
-            let accepting = spawn_local(process.clone().accept(limiter, *address, place, listener));
+    async fn listen(&self, process: &Rc<Process>, place: u32) -> std::io::Result<()> {
+        let addresses = self.addresses.borrow().clone();
+        for (limiter, address) in addresses.into_iter().enumerate() {
+            let listener = listen(address).await?;
+            let accepting = spawn_local(process.clone().accept(limiter, address, place, listener));
             process.accepting.borrow_mut().push(accepting);
         }
         Ok(())
     }
 
     fn take_addresses(&self) -> std::io::Result<()> {
-        let free = |_| std::net::TcpListener::bind((self.world.host, 0))?.local_addr();
-        let addresses: std::io::Result<Vec<_>> = (0..self.world.scenario.site.limiters).map(free).collect();
+        let limiters = self.world.scenario.site.limiters;
+        let addresses: std::io::Result<Vec<_>> = (0..limiters).map(|_| self.world.address()).collect();
         *self.addresses.borrow_mut() = addresses?;
         Ok(())
     }
@@ -218,7 +245,7 @@
     /// # Errors
     ///
     /// An address that cannot be listened on.
-    pub fn start(&self, cold: bool) -> std::io::Result<()> {
+    pub async fn start(&self, cold: bool) -> std::io::Result<()> {
         let world = &self.world;
         let site = &world.scenario.site;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -250,7 +277,7 @@
             cold_from: site.cold_from,
             warm_after: process.warm_after,
         });
-        self.listen(&process, 0)?;
+        self.listen(&process, 0).await?;
         *self.running.borrow_mut() = Some(process);
         Ok(())
     }
@@ -267,11 +294,24 @@
     }
 }
 
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(1024)
+/// Listens at an address of this site. A process that is just being started anywhere in this one may hold a copy
+/// of a listener that was closed here, until it becomes another program: that passes.
+async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let bind = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(1024)
+    };
+    for _ in 0..LISTEN_TRIES {
+        match bind() {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse => {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            result => return result,
+        }
+    }
+    bind()
 }
 
 impl Process {
@@ -333,7 +373,7 @@
                 _ = places.wait_for(|now| *now > place) => return,
                 changed = refusing.changed() => {
                     let refuse = changed.is_err() || *refusing.borrow_and_update();
-                    listener = if refuse { None } else { listen(address).ok() };
+                    listener = if refuse { None } else { listen(address).await.ok() };
                 }
                 accepted = accepting => if let Ok((stream, _)) = accepted {
                     spawn_local(self.clone().connection(limiter, place, Wire::new(stream)));
--- a/crates/emberpin-site/src/site.rs
+++ b/crates/emberpin-site/src/site.rs
@@ -12,7 +12,7 @@
 use crate::trace::{seconds, Event, Micros, Recorder, Standing, What};
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -199,16 +199,15 @@
         let mut servers = Vec::new();
         for number in 0..site.servers {
             let server = Server::new(world.clone(), number).map_err(text("a server's port"))?;
-            server.start(false).map_err(text("a server"))?;
+            server.start(false).await.map_err(text("a server"))?;
             servers.push(server);
         }
         let discovery = Discovery::start(world.clone()).await.map_err(text("discovery"))?;
         servers.iter().for_each(|server| discovery.list(server));
-        let peers = PeerNet::start(host, site.limiters, seed).await.map_err(text("the peers' network"))?;
+        let peers = PeerNet::start(&world).await.map_err(text("the peers' network"))?;
         let mut limiters = Vec::new();
         for number in 0..site.limiters {
-            let free = TcpListener::bind((host, 0)).and_then(|listener| listener.local_addr());
-            let address = free.map_err(text("a limiter's port"))?;
+            let address = world.address().map_err(text("a limiter's port"))?;
             let recorder = recorder.clone();
             limiters.push(Limiter::new(number, address, recorder, program.clone(), &folder.0, seed));
         }
@@ -331,7 +330,7 @@
                 server.kill().await;
                 self.discovery.withdraw(server, process.life, process.boot_ms);
                 sleep(span(back)).await;
-                self.start_server(server);
+                self.start_server(server).await;
             }
             Fault::ServerReplaced { server } => self.replace(&self.servers[*server]).await,
             Fault::ServerDrained { server, length } => {
@@ -361,7 +360,7 @@
             Fault::ServerMoved { server } => {
                 let server = &self.servers[*server];
                 let Some(process) = server.process() else { return };
-                if let Err(e) = server.move_away() {
+                if let Err(e) = server.move_away().await {
                     *self.problem.borrow_mut() = Some(format!("a server's new address: {e}"));
                     return;
                 }
@@ -385,7 +384,9 @@
                     server.kill().await;
                 }
                 cut(None);
-                lost.iter().for_each(|server| self.start_server(server));
+                for server in &lost {
+                    self.start_server(server).await;
+                }
             }
             Fault::LinkCut { limiter, hall, way, length } => {
                 let link = &self.world.links[*limiter][*hall];
@@ -422,11 +423,11 @@
     }
 
     /// A server is up again, cold, under whatever id it has now.
-    fn start_server(&self, server: &Rc<Server>) {
+    async fn start_server(&self, server: &Rc<Server>) {
         if self.over.get() || server.process().is_some() {
             return;
         }
-        match server.start(true) {
+        match server.start(true).await {
             Ok(()) => self.discovery.announce(server, Standing::Ready),
             Err(e) => *self.problem.borrow_mut() = Some(format!("server {} again: {e}", server.number)),
         }
@@ -450,7 +451,7 @@
         self.discovery.withdraw(server, process.life, process.boot_ms);
         server.generation.set(server.generation.get() + 1);
         sleep(SUCCESSOR).await;
-        self.start_server(server);
+        self.start_server(server).await;
     }
 }
 
--- /dev/null
+++ b/crates/emberpin-site/tests/catches.rs
@@ -0,0 +1,141 @@
+//! The referee between real sockets: every limiter made wrong on purpose is caught, by the rule that it breaks
+//! and no other; the same limiter doing nothing wrong, and the real one, are not.
+#![allow(missing_docs)]
+
+use emberpin_site::process::Program;
+use emberpin_site::referee::Rule;
+use emberpin_site::report::stories;
+use emberpin_site::scenario::Scenario;
+use emberpin_site::site::{run, Outcome};
+use std::path::PathBuf;
+
+/// A small site with time to spare, so that nothing here depends on how fast the machine is.
+const SITE: &str = "\
+    name = \"t\"\nabout = \"A test's own site.\"\nseed = SEED\nseconds = 1.5\n\
+    [site]\nlimiters = 1\nservers = 3\nnotice_ms = [1, 5]\nerror_rate = 0.0\nwarm_s = 20\ncold_from = 0.1\n\
+    [load]\nrate = 60\nwork = 0.2\nretries = 0\nimpatient = 0.0\npatience = [0.8, 1.0]\nusage = 0.2\n";
+
+fn wrong(name: &str) -> Program {
+    Program { path: env!("CARGO_BIN_EXE_wrong-limiter").into(), arguments: vec![name.into()] }
+}
+
+fn real() -> Program {
+    Program { path: env!("CARGO_BIN_EXE_emberpin-site").into(), arguments: vec!["limiter".into()] }
+}
+
+fn play(program: &Program, seed: u64, faults: &str) -> Outcome {
+    let text = format!("{}{faults}", SITE.replace("SEED", &seed.to_string()));
+    let scenario = Scenario::parse("test", &text).expect("sound");
+    let outcome = run(&scenario, program, |_| ()).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+    assert!(outcome.events.len() > 300, "something was played: {} events", outcome.events.len());
+    outcome
+}
+
+fn broken(outcome: &Outcome) -> Vec<Rule> {
+    outcome.judgement.findings.iter().filter(|f| f.broken > 0).map(|finding| finding.rule).collect()
+}
+
+/// Each wrong is caught with several seeds, and breaks one rule.
+#[track_caller]
+fn is_caught(name: &str, faults: &str, rule: Rule, how: &str) {
+    for seed in 1..=3 {
+        let outcome = play(&wrong(name), seed, faults);
+        let judgement = &outcome.judgement;
+        assert_eq!(broken(&outcome), [rule], "{name}, seed {seed}:{}", stories(judgement));
+        let first = judgement.on(rule).first.as_ref().expect("a break");
+        assert!(first.what.contains(how), "{name}, seed {seed}: {}", first.what);
+        assert!(!first.story.is_empty());
+    }
+    // The same site and faults with a limiter that does nothing wrong.
+    let outcome = play(&wrong("nothing"), 1, faults);
+    assert_eq!(broken(&outcome), [], "nothing wrong, {faults}:{}", stories(&outcome.judgement));
+    let outcome = play(&real(), 1, faults);
+    assert_eq!(broken(&outcome), [], "the real one, {faults}:{}", stories(&outcome.judgement));
+}
+
+const RESETS: &str = "[[fault]]\nat_s = 0.2\nwhat = \"server-spoils\"\nserver = 0\nhow = \"reset\"\nshare = 0.6\nfor_s = 1.2\n";
+
+#[test]
+fn a_keyed_request_sent_again_in_another_hall_is_caught() {
+    is_caught("resends-across-halls", RESETS, Rule::Effects, "in another hall");
+}
+
+#[test]
+fn a_refusal_of_what_may_have_run_is_caught() {
+    is_caught("refuses-what-ran", RESETS, Rule::Effects, "though it may have run");
+}
+
+#[test]
+fn a_second_attempt_beside_the_first_is_caught() {
+    is_caught("sends-twice", "", Rule::Effects, "while the first was out");
+}
+
+#[test]
+fn an_invented_request_is_caught() {
+    is_caught("invents", "", Rule::Effects, "no client sent");
+}
+
+#[test]
+fn sending_to_a_drained_server_is_caught() {
+    let drain = "[[fault]]\nat_s = 0.2\nwhat = \"server-drained\"\nserver = 1\nfor_s = 5\n";
+    is_caught("keeps-drained", drain, Rule::Drains, "sent to server 1");
+}
+
+#[test]
+fn two_answers_to_one_request_are_caught() {
+    is_caught("answers-twice", "", Rule::Answers, "owed no answer");
+}
+
+#[test]
+fn an_answer_that_no_server_made_is_caught() {
+    is_caught("makes-answers-up", "", Rule::Answers, "no server made");
+}
+
+#[test]
+fn an_answer_after_the_clients_time_is_caught() {
+    is_caught("answers-late", "", Rule::Answers, "");
+}
+
+#[test]
+fn what_a_restart_loses_is_caught() {
+    let restart = "[[fault]]\nat_s = 0.7\nwhat = \"limiter-restarted\"\nlimiter = 0\n[[fault]]\nat_s = 0.3\n\
+                   what = \"server-stalled\"\nserver = 0\nfor_s = 1.0\n";
+    is_caught("loses-at-restart", restart, Rule::Answers, "ended with no answer");
+}
+
+#[test]
+fn pushing_a_cold_server_over_is_caught() {
+    let replaced = "[[fault]]\nat_s = 0.0\nwhat = \"server-replaced\"\nserver = 2\n[[fault]]\nat_s = 0.0\n\
+                    what = \"rush\"\ntimes = 6\nfor_s = 9\n";
+    let text = replaced.to_string();
+    for seed in 1..=3 {
+        let mut scenario =
+            Scenario::parse("test", &format!("{}{text}", SITE.replace("SEED", &seed.to_string())))
+                .expect("sound");
+        scenario.set_seconds(4.0).expect("in bounds");
+        let outcome = run(&scenario, &wrong("floods-cold"), |_| ()).expect("plays");
+        assert!(outcome.judgement.on(Rule::ColdServers).broken > 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn passing_a_ceiling_is_caught() {
+    let hammers =
+        "[[fault]]\nat_s = 0.1\nwhat = \"firm-hammers\"\nplan = \"mellan\"\ntimes = 12\nfor_s = 1.4\n";
+    for seed in 1..=3 {
+        let outcome = play(&wrong("nothing"), seed, hammers);
+        assert_eq!(broken(&outcome), [Rule::Ceilings], "seed {seed}");
+    }
+    let outcome = play(&real(), 1, hammers);
+    assert_eq!(broken(&outcome), [], "{}", stories(&outcome.judgement));
+}
+
+#[test]
+fn a_limiter_that_does_not_start_is_one_clear_error() {
+    let scenario = Scenario::parse("test", &SITE.replace("SEED", "1")).expect("sound");
+    let nobody = Program { path: PathBuf::from("/nonexistent/limiter"), arguments: Vec::new() };
+    let problem = run(&scenario, &nobody, |_| ()).err().expect("no limiter");
+    assert!(problem.contains("cannot start /nonexistent/limiter"), "{problem}");
+    let problem = run(&scenario, &wrong("what"), |_| ()).err().expect("ends at once");
+    assert!(problem.contains("ended before it was ready") && problem.contains("unknown wrong"), "{problem}");
+}
--- /dev/null
+++ b/crates/emberpin-site/tests/site.rs
@@ -0,0 +1,170 @@
+//! The site's own hard cases, with the real limiter between real sockets.
+#![allow(missing_docs)]
+
+use emberpin_site::process::Program;
+use emberpin_site::referee::Rule;
+use emberpin_site::report::{stories, Summary};
+use emberpin_site::scenario::Scenario;
+use emberpin_site::site::{run, Outcome, Progress};
+use emberpin_site::trace::{Life, ProcessEnd, What, SECOND};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+const SITE: &str = "\
+    name = \"t\"\nabout = \"A test's own site.\"\nseed = 7\nseconds = 3\n\
+    [site]\nlimiters = 2\nservers = 4\nhalls = 2\nnotice_ms = [1, 20]\nwarm_s = 2\n\
+    [load]\nrate = 60\nwork = 0.3\nusage = 0.3\nfront_notice_s = 0.2\n";
+
+fn play(faults: &str, progress: impl Fn(Progress) + 'static) -> Outcome {
+    let scenario = Scenario::parse("test", &format!("{SITE}{faults}")).expect("sound");
+    let program =
+        Program { path: env!("CARGO_BIN_EXE_emberpin-site").into(), arguments: vec!["limiter".into()] };
+    run(&scenario, &program, progress).unwrap_or_else(|e| panic!("seed 7: {e}"))
+}
+
+#[track_caller]
+fn holds(outcome: &Outcome) {
+    assert!(!outcome.judgement.is_broken(), "seed 7:{}", stories(&outcome.judgement));
+}
+
+/// A limiter killed outright with requests out: what it held is the clients', nothing else is excused.
+#[test]
+fn a_limiter_killed_with_requests_out_is_judged_fairly() {
+    // Two servers stand still, so that requests are out at the limiter when it dies.
+    let faults = "[[fault]]\nat_s = 0.5\nwhat = \"server-stalled\"\nserver = 0\nfor_s = 1\n\
+                  [[fault]]\nat_s = 0.5\nwhat = \"server-stalled\"\nserver = 1\nfor_s = 1\n\
+                  [[fault]]\nat_s = 0.9\nwhat = \"limiter-killed\"\nlimiter = 0\nback_s = 0.3\n";
+    let outcome = play(faults, |_| ());
+    holds(&outcome);
+    let killed = outcome.events.iter().find_map(|event| match event.what {
+        What::LimiterDown { limiter: 0, how: ProcessEnd::Killed } => Some(event.at),
+        _ => None,
+    });
+    let killed = killed.expect("it was killed");
+    let near = killed..killed + SECOND / 10;
+    let dropped =
+        outcome.events.iter().filter(|e| matches!(e.what, What::Dropped { .. }) && near.contains(&e.at));
+    assert!(dropped.count() > 0, "requests were out when it died");
+    let up_again =
+        outcome.events.iter().any(|e| matches!(e.what, What::LimiterUp { limiter: 0 }) && e.at > killed);
+    assert!(up_again && outcome.usage[0].starts == 2);
+    let served_again = outcome
+        .events
+        .iter()
+        .filter(|e| e.at > killed + SECOND)
+        .any(|e| matches!(e.what, What::Begun { limiter: 0, .. }));
+    assert!(served_again, "its next life serves");
+}
+
+/// A successor at the same address is another server: new life, new id, cold.
+#[test]
+fn a_port_reused_under_a_new_id_is_another_server() {
+    let outcome = play("[[fault]]\nat_s = 0.2\nwhat = \"server-replaced\"\nserver = 1\n", |_| ());
+    holds(&outcome);
+    let mut lives: BTreeMap<usize, Vec<(Life, u64)>> = BTreeMap::new();
+    let mut begun = BTreeSet::new();
+    for event in &outcome.events {
+        match event.what {
+            What::ServerUp { life, server, warm_after, .. } => {
+                lives.entry(server).or_default().push((life, warm_after));
+            }
+            What::Begun { life, .. } => {
+                begun.insert(life);
+            }
+            _ => {}
+        }
+    }
+    let [(old, 0), (new, 1..)] = lives[&1][..] else { panic!("two lives, the second cold: {lives:?}") };
+    assert!(begun.contains(&old) && begun.contains(&new), "both were used");
+    let told: BTreeSet<Life> = outcome
+        .events
+        .iter()
+        .filter_map(|e| if let What::Told { life, .. } = e.what { Some(life) } else { None })
+        .collect();
+    assert!(told.contains(&new));
+}
+
+/// Whatever stands still for good, the run ends: load, run-out, end.
+#[test]
+fn a_scenario_whose_servers_never_answer_again_ends_in_its_time() {
+    let stalls: String = (0..4)
+        .map(|n| format!("[[fault]]\nat_s = 0.3\nwhat = \"server-stalled\"\nserver = {n}\nfor_s = 7000\n"))
+        .collect();
+    let began = Instant::now();
+    let outcome = play(&stalls, |_| ());
+    // Load, the longest run-out and the longest leave, and a wide margin for a slow machine.
+    assert!(began.elapsed() < Duration::from_secs(40), "{:?}", began.elapsed());
+    holds(&outcome);
+    let summary = Summary::of(&outcome);
+    assert!(summary.total.failed + summary.total.refused > 0, "{summary:?}");
+}
+
+/// The stand-ins' own thread stands still for moments: what they then see late is called late.
+#[test]
+fn stand_ins_that_run_late_say_so_and_nobody_is_blamed() {
+    let outcome = play("", |_| std::thread::sleep(Duration::from_millis(450)));
+    let late = outcome.events.iter().filter(|e| matches!(e.what, What::Late { .. })).count();
+    assert!(late >= 3, "{late} times");
+    holds(&outcome);
+    assert!(Summary::of(&outcome).stand_ins_late_ms > 300.0);
+}
+
+/// Nothing that a limiter says of its own time is read: every event's time is the stand-ins' one clock's.
+#[test]
+fn every_time_is_of_one_clock_and_in_order() {
+    let outcome = play("[[fault]]\nat_s = 0.5\nwhat = \"limiters-rolled\"\nevery_s = 1\n", |_| ());
+    holds(&outcome);
+    assert!(outcome.events.is_sorted_by_key(|event| event.at));
+    let mut asked = BTreeMap::new();
+    let mut answers = 0;
+    for event in &outcome.events {
+        match &event.what {
+            What::Asked { what, .. } => _ = asked.insert(*what, event.at),
+            What::Answered { what, .. } => {
+                assert!(asked.get(what).is_some_and(|at| *at <= event.at));
+                answers += 1;
+            }
+            _ => {}
+        }
+    }
+    assert!(answers > 100, "{answers} answers");
+    assert!(outcome.judgement.on(Rule::Answers).broken == 0 && outcome.usage.iter().all(|u| u.starts == 2));
+}
+
+/// Links, peers, discovery and moves all at once, and the other faults that the other tests leave out.
+#[test]
+fn every_fault_can_be_brought_about() {
+    let mut faults = String::new();
+    for fault in [
+        "at_s = 0.2\nwhat = \"link-cut\"\nlimiter = 0\nhall = 0\nway = \"both\"\nfor_s = 0.5",
+        "at_s = 0.4\nwhat = \"link-cut\"\nlimiter = 1\nhall = 0\nway = \"out\"\nfor_s = 0.5",
+        "at_s = 0.6\nwhat = \"link-cut\"\nlimiter = 0\nhall = 1\nway = \"back\"\nfor_s = 0.5",
+        "at_s = 1.0\nwhat = \"link-slow\"\nlimiter = 1\nhall = 1\ndelay_ms = 40\nfor_s = 0.5",
+        "at_s = 0.2\nwhat = \"peers-split\"\ngroup = [0]\nfor_s = 1",
+        "at_s = 1.3\nwhat = \"peers-poor\"\nshare = 0.5\ndelay_ms = 50\nfor_s = 1",
+        "at_s = 1.0\nwhat = \"discovery-silent\"\nfor_s = 0.5",
+        "at_s = 1.1\nwhat = \"server-moved\"\nserver = 2",
+        "at_s = 0.8\nwhat = \"server-refuses\"\nserver = 3\nfor_s = 0.5",
+        "at_s = 1.0\nwhat = \"server-killed\"\nserver = 0\nback_s = 0.5",
+        "at_s = 2.0\nwhat = \"hall-lost\"\nhall = 1\nback_s = 0.4",
+        "at_s = 0.5\nwhat = \"firms-hop\"\nshare = 0.5",
+    ] {
+        faults += &format!("[[fault]]\n{fault}\n");
+    }
+    for (server, how) in
+        ["error", "decline", "stall", "half", "reset", "garbled", "trickle", "mute"].iter().enumerate()
+    {
+        let server = server % 4;
+        faults += &format!(
+            "[[fault]]\nat_s = 0.{server}\nwhat = \"server-spoils\"\nserver = {server}\nhow = \"{how}\"\nshare = 0.2\nfor_s = 2\n"
+        );
+    }
+    let outcome = play(&faults, |_| ());
+    holds(&outcome);
+    let begun: BTreeSet<&str> = outcome
+        .events
+        .iter()
+        .filter_map(|e| if let What::Fault { name } = &e.what { Some(name.as_str()) } else { None })
+        .collect();
+    assert!(begun.len() >= 36, "each began and ended: {begun:#?}");
+}
