--- a/crates/dillpass/src/settings.rs
+++ b/crates/dillpass/src/settings.rs
@@ -59,14 +59,26 @@
     }
 }
 
+/// The value of a load report that has this name in the settings.
+pub fn report_field<'a>(report: &'a mut Report, name: &str) -> Option<&'a mut Option<f64>> {
+    Some(match name {
+        "mean_ms" => &mut report.service,
+        "depth" => &mut report.queue,
+        "concurrent" => &mut report.held,
+        "load_share" => &mut report.busy,
+        _ => return None,
+    })
+}
+
 /// A load report, by the names that its values have in the settings.
 pub fn report(value: impl Fn(&str) -> Option<f64>) -> Report {
-    Report {
-        service: value("mean_ms"),
-        queue: value("depth"),
-        held: value("concurrent"),
-        busy: value("load_share"),
+    let mut report = Report::default();
+    for name in ["mean_ms", "depth", "concurrent", "load_share"] {
+        if let Some(field) = report_field(&mut report, name) {
+            *field = value(name);
+        }
     }
+    report
 }
 
 /// FNV-1a, folded to the part that travels in gossip: the same at every gateway, whatever the machine.
--- /dev/null
+++ b/crates/emberpin-cost/src/bare.rs
@@ -0,0 +1,122 @@
+//! The floor: a reverse proxy on the same hyper and tokio, on one thread, that decides nothing. Servers take
+//! turns; connections are kept and polled by whoever uses them, as the limiter does it.
+
+use crate::settings::{Settings, BACKLOG};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
+use hyper::server::conn::http1 as server;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::{poll_fn, Future};
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::{spawn_local, LocalSet};
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+struct Proxy {
+    servers: Vec<SocketAddr>,
+    idle: Vec<RefCell<Vec<Conn>>>,
+    next: Cell<usize>,
+}
+
+struct Conn {
+    sender: client::SendRequest<Full<Bytes>>,
+    connection: client::Connection<TokioIo<TcpStream>, Full<Bytes>>,
+}
+
+impl Conn {
+    async fn drive<F: Future>(&mut self, what: F) -> F::Output {
+        let mut what = pin!(what);
+        poll_fn(|context| {
+            _ = Pin::new(&mut self.connection).poll(context);
+            what.as_mut().poll(context)
+        })
+        .await
+    }
+}
+
+/// A listener of a proxy, as the limiter makes its own.
+///
+/// # Errors
+///
+/// The system's.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Proxies until it is killed.
+///
+/// # Errors
+///
+/// What keeps it from starting, in one line.
+pub fn run() -> Result<(), String> {
+    let settings = Settings::from_env()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, async move {
+        let listener = listen(settings.listen).map_err(|e| format!("{}: {e}", settings.listen))?;
+        let idle = settings.servers.iter().map(|_| RefCell::default()).collect();
+        let proxy = Rc::new(Proxy { servers: settings.servers, idle, next: Cell::new(0) });
+        while let Ok((stream, _)) = listener.accept().await {
+            _ = stream.set_nodelay(true);
+            let proxy = proxy.clone();
+            spawn_local(async move {
+                let service = service_fn(|request| {
+                    let proxy = proxy.clone();
+                    async move { Ok::<_, Infallible>(proxy.respond(request).await) }
+                });
+                _ = server::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+        Err("no more clients".into())
+    })
+}
+
+impl Proxy {
+    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.uri().path() == "/health/ready" {
+            return Response::default();
+        }
+        self.pass_on(request).await.unwrap_or_else(|_| {
+            let mut response = Response::default();
+            *response.status_mut() = StatusCode::BAD_GATEWAY;
+            response
+        })
+    }
+
+    async fn pass_on(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Failure> {
+        let (parts, body) = request.into_parts();
+        let request = Request::from_parts(parts, Full::new(body.collect().await?.to_bytes()));
+        let turn = self.next.replace(self.next.get().wrapping_add(1)) % self.servers.len();
+        let kept = self.idle[turn].borrow_mut().pop();
+        let mut conn = match kept {
+            Some(conn) => conn,
+            None => {
+                let stream = TcpStream::connect(self.servers[turn]).await?;
+                stream.set_nodelay(true)?;
+                let (sender, connection) = client::handshake(TokioIo::new(stream)).await?;
+                Conn { sender, connection }
+            }
+        };
+        let answering = conn.sender.send_request(request);
+        let (parts, body) = conn.drive(answering).await?.into_parts();
+        let body = conn.drive(body.collect()).await?.to_bytes();
+        // One more turn, in which the connection sees the end of the answer.
+        conn.drive(std::future::ready(())).await;
+        if conn.sender.is_ready() {
+            self.idle[turn].borrow_mut().push(conn);
+        }
+        Ok(Response::from_parts(parts, Full::new(body)))
+    }
+}
--- /dev/null
+++ b/crates/emberpin-cost/src/instructions.rs
@@ -0,0 +1,90 @@
+//! Instructions per request, by callgrind: the same for the same binary whatever else the machine does. What
+//! start and end cost is taken out by the difference of two runs.
+
+use crate::{settings, AS_ENTRY};
+use bytes::Bytes;
+use emberpin::entry::Entry;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::{Command, Stdio};
+
+const REQUESTS: &str = "EMBERPIN_COST_REQUESTS";
+const SERVERS: u16 = 9;
+
+/// Sends the requests that the environment says through a limiter's way without sockets.
+///
+/// # Errors
+///
+/// What cannot be read, or a request that was not served.
+pub fn entry() -> Result<(), String> {
+    let requests = std::env::var(REQUESTS).map_err(|e| format!("{REQUESTS}: {e}"))?;
+    let requests: u64 = requests.parse().map_err(|e| format!("{REQUESTS}: {e}"))?;
+    let mut entry = Entry::from_env()?;
+    for number in 0..requests {
+        let status = entry.exchange(request(number)?);
+        if status != StatusCode::OK {
+            return Err(format!("request {number} was answered {status}"));
+        }
+    }
+    Ok(())
+}
+
+/// The same bytes that the clients of the timed runs send, as the HTTP library hands them over.
+fn request(number: u64) -> Result<Request<Full<Bytes>>, String> {
+    let bytes = crate::standins::request(number, &format!("{number:016x}"));
+    let text = String::from_utf8(bytes).map_err(|e| e.to_string())?;
+    let (head, body) = text.split_once("\r\n\r\n").ok_or("a head without an end")?;
+    let mut lines = head.lines();
+    let mut first = lines.next().unwrap_or_default().split(' ');
+    let (method, path) = (first.next().unwrap_or_default(), first.next().unwrap_or_default());
+    let mut request = Request::builder().method(method).uri(path);
+    for (name, value) in lines.filter_map(|line| line.split_once(": ")) {
+        request = request.header(name, value);
+    }
+    request.body(Full::new(Bytes::copy_from_slice(body.as_bytes()))).map_err(|e| e.to_string())
+}
+
+/// Counts twice, and prints the figure with the difference between both.
+///
+/// # Errors
+///
+/// No valgrind, or a run that failed.
+pub fn count(requests: u64) -> Result<(), String> {
+    let folder = std::env::temp_dir().join(format!("emberpin-instructions-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let servers: Vec<SocketAddr> = (0..SERVERS).map(|n| (Ipv4Addr::LOCALHOST, 2 + n).into()).collect();
+    let file = folder.join("config.json");
+    let written = std::fs::write(&file, settings::file(nowhere, nowhere, &servers).to_string());
+    let counted = written.map_err(|e| format!("{}: {e}", file.display())).and_then(|()| {
+        let once = || Ok::<_, String>(instructions(&file, 2 * requests)? - instructions(&file, requests)?);
+        Ok((once()? / requests as f64, once()? / requests as f64))
+    });
+    _ = std::fs::remove_dir_all(&folder);
+    let (first, second) = counted?;
+    let apart = 100.0 * (first - second).abs() / first;
+    println!(
+        "{first:.0} instructions per request; again {second:.0}, {apart:.3} % apart ({requests} requests)"
+    );
+    Ok(())
+}
+
+fn instructions(file: &std::path::Path, requests: u64) -> Result<f64, String> {
+    let program = std::env::current_exe().map_err(|e| format!("cannot find this program: {e}"))?;
+    let run = Command::new("valgrind")
+        .args(["--tool=callgrind", "--callgrind-out-file=/dev/null"])
+        .arg(program)
+        .arg(AS_ENTRY)
+        .env("GW_CONFIG", file)
+        .env(REQUESTS, requests.to_string())
+        .stdin(Stdio::null())
+        .output()
+        .map_err(|e| format!("cannot run valgrind: {e}"))?;
+    let said = String::from_utf8_lossy(&run.stderr);
+    let collected = said.lines().find_map(|line| line.split_once("Collected : "));
+    let count = collected.and_then(|(_, count)| count.trim().parse().ok());
+    count
+        .filter(|_| run.status.success())
+        .ok_or_else(|| format!("valgrind ended with {}: {said}", run.status))
+}
--- a/crates/emberpin-site/src/servers.rs
+++ b/crates/emberpin-site/src/servers.rs
@@ -608,7 +608,7 @@
         let mut report = self.report.borrow_mut();
         let every = (self.world.scenario.site.report_ms * 1000.0) as Micros;
         if report.1.is_empty() || now >= report.0 + every {
-            let text = format!("latency_ms={:.1},queue={}", self.service.get(), self.waiting.get());
+            let text = format!("mean_ms={:.1},depth={}", self.service.get(), self.waiting.get());
             *report = (now, text);
         }
         report.1.clone()
--- a/crates/emberpin/src/admission.rs
+++ b/crates/emberpin/src/admission.rs
@@ -5,10 +5,16 @@
 use dillpass::settings::{stable_hash, Names};
 use dillpass::{ClassId, CustomerId, Effect, GatewayId, PlanId};
 use hyper::body::Body;
-use hyper::header::{self, HeaderMap};
+use hyper::header::{self, HeaderMap, HeaderName};
 use hyper::{Method, Request, StatusCode, Version};
 use std::time::Duration;
 
+const REQ_ID: HeaderName = HeaderName::from_static("req-id");
+const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
+const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
+const X_TIER: HeaderName = HeaderName::from_static("x-tier");
+const X_CALL_TERMS: HeaderName = HeaderName::from_static("x-call-terms");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const MAX_ID: usize = 128;
 /// Accounts are below this number.
 const ACCOUNTS: u64 = 1 << 33;
@@ -65,7 +71,7 @@
         }
         // Servers take no body on a safe request: it would be read as the next one.
         let framed =
-            if safe { request.body().is_end_stream() } else { sole(headers, "idempotency-key").is_some() };
+            if safe { request.body().is_end_stream() } else { sole(headers, &IDEMPOTENCY_KEY).is_some() };
         framed.then_some(admitted).ok_or(StatusCode::BAD_REQUEST)
     }
 
@@ -76,28 +82,37 @@
         if !own || hosts > 1 || (hosts == 0 && request.version() == Version::HTTP_11) {
             return None;
         }
-        let id = sole(headers, "req-id").filter(|id| {
+        let id = sole(headers, &REQ_ID).filter(|id| {
             id.len() <= MAX_ID && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
         })?;
-        let class = self.names.class(sole(headers, "req-kind")?)?;
-        let plan = self.names.plan(sole(headers, "x-tier")?)?;
-        let customer = account(sole(headers, "cookie")?)?;
-        let patience = seconds(sole(headers, "req-deadline")?)?.min(self.classes[class.0].1);
-        let (units, set_size, set_first) = self.terms(sole(headers, "x-call-terms")?)?;
+        let class = self.names.class(sole(headers, &REQ_KIND)?)?;
+        let plan = self.names.plan(sole(headers, &X_TIER)?)?;
+        let customer = account(sole(headers, &header::COOKIE)?)?;
+        let patience = seconds(sole(headers, &REQ_DEADLINE)?)?.min(self.classes[class.0].1);
+        let (units, set_size, set_first) = self.terms(sole(headers, &X_CALL_TERMS)?)?;
         Some(Admitted { id: id.into(), class, plan, customer, units, set_size, set_first, patience })
     }
 
     /// Units, and size and first of the customer's set. Units have an upper bound: what is asked for goes
     /// into a customer's demand and to peers, whether it is let in or not.
     fn terms(&self, terms: &str) -> Option<(f64, u32, GatewayId)> {
-        let value = |wanted: &str| {
-            let pairs = terms.split(',').filter_map(|pair| pair.split_once('='));
-            single(pairs.filter(|(name, _)| name.trim() == wanted).map(|(_, value)| value.trim()))
-        };
+        let (mut units, mut spread, mut first) = (None, None, None);
+        for (name, value) in terms.split(',').filter_map(|pair| pair.split_once('=')) {
+            let term = match name.trim() {
+                "units" => &mut units,
+                "spread" => &mut spread,
+                "first" => &mut first,
+                _ => continue,
+            };
+            // Of two values another reader might take the other.
+            if term.replace(value.trim()).is_some() {
+                return None;
+            }
+        }
         let number =
             |text: &str| text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse::<u32>().ok())?;
-        let units: f64 = value("units")?.parse().ok()?;
-        let (spread, first) = (number(value("spread")?)?, number(value("first")?)?);
+        let units: f64 = units?.parse().ok()?;
+        let (spread, first) = (number(spread?)?, number(first?)?);
         let sound = units > 0.0 && units <= self.most_units && (1..=self.group_size).contains(&spread);
         (sound && first < self.group_size).then_some((units, spread, GatewayId(first)))
     }
@@ -108,7 +123,7 @@
 }
 
 /// The text of a header that must stand exactly once: of two, a server might take the other.
-fn sole<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+fn sole<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     let value = single(headers.get_all(name).iter())?.to_str().ok()?.trim();
     Some(value).filter(|value| !value.is_empty())
 }
--- a/crates/emberpin/src/clients.rs
+++ b/crates/emberpin/src/clients.rs
@@ -234,29 +234,34 @@
             Err(_) => Answer::Failed,
         };
         waiting.answered = true;
-        Ok(match answer {
-            Answer::Served(served) => {
-                let mut response = Response::new(Full::new(served.body));
-                if let Some(kind) = served.content_type {
-                    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-                }
-                response
+        Ok(written(answer))
+    }
+}
+
+/// The answer as its client gets it.
+pub fn written(answer: Answer) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Served(served) => {
+            let mut response = Response::new(Full::new(served.body));
+            if let Some(kind) = served.content_type {
+                response.headers_mut().insert(header::CONTENT_TYPE, kind);
             }
-            Answer::Refused { retry_after } => {
-                let mut response = plain(StatusCode::TOO_MANY_REQUESTS);
-                let seconds = format!("{:.3}", retry_after / 1000.0);
-                if let (Ok(value), true) = (HeaderValue::try_from(seconds), retry_after > 0.0) {
-                    response.headers_mut().insert(header::RETRY_AFTER, value);
-                }
-                response
+            response
+        }
+        Answer::Refused { retry_after } => {
+            let mut response = plain(StatusCode::TOO_MANY_REQUESTS);
+            let seconds = format!("{:.3}", retry_after / 1000.0);
+            if let (Ok(value), true) = (HeaderValue::try_from(seconds), retry_after > 0.0) {
+                response.headers_mut().insert(header::RETRY_AFTER, value);
             }
-            Answer::Failed => plain(StatusCode::BAD_GATEWAY),
-        })
+            response
+        }
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY),
     }
 }
 
 /// Removes what concerns this connection only, as listed or as the client names it.
-fn strip(headers: &mut HeaderMap) {
+pub fn strip(headers: &mut HeaderMap) {
     let named = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
     let named: Vec<HeaderName> =
         named.flat_map(|names| names.split(',')).filter_map(|name| name.trim().parse().ok()).collect();
--- a/crates/emberpin/src/driver.rs
+++ b/crates/emberpin/src/driver.rs
@@ -7,7 +7,7 @@
 use crate::messages::{Answer, Call, Ended, Input, Outgoing};
 use crate::peers::Peers;
 use crate::servers::{Pool, Upstream};
-use dillpass::settings::{stable_hash, Listed, Names};
+use dillpass::settings::Names;
 use dillpass::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -280,22 +280,9 @@
         let mut lines = Vec::new();
         for entry in &listing.targets {
             let Entry::Target(target) = entry else { continue };
-            let id = ServerId(stable_hash(&target.uid) as u32);
+            let id = target.id();
             named.insert(id);
-            let started = Some(target.boot_ms).filter(|at| *at != 0.0);
-            let line = self.names.server(Listed {
-                id,
-                zone: &target.zone,
-                kind: target.model.as_deref(),
-                cell: target.pod_group,
-                size: target.capacity_hint.filter(|size| size.is_finite() && *size > 0.0),
-                started,
-                condition: match target.state {
-                    State::Ready => Condition::InService,
-                    State::Draining | State::Unknown => Condition::Draining,
-                    State::Gone => Condition::Gone,
-                },
-            });
+            let line = target.server(&self.names);
             self.reach(id, target);
             lines.extend(line);
         }
--- /dev/null
+++ b/crates/emberpin/src/entry.rs
@@ -0,0 +1,102 @@
+//! A request's way without sockets, for counting its instructions: admission, decision and answer as the limiter
+//! runs them, with servers that answer everything at once.
+
+use crate::admission::Admission;
+use crate::clients::{strip, written};
+use crate::config::Config;
+use crate::listing::Entry as Listed;
+use crate::messages::{Answer, Served};
+use crate::operator::Operator;
+use bytes::Bytes;
+use dillpass::{Action, Attempt, Event, Gateway, Membership, Millis, Outcome, Report, RequestId};
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+
+/// How long the servers take, on the clock that only requests move.
+const SERVICE: Millis = 20.0;
+/// Between two requests.
+const GAP: Millis = 1.0;
+/// The module's housekeeping comes as often as that.
+const HOUSEKEEPING: Millis = 100.0;
+
+/// Admission and decisions of one limiter.
+pub struct Entry {
+    admission: Admission,
+    gateway: Gateway,
+    now: Millis,
+    kept_house: Millis,
+    next: u32,
+    actions: Vec<Action>,
+}
+
+impl Entry {
+    /// A limiter as `GW_CONFIG` has it, with the servers that it knows from the start.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Config::from_env`].
+    pub fn from_env() -> Result<Entry, String> {
+        let config = Config::from_env(&Operator::default())?;
+        let servers = config.known.targets.iter().filter_map(|entry| match entry {
+            Listed::Target(target) => target.server(&config.names).ok(),
+            Listed::Garbled(_) => None,
+        });
+        let servers = servers.collect();
+        let admission = Admission::new(&config);
+        let (gateway, now) = (Gateway::new(config.settings, config.seed, 0.0), 0.0);
+        let mut entry = Entry { admission, gateway, now, kept_house: now, next: 0, actions: Vec::new() };
+        entry.tell(Event::Membership(Membership::Full(servers)));
+        Ok(entry)
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.actions.clear();
+        self.gateway.handle(self.now, event, &mut self.actions);
+    }
+
+    /// One request, from its head to the head of its answer.
+    pub fn exchange(&mut self, request: Request<Full<Bytes>>) -> StatusCode {
+        self.now += GAP;
+        if self.now >= self.kept_house + HOUSEKEEPING {
+            self.kept_house = self.now;
+            self.tell(Event::Timer { token: 0 });
+        }
+        let asked = match self.admission.check(&request) {
+            Ok(asked) => asked,
+            Err(status) => return status,
+        };
+        let mut headers = request.into_parts().0.headers;
+        strip(&mut headers);
+        let id = RequestId(self.next);
+        self.next = self.next.wrapping_add(1);
+        self.tell(Event::Request(dillpass::Request {
+            id,
+            class: asked.class,
+            plan: asked.plan,
+            customer: asked.customer,
+            remaining: asked.patience.as_secs_f64() * 1000.0,
+            units: asked.units,
+            set_size: asked.set_size,
+            set_first: asked.set_first,
+        }));
+        let sent = self.actions.iter().find_map(|action| match action {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        });
+        let Some(server) = sent else {
+            return written(Answer::Refused { retry_after: SERVICE }).status();
+        };
+        self.tell(Event::Attempt(Attempt {
+            request: id,
+            attempt: 0,
+            server,
+            outcome: Outcome::Ok,
+            elapsed: SERVICE,
+            ended: true,
+            report: Report::default(),
+            units: None,
+            metered: None,
+        }));
+        written(Answer::Served(Served { content_type: None, body: Bytes::new() })).status()
+    }
+}
--- a/crates/emberpin/src/lib.rs
+++ b/crates/emberpin/src/lib.rs
@@ -12,6 +12,7 @@
 mod connections;
 mod discovery;
 mod driver;
+pub mod entry;
 pub mod limiter;
 mod listing;
 mod messages;
--- a/crates/emberpin/src/listing.rs
+++ b/crates/emberpin/src/listing.rs
@@ -1,5 +1,7 @@
 //! The list of servers as discovery words it: whole, or the changes to it.
 
+use dillpass::settings::{stable_hash, Listed, Names};
+use dillpass::{Condition, Server, ServerId};
 use serde::de::IgnoredAny;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -46,3 +48,27 @@
     #[serde(other)]
     Unknown,
 }
+
+impl Target {
+    /// The same at every limiter.
+    pub fn id(&self) -> ServerId {
+        ServerId(stable_hash(&self.uid) as u32)
+    }
+
+    /// The entry in the decision module's terms; the error names what the settings do not.
+    pub fn server(&self, names: &Names) -> Result<Server, String> {
+        names.server(Listed {
+            id: self.id(),
+            zone: &self.zone,
+            kind: self.model.as_deref(),
+            cell: self.pod_group,
+            size: self.capacity_hint.filter(|size| size.is_finite() && *size > 0.0),
+            started: Some(self.boot_ms).filter(|at| *at != 0.0),
+            condition: match self.state {
+                State::Ready => Condition::InService,
+                State::Draining | State::Unknown => Condition::Draining,
+                State::Gone => Condition::Gone,
+            },
+        })
+    }
+}
--- a/crates/emberpin/src/servers.rs
+++ b/crates/emberpin/src/servers.rs
@@ -3,7 +3,7 @@
 use crate::config::Config;
 use crate::messages::{Ended, Outgoing, Served, MAX_BODY};
 use bytes::Bytes;
-use dillpass::settings::report;
+use dillpass::settings::report_field;
 use dillpass::{Outcome, Report};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -16,11 +16,11 @@
 use std::future::{poll_fn, Future};
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -118,9 +118,10 @@
 /// A connection that is polled only by whoever uses it: dropping it closes it.
 struct Conn {
     sender: SendRequest<Full<Bytes>>,
-    connection: Connection<TokioIo<Counted>, Full<Bytes>>,
+    /// Boxed, as it is large and moves with every attempt.
+    connection: Box<Connection<TokioIo<Counted>, Full<Bytes>>>,
     closed: bool,
-    stream: Rc<TcpStream>,
+    stream: Rc<RefCell<TcpStream>>,
     written: Rc<Cell<usize>>,
     _socket: OwnedSemaphorePermit,
 }
@@ -228,13 +229,14 @@
             }
         }
         let socket = self.pool.socket().ok_or(Refused::NoSocket)?;
-        let stream = Rc::new(TcpStream::connect(self.address).await.map_err(|_| Refused::Failed)?);
+        let stream = TcpStream::connect(self.address).await.map_err(|_| Refused::Failed)?;
         _ = stream.set_nodelay(true);
+        let stream = Rc::new(RefCell::new(stream));
         let written = Rc::new(Cell::new(0));
         let io = TokioIo::new(Counted { stream: stream.clone(), written: written.clone() });
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| Refused::Failed)?;
-        Ok(Conn { sender, connection, closed: false, stream, written, _socket: socket })
+        Ok(Conn { sender, connection: Box::new(connection), closed: false, stream, written, _socket: socket })
     }
 }
 
@@ -265,7 +267,7 @@
     /// Whether the server has neither closed it nor sent anything on it. Asks the system itself, as what has
     /// just come is not known to the runtime yet.
     fn is_quiet(&self) -> bool {
-        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -273,7 +275,7 @@
     async fn drive<F: Future>(&mut self, what: F) -> F::Output {
         let mut what = pin!(what);
         poll_fn(|context| {
-            self.closed = self.closed || Pin::new(&mut self.connection).poll(context).is_ready();
+            self.closed = self.closed || Pin::new(&mut *self.connection).poll(context).is_ready();
             what.as_mut().poll(context)
         })
         .await
@@ -330,9 +332,15 @@
     let all = |name: &str| response.headers().get_all(name).iter().filter_map(|value| value.to_str().ok());
     // What cannot be read is passed over.
     let used = all("x-ratelimit-used").find_map(number);
-    let loads = || all("srv-load").flat_map(|text| text.split(',')).filter_map(|pair| pair.split_once('='));
-    let load = |wanted: &str| loads().filter(|(name, _)| name.trim() == wanted).find_map(|(_, v)| number(v));
-    let report = report(load);
+    let mut report = Report::default();
+    for (name, value) in
+        all("srv-load").flat_map(|text| text.split(',')).filter_map(|pair| pair.split_once('='))
+    {
+        // Of two readable values the first counts.
+        if let Some(field) = report_field(&mut report, name.trim()).filter(|field| field.is_none()) {
+            *field = number(value);
+        }
+    }
     let content_type = response.headers().get(CONTENT_TYPE).cloned();
     let served = (outcome == Outcome::Ok).then_some(Served { content_type, body });
     Ended { outcome, elapsed, report, metered: used.map(|percent| percent / 100.0), served }
@@ -342,46 +350,31 @@
     text.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
 }
 
-/// A stream that counts the bytes that its socket took.
+/// A stream that counts the bytes that its socket took. Nobody holds it across a turn, so it is never borrowed
+/// twice.
 struct Counted {
-    stream: Rc<TcpStream>,
+    stream: Rc<RefCell<TcpStream>>,
     written: Rc<Cell<usize>>,
 }
 
 impl Counted {
-    fn poll_try(
-        &self,
-        context: &mut Context,
-        attempt: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match attempt(&self.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => {
-                    self.written.set(self.written.get() + *result.as_ref().unwrap_or(&0));
-                    return Poll::Ready(result);
-                }
-            }
+    fn count(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(written)) = &result {
+            self.written.set(self.written.get() + written);
         }
+        result
     }
 }
 
 impl AsyncRead for Counted {
     fn poll_read(self: Pin<&mut Self>, context: &mut Context, into: &mut ReadBuf) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read_buf(into) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result.map(drop)),
-            }
-        }
+        Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, into)
     }
 }
 
 impl AsyncWrite for Counted {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_try(context, |stream| stream.try_write(from))
+        self.count(Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, from))
     }
 
     fn poll_write_vectored(
@@ -389,18 +382,18 @@
         context: &mut Context,
         from: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
-        self.poll_try(context, |stream| stream.try_write_vectored(from))
+        self.count(Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(context, from))
     }
 
     fn is_write_vectored(&self) -> bool {
         true
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(context)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(context)
     }
 }
