--- /dev/null
+++ b/crates/emberpin-idempotency/src/fingerprint.rs
@@ -0,0 +1,69 @@
+//! The fingerprint of a request (section 2.4 of the draft): a keyed hash, so that nobody without the secret can
+//! make two requests that look the same. BLAKE3 in its keyed mode, cut to 128 bits.
+
+use std::fmt;
+
+/// What the limiters of a site share; never shown.
+#[derive(Clone)]
+pub struct Secret([u8; 32]);
+
+impl Secret {
+    /// A secret of these bytes, from whatever random source the host has.
+    pub fn new(bytes: [u8; 32]) -> Secret {
+        Secret(bytes)
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str("Secret(not shown)")
+    }
+}
+
+/// What a request looks like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fingerprint([u8; 16]);
+
+impl Fingerprint {
+    /// The fingerprint of a request's method, path with query, class and body. Each part is hashed with its length
+    /// before it, so that no byte can move from one into the next.
+    pub fn of(secret: &Secret, method: &str, path: &str, class: usize, body: &[u8]) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new_keyed(&secret.0);
+        for part in [method.as_bytes(), path.as_bytes(), &(class as u64).to_le_bytes(), body] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut cut = [0; 16];
+        cut.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Fingerprint(cut)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_part_counts_and_none_flows_into_the_next() {
+        let secret = Secret::new([7; 32]);
+        let of = |method, path, class, body: &[u8]| Fingerprint::of(&secret, method, path, class, body);
+        let first = of("POST", "/api", 1, b"image");
+        assert_eq!(first, of("POST", "/api", 1, b"image"));
+        for other in [
+            of("PUT", "/api", 1, b"image"),
+            of("POST", "/apj", 1, b"image"),
+            of("POST", "/api", 2, b"image"),
+            of("POST", "/api", 1, b"imagf"),
+            of("POST", "/api", 1, b"image\0"),
+            of("POST/", "api", 1, b"image"),
+            Fingerprint::of(&Secret::new([8; 32]), "POST", "/api", 1, b"image"),
+        ] {
+            assert_ne!(first, other);
+        }
+    }
+
+    #[test]
+    fn a_secret_is_not_shown() {
+        assert_eq!(format!("{:?}", Secret::new([7; 32])), "Secret(not shown)");
+    }
+}
--- /dev/null
+++ b/crates/emberpin-idempotency/src/table.rs
@@ -0,0 +1,461 @@
+//! The table of keys: who is first, who waits, who is told what came of it, and what gives way when it is full.
+//!
+//! An entry whose request has run, or may have, is never forgotten before its retention time is over: forgetting it
+//! could sign twice. What gives way is the *answer* kept with it: a repeat is then told that the work is done
+//! and that its answer is not kept any more. When no entry can be made, new work is refused with the time at
+//! which the oldest entry goes.
+
+use crate::fingerprint::Fingerprint;
+use crate::key::Key;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Milliseconds of the host's steady clock; only differences have a meaning.
+pub type Millis = f64;
+
+/// A customer, equal at every limiter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Customer(pub u64);
+
+/// One request as the host names it; never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What is kept of an answer has a size.
+pub trait Weight {
+    /// Bytes that it holds.
+    fn weight(&self) -> usize;
+}
+
+/// The bounds. A customer's are its share of the table's, so that no one firm can push out the others' keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Entries in all.
+    pub entries: usize,
+    /// Bytes of kept answers in all.
+    pub answer_bytes: usize,
+    /// Requests that wait for the first of their key.
+    pub waiters_per_key: usize,
+    /// Requests of one customer that wait.
+    pub waiters_per_customer: usize,
+    /// The part of entries and of bytes that one customer may hold, above 0 and at most 1.
+    pub customer_share: f64,
+    /// How long an outcome is kept.
+    pub retention: Millis,
+    /// Nothing is let on so soon after the start, as what the life before let on is forgotten.
+    pub quiet: Millis,
+    /// A repeat waits for the first; else it is told that the first is in flight.
+    pub wait: bool,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event<A> {
+    /// A keyed request came.
+    Arrived {
+        /// Its name from now on.
+        ticket: Ticket,
+        /// Whose it is.
+        customer: Customer,
+        /// Its key.
+        key: Key,
+        /// What it looks like.
+        fingerprint: Fingerprint,
+    },
+    /// A first request was served.
+    Served {
+        /// Which.
+        ticket: Ticket,
+        /// With what.
+        answer: A,
+    },
+    /// A first request was refused, and is known not to have run.
+    Refused {
+        /// Which.
+        ticket: Ticket,
+        /// With what.
+        answer: A,
+    },
+    /// A first request failed, and may have run.
+    Failed {
+        /// Which.
+        ticket: Ticket,
+        /// With what.
+        answer: A,
+    },
+    /// A request's client left, or its patience is over: it is owed nothing more. A first request goes on.
+    Left {
+        /// Which.
+        ticket: Ticket,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action<A> {
+    /// This is the first of its key: let it on, and say what came of it.
+    Pass(Ticket),
+    /// Keep it until it is told something, or leaves.
+    Hold(Ticket),
+    /// Its one answer.
+    Tell(Ticket, Telling<A>),
+}
+
+/// What a request is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Telling<A> {
+    /// To the first: its own outcome.
+    Own(A),
+    /// To a repeat: the outcome of the first, as it was.
+    Replay(A),
+    /// The key stands for another request: 422.
+    Mismatch,
+    /// The first is in flight: 409. Also when as many wait as may.
+    InFlight,
+    /// The first failed and may have run; it is never sent again under this key: 409.
+    Unknown,
+    /// The first was served, and its answer is not kept any more: 409.
+    NotKept,
+    /// There is no place for another key: come back after this time.
+    Full {
+        /// Until the entry that is in the way goes.
+        retry_after: Millis,
+    },
+    /// Too soon after a start to know whether it ran before; it is never sent under this key: 409.
+    Quiet,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct EntryId(u64);
+
+/// What is known of a key.
+enum State<A> {
+    /// The first is out, and these wait for it; it is told its outcome unless it has left.
+    InFlight { first: Option<Ticket>, waiters: Vec<Ticket> },
+    /// Served; the answer unless it gave way.
+    Served { answer: Option<A> },
+    /// It may have run.
+    Unknown,
+}
+
+struct Entry<A> {
+    customer: Customer,
+    key: Key,
+    fingerprint: Fingerprint,
+    state: State<A>,
+    /// When it is forgotten, once it has an outcome.
+    expires: Millis,
+}
+
+/// What one customer holds.
+#[derive(Default)]
+struct Holding {
+    entries: usize,
+    bytes: usize,
+    waiters: usize,
+    /// Its entries with an outcome, the oldest first.
+    done: VecDeque<EntryId>,
+    /// Those of them whose answer is kept.
+    answers: VecDeque<EntryId>,
+}
+
+/// The table.
+pub struct Table<A> {
+    limits: Limits,
+    /// The latest time seen: a clock that steps back stands still here.
+    now: Millis,
+    /// The quiet time after the start ends then.
+    opens: Millis,
+    /// Later for these customers, each of whom holds its whole share.
+    extended: BTreeMap<Customer, Millis>,
+    next: u64,
+    bytes: usize,
+    entries: BTreeMap<EntryId, Entry<A>>,
+    by_key: BTreeMap<(Customer, Key), EntryId>,
+    /// First requests that are out, and requests that wait.
+    tickets: BTreeMap<Ticket, EntryId>,
+    customers: BTreeMap<Customer, Holding>,
+    /// Entries with an outcome, the oldest first: all are kept for the same time.
+    done: VecDeque<EntryId>,
+    /// Customers by the bytes that they hold.
+    by_bytes: BTreeSet<(usize, Customer)>,
+}
+
+impl<A: Clone + Weight> Table<A> {
+    /// An empty table of a process that starts now.
+    pub fn new(limits: Limits, now: Millis) -> Table<A> {
+        let opens = now + limits.quiet;
+        Table {
+            limits,
+            now,
+            opens,
+            extended: BTreeMap::new(),
+            next: 0,
+            bytes: 0,
+            entries: BTreeMap::new(),
+            by_key: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            done: VecDeque::new(),
+            by_bytes: BTreeSet::new(),
+        }
+    }
+
+    /// Entries that there are.
+    pub fn entries(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Bytes of answers that are kept.
+    pub fn answer_bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Takes an event, and appends what is to be done about it.
+    pub fn handle(&mut self, now: Millis, event: Event<A>, actions: &mut Vec<Action<A>>) {
+        self.now = self.now.max(now);
+        self.expire();
+        match event {
+            Event::Arrived { ticket, customer, key, fingerprint } => {
+                actions.push(self.arrive(ticket, customer, key, fingerprint));
+            }
+            Event::Served { ticket, answer } => self.conclude(ticket, answer, Outcome::Served, actions),
+            Event::Refused { ticket, answer } => self.conclude(ticket, answer, Outcome::Refused, actions),
+            Event::Failed { ticket, answer } => self.conclude(ticket, answer, Outcome::Failed, actions),
+            Event::Left { ticket } => self.leave(ticket),
+            Event::Tick => {}
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        ticket: Ticket,
+        customer: Customer,
+        key: Key,
+        fingerprint: Fingerprint,
+    ) -> Action<A> {
+        let known = self.by_key.get(&(customer, key.clone())).copied();
+        let Some((id, entry)) = known.and_then(|id| Some((id, self.entries.get_mut(&id)?))) else {
+            return self.begin(ticket, customer, key, fingerprint);
+        };
+        if entry.fingerprint != fingerprint {
+            return Action::Tell(ticket, Telling::Mismatch);
+        }
+        let holding = self.customers.entry(customer).or_default();
+        match &mut entry.state {
+            State::Served { answer: Some(answer) } => Action::Tell(ticket, Telling::Replay(answer.clone())),
+            State::Served { answer: None } => Action::Tell(ticket, Telling::NotKept),
+            State::Unknown => Action::Tell(ticket, Telling::Unknown),
+            State::InFlight { waiters, .. } => {
+                let room = waiters.len() < self.limits.waiters_per_key
+                    && holding.waiters < self.limits.waiters_per_customer;
+                if !self.limits.wait || !room {
+                    return Action::Tell(ticket, Telling::InFlight);
+                }
+                waiters.push(ticket);
+                holding.waiters += 1;
+                self.tickets.insert(ticket, id);
+                Action::Hold(ticket)
+            }
+        }
+    }
+
+    /// A key that is not known: the first of it, if there is a place.
+    fn begin(&mut self, ticket: Ticket, customer: Customer, key: Key, fingerprint: Fingerprint) -> Action<A> {
+        let own = self.customers.get(&customer);
+        let full = self.entries.len() >= self.limits.entries;
+        let own_full = own.is_some_and(|own| own.entries >= self.share(self.limits.entries));
+        let opens = self.extended.get(&customer).map_or(self.opens, |opens| opens.max(self.opens));
+        if self.now < opens {
+            let later = self.now + self.limits.retention;
+            // What is seen now may have run before the start. Told to come back, it would be taken for new work then:
+            // so it is kept as what may have run. Where no place is left for that, the quiet lasts on, for whom
+            // there is none.
+            if full {
+                self.opens = later;
+            } else if own_full {
+                self.extended.insert(customer, later);
+            } else {
+                let id = self.insert(customer, key, fingerprint, State::Unknown, later);
+                self.done.push_back(id);
+                self.customers.entry(customer).or_default().done.push_back(id);
+            }
+            return Action::Tell(ticket, Telling::Quiet);
+        }
+        if full || own_full {
+            // Of both that are in the way the later to go counts. While all are in flight, one of them goes, at
+            // the soonest, a whole retention from now.
+            let goes = |done: Option<&VecDeque<EntryId>>| {
+                let oldest = done.and_then(|done| done.front()).and_then(|id| self.entries.get(id));
+                oldest.map_or(self.limits.retention, |entry| entry.expires - self.now)
+            };
+            let table = if full { goes(Some(&self.done)) } else { 0.0 };
+            let share = if own_full { goes(own.map(|own| &own.done)) } else { 0.0 };
+            return Action::Tell(ticket, Telling::Full { retry_after: table.max(share) });
+        }
+        let state = State::InFlight { first: Some(ticket), waiters: Vec::new() };
+        let id = self.insert(customer, key, fingerprint, state, f64::INFINITY);
+        self.tickets.insert(ticket, id);
+        Action::Pass(ticket)
+    }
+
+    fn insert(
+        &mut self,
+        customer: Customer,
+        key: Key,
+        fingerprint: Fingerprint,
+        state: State<A>,
+        expires: Millis,
+    ) -> EntryId {
+        let id = EntryId(self.next);
+        self.next += 1;
+        self.entries.insert(id, Entry { customer, key: key.clone(), fingerprint, state, expires });
+        self.by_key.insert((customer, key), id);
+        self.customers.entry(customer).or_default().entries += 1;
+        id
+    }
+
+    /// A customer's part of a bound: one at least.
+    fn share(&self, of: usize) -> usize {
+        ((of as f64 * self.limits.customer_share) as usize).max(1)
+    }
+
+    fn conclude(&mut self, ticket: Ticket, answer: A, outcome: Outcome, actions: &mut Vec<Action<A>>) {
+        let Some(id) = self.tickets.remove(&ticket) else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let state = match outcome {
+            Outcome::Served => State::Served { answer: None },
+            Outcome::Refused | Outcome::Failed => State::Unknown,
+        };
+        let State::InFlight { first, waiters } = std::mem::replace(&mut entry.state, state) else { return };
+        let customer = entry.customer;
+        entry.expires = self.now + self.limits.retention;
+        if first.is_some() {
+            actions.push(Action::Tell(ticket, Telling::Own(answer.clone())));
+        }
+        if let Some(holding) = self.customers.get_mut(&customer) {
+            holding.waiters -= waiters.len();
+        }
+        for waiter in waiters {
+            self.tickets.remove(&waiter);
+            actions.push(Action::Tell(waiter, Telling::Replay(answer.clone())));
+        }
+        match outcome {
+            // It never ran: a repeat is new work.
+            Outcome::Refused => self.forget(id),
+            Outcome::Served | Outcome::Failed => {
+                self.done.push_back(id);
+                self.customers.entry(customer).or_default().done.push_back(id);
+            }
+        }
+        if outcome == Outcome::Served {
+            self.keep(id, customer, answer);
+        }
+    }
+
+    /// Keeps an answer, within the customer's share and the whole; the oldest of its own gives way first, then the
+    /// oldest of whoever holds most.
+    fn keep(&mut self, id: EntryId, customer: Customer, answer: A) {
+        let weight = answer.weight();
+        let share = self.share(self.limits.answer_bytes).min(self.limits.answer_bytes);
+        if weight > share {
+            return;
+        }
+        while self.held(customer) + weight > share && self.let_go_of_answer(customer) {}
+        while self.bytes + weight > self.limits.answer_bytes {
+            let most = self.by_bytes.last().map(|(_, customer)| *customer);
+            if !most.is_some_and(|customer| self.let_go_of_answer(customer)) {
+                return;
+            }
+        }
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.state = State::Served { answer: Some(answer) };
+            self.customers.entry(customer).or_default().answers.push_back(id);
+            self.change_bytes(customer, weight, 0);
+        }
+    }
+
+    fn held(&self, customer: Customer) -> usize {
+        self.customers.get(&customer).map_or(0, |holding| holding.bytes)
+    }
+
+    /// Lets go of a customer's oldest kept answer; false if there is none.
+    fn let_go_of_answer(&mut self, customer: Customer) -> bool {
+        let oldest = self.customers.get_mut(&customer).and_then(|holding| holding.answers.pop_front());
+        let Some(entry) = oldest.and_then(|id| self.entries.get_mut(&id)) else { return false };
+        if let State::Served { answer } = &mut entry.state {
+            let weight = answer.take().map_or(0, |answer| answer.weight());
+            self.change_bytes(customer, 0, weight);
+        }
+        true
+    }
+
+    fn change_bytes(&mut self, customer: Customer, more: usize, less: usize) {
+        let holding = self.customers.entry(customer).or_default();
+        self.by_bytes.remove(&(holding.bytes, customer));
+        holding.bytes = holding.bytes + more - less;
+        self.bytes = self.bytes + more - less;
+        if holding.bytes > 0 {
+            self.by_bytes.insert((holding.bytes, customer));
+        }
+    }
+
+    fn leave(&mut self, ticket: Ticket) {
+        let Some(id) = self.tickets.get(&ticket).copied() else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let State::InFlight { first, waiters } = &mut entry.state else { return };
+        if *first == Some(ticket) {
+            // It goes on, so that a repeat has its outcome; its ticket stays, to say what came of it.
+            *first = None;
+            return;
+        }
+        // A first that has left already is none of the waiters.
+        let Some(place) = waiters.iter().position(|waiter| *waiter == ticket) else { return };
+        waiters.remove(place);
+        self.tickets.remove(&ticket);
+        if let Some(holding) = self.customers.get_mut(&entry.customer) {
+            holding.waiters -= 1;
+        }
+    }
+
+    /// Forgets what has been kept for its time.
+    fn expire(&mut self) {
+        if !self.extended.is_empty() {
+            self.extended.retain(|_, opens| *opens > self.now);
+        }
+        while let Some(id) = self.done.front().copied() {
+            let Some(entry) = self.entries.get(&id) else { return };
+            if entry.expires > self.now {
+                return;
+            }
+            let customer = entry.customer;
+            self.done.pop_front();
+            if let Some(holding) = self.customers.get_mut(&customer) {
+                holding.done.pop_front();
+                if holding.answers.front() == Some(&id) {
+                    self.let_go_of_answer(customer);
+                }
+            }
+            self.forget(id);
+        }
+    }
+
+    fn forget(&mut self, id: EntryId) {
+        let Some(entry) = self.entries.remove(&id) else { return };
+        self.by_key.remove(&(entry.customer, entry.key));
+        if let Some(holding) = self.customers.get_mut(&entry.customer) {
+            holding.entries -= 1;
+            if holding.entries == 0 {
+                self.customers.remove(&entry.customer);
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Outcome {
+    Served,
+    Refused,
+    Failed,
+}
--- a/crates/emberpin-site/src/clients.rs
+++ b/crates/emberpin-site/src/clients.rs
@@ -45,6 +45,8 @@
     /// Failed, lost or given up: promises nothing.
     Failed,
     Unreached,
+    /// Sent nowhere: another limiter is to be asked.
+    Misdirected,
     Left,
 }
 
@@ -105,6 +107,7 @@
                 Ended::Served | Ended::Left => break,
                 Ended::Refused { retry_after } => retry_after.filter(|_| arrival.honours),
                 Ended::Unreached => None,
+                Ended::Misdirected => Some(0),
                 // Only what is safe to repeat is asked again after a failure.
                 Ended::Failed if arrival.class().repeat == Repeat::Safe => None,
                 Ended::Failed => break,
@@ -192,7 +195,12 @@
                     return Ended::Failed;
                 }
             };
-            let made_for_it = || body.starts_with(world.schedule.id(of).as_bytes());
+            let replayed = head.header("idempotency-replayed").is_some();
+            let made_for_it = || match world.schedule.made_for(&body) {
+                // A marked replay is the answer to another try under the same key.
+                Some(other) if replayed => world.schedule.arrival(other).map(|a| a.key) == Some(arrival.key),
+                other => other == Some(of),
+            };
             let retry_after = head.header("retry-after").and_then(|text| text.parse::<f64>().ok());
             let retry_after = retry_after.map(|wait| (wait.clamp(0.0, 60.0) * SECOND as f64) as Micros);
             let sound = head.status != 200 || made_for_it();
@@ -206,6 +214,8 @@
             return match head.status {
                 200 => Ended::Served,
                 429 | 503 => Ended::Refused { retry_after },
+                // Misdirected (RFC 9110, section 15.5.20): another limiter of the set may take it, at once.
+                421 => Ended::Misdirected,
                 _ => Ended::Failed,
             };
         }
--- a/crates/emberpin-site/src/main.rs
+++ b/crates/emberpin-site/src/main.rs
@@ -50,6 +50,9 @@
     /// Another build of the limiter, in place of this program's own
     #[arg(long, value_name = "PATH")]
     limiter: Option<PathBuf>,
+    /// An operator file for the limiters; may be given several times
+    #[arg(long = "with", value_name = "FILE")]
+    with: Vec<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -67,13 +70,16 @@
 
 fn play(line: &Line) -> Result<ExitCode, String> {
     let scenario = line.scenario()?;
-    let program = match &line.limiter {
+    let mut program = match &line.limiter {
         Some(path) => Program { path: path.clone(), arguments: Vec::new() },
         None => {
             let path = std::env::current_exe().map_err(|e| format!("cannot find this program: {e}"))?;
             Program { path, arguments: vec![AS_LIMITER.into()] }
         }
     };
+    for file in &line.with {
+        program.arguments.extend(["--with".into(), file.into()]);
+    }
     println!("{}: {}", scenario.name, scenario.about);
     let shown = Shown::new(scenario.length);
     let outcome = site::run(&scenario, &program, move |progress| shown.show(progress))?;
@@ -120,8 +126,9 @@
     fn again(&self, scenario: &Scenario) -> String {
         let file =
             self.scenario.as_ref().map_or(String::new(), |path| format!("--scenario {} ", path.display()));
+        let with: String = self.with.iter().map(|path| format!("--with {} ", path.display())).collect();
         let (seed, length) = (scenario.seed, seconds(scenario.length));
-        format!("emberpin-site {file}--seed {seed} --seconds {length}")
+        format!("emberpin-site {file}{with}--seed {seed} --seconds {length}")
     }
 }
 
--- a/crates/emberpin-site/src/schedule.rs
+++ b/crates/emberpin-site/src/schedule.rs
@@ -117,6 +117,11 @@
         (sound && self.arrival(of).is_some()).then_some(of)
     }
 
+    /// The try that a server's answer was made for: it begins with its id.
+    pub fn made_for(&self, body: &[u8]) -> Option<Try> {
+        self.parse_id(std::str::from_utf8(body.get(..16)?).ok()?)
+    }
+
     /// A key's `Idempotency-Key`.
     pub fn key(&self, key: u32) -> String {
         format!("{:08x}{key:024x}", self.tag)
--- /dev/null
+++ b/crates/emberpin-site/tests/idempotency.rs
@@ -0,0 +1,127 @@
+//! Keys repeated over real sockets, judged by the referee: second runs are counted at the stand-in servers.
+#![allow(missing_docs)]
+
+use emberpin_site::process::Program;
+use emberpin_site::referee::Rule;
+use emberpin_site::report::{stories, Summary};
+use emberpin_site::scenario::Scenario;
+use emberpin_site::site::{run, Outcome};
+use emberpin_site::trace::{ProcessEnd, What, SECOND};
+use std::path::PathBuf;
+
+/// Half of all keyed work is asked again up to 2.5 s later, a second beyond what any hall remembers.
+const LOAD: &str = "\
+    [load]\nrate = 120\nwork = 0.2\nsubmit = 0.6\nusage = 0.3\nrepeat_keys = 0.5\nrepeat_after_ms = [0, 2500]\n\
+    front_notice_s = 0.2\n[rules]\nkeys_once = true\n";
+
+fn scenario(limiters: usize, seed: u64, faults: &str) -> Scenario {
+    let head = format!(
+        "name = \"t\"\nabout = \"Keys asked again.\"\nseed = {seed}\nseconds = 4\n[site]\nlimiters = {limiters}\n\
+         servers = 6\nnotice_ms = [1, 20]\nwarm_s = 1\n"
+    );
+    Scenario::parse("test", &format!("{head}{LOAD}{faults}")).expect("sound")
+}
+
+/// The real limiter with this operator file, or without one.
+struct Limiters {
+    file: Option<PathBuf>,
+}
+
+impl Limiters {
+    fn with(name: &str, table: &str) -> Limiters {
+        let path = std::env::temp_dir().join(format!("emberpin-keys-{}-{name}.toml", std::process::id()));
+        std::fs::write(&path, format!("[idempotency]\n{table}\n")).expect("written");
+        Limiters { file: Some(path) }
+    }
+
+    fn play(&self, scenario: &Scenario) -> Outcome {
+        let mut program =
+            Program { path: env!("CARGO_BIN_EXE_emberpin-site").into(), arguments: vec!["limiter".into()] };
+        if let Some(file) = &self.file {
+            program.arguments.extend(["--with".into(), file.into()]);
+        }
+        run(scenario, &program, |_| ()).unwrap_or_else(|e| panic!("seed {}: {e}", scenario.seed))
+    }
+}
+
+impl Drop for Limiters {
+    fn drop(&mut self) {
+        if let Some(file) = &self.file {
+            _ = std::fs::remove_file(file);
+        }
+    }
+}
+
+#[track_caller]
+fn holds(outcome: &Outcome) {
+    let seed = outcome.scenario.seed;
+    assert!(!outcome.judgement.is_broken(), "seed {seed}:{}", stories(&outcome.judgement));
+    assert_eq!(Summary::of(outcome).second_effects, 0, "seed {seed}");
+}
+
+/// What the other tests show means nothing unless this load signs twice where nothing is recognised.
+#[test]
+fn without_the_stage_this_load_signs_twice() {
+    let outcome = Limiters { file: None }.play(&scenario(1, 1, ""));
+    assert!(
+        outcome.judgement.on(Rule::Effects).broken > 10,
+        "{:?}",
+        outcome.judgement.on(Rule::Effects).broken
+    );
+}
+
+#[test]
+fn with_it_no_key_is_signed_twice_and_repeats_are_served() {
+    let limiters = Limiters::with("one", "retention_s = 20\nquiet_s = 0");
+    for seed in 1..=2 {
+        let outcome = limiters.play(&scenario(1, seed, ""));
+        holds(&outcome);
+        let summary = Summary::of(&outcome);
+        let submits = &summary.classes[1];
+        assert!(submits.in_time * 10 > submits.asked * 9, "seed {seed}: {submits:?}");
+        // A repeat is answered by the stage: there are far fewer attempts than pieces of work.
+        assert!(summary.attempts * 10 < summary.total.asked * 9, "seed {seed}: {}", summary.attempts);
+    }
+}
+
+/// Firms move all their traffic between limiters in the middle of their bursts.
+#[test]
+fn firms_that_hop_between_limiters_sign_nothing_twice() {
+    let hops: String = (1..8)
+        .map(|n| format!("[[fault]]\nat_s = {}\nwhat = \"firms-hop\"\nshare = 1.0\n", f64::from(n) * 0.4))
+        .collect();
+    let limiters = Limiters::with("hops", "retention_s = 20\nquiet_s = 0");
+    for seed in 1..=2 {
+        let outcome = limiters.play(&scenario(3, seed, &hops));
+        holds(&outcome);
+        let submits = &Summary::of(&outcome).classes[1];
+        assert!(submits.in_time * 10 > submits.asked * 8, "seed {seed}: {submits:?}");
+    }
+}
+
+/// Killed at any moment, it comes back knowing nothing and takes no new keyed work until every repeat that it could
+/// get wrong is past its time: here the whole retention.
+#[test]
+fn a_limiter_that_is_killed_and_forgets_signs_nothing_twice() {
+    let kills = "[[fault]]\nat_s = 0.8\nwhat = \"limiter-killed\"\nlimiter = 0\nback_s = 0.1\n[[fault]]\nat_s = 1.9\n\
+                 what = \"limiter-killed\"\nlimiter = 1\nback_s = 0.1\n";
+    let limiters = Limiters::with("kills", "retention_s = 3\nquiet_s = 3");
+    for seed in 1..=2 {
+        // The quiet time after the very first start is over only at 3 s: longer than the others.
+        let mut scenario =
+            scenario(2, seed, &kills.replace("at_s = 0.8", "at_s = 4.0").replace("at_s = 1.9", "at_s = 4.6"));
+        scenario.set_seconds(6.5).expect("in bounds");
+        let outcome = limiters.play(&scenario);
+        holds(&outcome);
+        let killed = |e: &&emberpin_site::trace::Event| {
+            matches!(e.what, What::LimiterDown { how: ProcessEnd::Killed, .. })
+        };
+        assert_eq!(outcome.events.iter().filter(killed).count(), 2);
+        let served = outcome
+            .events
+            .iter()
+            .filter(|e| e.at > 3 * SECOND && e.at < 4 * SECOND)
+            .filter(|e| matches!(e.what, What::Ran { remembered: false, .. }));
+        assert!(served.count() > 10, "keyed work was going on when they were killed");
+    }
+}
--- a/crates/emberpin-site/tests/referee.rs
+++ b/crates/emberpin-site/tests/referee.rs
@@ -148,6 +148,23 @@
     killed.keeps();
 }
 
+/// A process that was just sent SIGKILL has its sockets open for a moment; its next life has no such excuse.
+#[test]
+fn a_request_written_to_a_dying_limiter_is_the_clients_and_one_to_its_next_life_is_not() {
+    let mut tape = Tape::new();
+    tape.add(SECOND, What::LimiterDown { limiter: 0, how: ProcessEnd::Killed });
+    tape.asked(SECOND + 200, 0, SAFE);
+    tape.add(SECOND + 2000, What::Dropped { what: Try(0), begun: false });
+    tape.keeps();
+    tape.add(SECOND + 100, What::LimiterUp { limiter: 0 });
+    tape.breaks(Rule::Answers, "ended with no answer");
+    let mut later = Tape::new();
+    later.add(SECOND, What::LimiterDown { limiter: 0, how: ProcessEnd::Killed });
+    later.asked(SECOND + SLACK + 1, 0, SAFE);
+    later.add(SECOND + SLACK + 2, What::Dropped { what: Try(0), begun: false });
+    later.breaks(Rule::Answers, "ended with no answer");
+}
+
 /// The limiter may close an idle connection as a request comes; the client sends it once more. That excuses
 /// nothing that the limiter had read.
 #[test]
--- a/crates/emberpin/src/admission.rs
+++ b/crates/emberpin/src/admission.rs
@@ -70,8 +70,7 @@
             return Err(StatusCode::METHOD_NOT_ALLOWED);
         }
         // Servers take no body on a safe request: it would be read as the next one.
-        let framed =
-            if safe { request.body().is_end_stream() } else { sole(headers, &IDEMPOTENCY_KEY).is_some() };
+        let framed = if safe { request.body().is_end_stream() } else { key(headers).is_some() };
         framed.then_some(admitted).ok_or(StatusCode::BAD_REQUEST)
     }
 
@@ -118,6 +117,11 @@
     }
 }
 
+/// The `Idempotency-Key` as it came, if it stands exactly once.
+pub fn key(headers: &HeaderMap) -> Option<&str> {
+    sole(headers, &IDEMPOTENCY_KEY)
+}
+
 fn single<T>(mut values: impl Iterator<Item = T>) -> Option<T> {
     values.next().filter(|_| values.next().is_none())
 }
--- a/crates/emberpin/src/clients.rs
+++ b/crates/emberpin/src/clients.rs
@@ -1,8 +1,9 @@
 //! The client side: takes requests off connections, asks the driver, writes the one answer.
 
-use crate::admission::Admission;
+use crate::admission::{self, Admission};
 use crate::config::Config;
 use crate::connections::{Connection, Connections, Place, Watched, HEAD_LIMIT};
+use crate::idempotency::{Idempotency, Keyed};
 use crate::messages::{Answer, Call, Input, Outgoing, MAX_BODY};
 use bytes::Bytes;
 use dillpass::RequestId;
@@ -54,6 +55,8 @@
 
 /// What all client connections share.
 pub struct Front {
+    /// Where it is on: recognises repeats of keyed requests.
+    idempotency: Option<Rc<Idempotency>>,
     admission: Admission,
     inputs: mpsc::Sender<Input>,
     next: Cell<u32>,
@@ -64,16 +67,16 @@
 }
 
 /// A request that is open: tells the driver when its client goes away, unless the answer came first.
-struct Waiting<'a> {
-    front: &'a Front,
-    name: &'a str,
+struct Waiting {
+    front: Rc<Front>,
+    name: String,
     id: RequestId,
     answered: bool,
 }
 
-impl Drop for Waiting<'_> {
+impl Drop for Waiting {
     fn drop(&mut self) {
-        self.front.open.borrow_mut().remove(self.name);
+        self.front.open.borrow_mut().remove(&self.name);
         if self.answered {
             return;
         }
@@ -85,8 +88,13 @@
 }
 
 impl Front {
-    pub fn new(config: &Config, inputs: mpsc::Sender<Input>) -> Rc<Front> {
+    pub fn new(
+        config: &Config,
+        idempotency: Option<Rc<Idempotency>>,
+        inputs: mpsc::Sender<Input>,
+    ) -> Rc<Front> {
         Rc::new(Front {
+            idempotency,
             admission: Admission::new(config),
             inputs,
             next: Cell::new(0),
@@ -162,7 +170,11 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, connection: &Connection) -> Response<Full<Bytes>> {
+    async fn respond(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+        connection: &Connection,
+    ) -> Response<Full<Bytes>> {
         let began = connection.open();
         let mut response = match (request.method(), request.uri().path()) {
             (&Method::GET, "/health/ready") => match *self.phase.borrow() {
@@ -187,7 +199,7 @@
 
     /// One request of a client: checked, taken in whole, and answered.
     async fn serve(
-        &self,
+        self: &Rc<Self>,
         request: Request<Incoming>,
         began: Instant,
     ) -> Result<Response<Full<Bytes>>, StatusCode> {
@@ -213,12 +225,12 @@
         if !self.open.borrow_mut().insert(asked.id.clone()) {
             return Err(StatusCode::CONFLICT);
         }
-        let id = RequestId(self.next.replace(self.next.get().wrapping_add(1)));
-        let mut waiting = Waiting { front: self, name: &asked.id, id, answered: false };
+        let waiting = self.open_request(asked.id);
         strip(&mut headers);
         let (answer, answered) = oneshot::channel();
+        let outgoing = Rc::new(Outgoing { method: parts.method, uri: parts.uri, headers, body });
         let call = Call {
-            id,
+            id: waiting.id,
             class: asked.class,
             plan: asked.plan,
             customer: asked.customer,
@@ -226,16 +238,45 @@
             set_size: asked.set_size,
             set_first: asked.set_first,
             expires,
-            outgoing: Rc::new(Outgoing { method: parts.method, uri: parts.uri, headers, body }),
+            outgoing: outgoing.clone(),
             answer,
         };
-        let answer = match self.inputs.send(Input::Call(call)).await {
-            Ok(()) => answered.await.unwrap_or(Answer::Failed),
-            Err(_) => Answer::Failed,
-        };
-        waiting.answered = true;
-        Ok(written(answer))
+        let asking = ask(waiting, call, answered);
+        if let (Some(stage), Some(key)) = (&self.idempotency, admission::key(&outgoing.headers)) {
+            // A key on a class that is safe to repeat means nothing.
+            if outgoing.method == Method::POST {
+                let keyed = Keyed {
+                    method: &outgoing.method,
+                    uri: &outgoing.uri,
+                    class: asked.class.0,
+                    body: &outgoing.body,
+                    key,
+                    customer: asked.customer,
+                    set_size: asked.set_size,
+                    set_first: asked.set_first,
+                    expires,
+                };
+                return Ok(stage.serve(keyed, asking).await);
+            }
+        }
+        Ok(written(asking.await))
     }
+
+    /// A request is open here from now on, until what is returned is dropped.
+    fn open_request(self: &Rc<Self>, name: String) -> Waiting {
+        let id = RequestId(self.next.replace(self.next.get().wrapping_add(1)));
+        Waiting { front: self.clone(), name, id, answered: false }
+    }
+}
+
+/// Asks the driver, and waits for the one answer.
+async fn ask(mut waiting: Waiting, call: Call, answered: oneshot::Receiver<Answer>) -> Answer {
+    let answer = match waiting.front.inputs.send(Input::Call(call)).await {
+        Ok(()) => answered.await.unwrap_or(Answer::Failed),
+        Err(_) => Answer::Failed,
+    };
+    waiting.answered = true;
+    answer
 }
 
 /// The answer as its client gets it.
@@ -269,7 +310,8 @@
     named.iter().filter(decisive).chain(&HOP_BY_HOP).for_each(|name| drop(headers.remove(name)));
 }
 
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
+/// An answer of this status with nothing in it.
+pub fn plain(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
     response
--- a/crates/emberpin/src/config.rs
+++ b/crates/emberpin/src/config.rs
@@ -1,7 +1,7 @@
 //! The configuration that `GW_CONFIG` names, checked and in the program's own types.
 
 use crate::listing::Listing;
-use crate::operator::{Connections, Operator};
+use crate::operator::{Connections, Idempotency, Operator};
 use dillpass::settings::{Conf, Names};
 use dillpass::Settings;
 use serde::Deserialize;
@@ -35,6 +35,8 @@
     pub(crate) idle_limit: Duration,
     /// As the operator has them.
     pub(crate) connections: Connections,
+    /// The same; `None` where it is off.
+    pub(crate) idempotency: Option<Idempotency>,
 }
 
 #[derive(Deserialize)]
@@ -106,6 +108,7 @@
             idle_limit: millis(file.settings.idle_close(), 15_000.0)?
                 .mul_f64(operator.connections.idle_share),
             connections: operator.connections.clone(),
+            idempotency: operator.idempotency.clone(),
             most_units: file.settings.most_units().unwrap_or(largest),
             settings,
             names,
--- a/crates/emberpin/src/lib.rs
+++ b/crates/emberpin/src/lib.rs
@@ -13,6 +13,7 @@
 mod discovery;
 mod driver;
 pub mod entry;
+mod idempotency;
 pub mod limiter;
 mod listing;
 mod messages;
--- a/crates/emberpin/src/limiter.rs
+++ b/crates/emberpin/src/limiter.rs
@@ -1,21 +1,23 @@
 //! One limiter, put together in the order in which a request meets its parts:
 //!
 //! ```text
-//! client ─ clients + connections ─ admission ─ driver + dillpass ─ servers ─ server
-//!                                                 │
-//!                                  discovery, peers, timers
+//! client ─ clients + connections ─ admission ─ [idempotency] ─ driver + dillpass ─ servers ─ server
+//!                                                                 │
+//!                                                  discovery, peers, timers
 //! ```
 //!
-//! All inputs reach the driver through one bounded channel, on one thread. A stage of the door, once there is
-//! one, is composed here, at the start: one that is off is not in the way at all.
+//! All inputs reach the driver through one bounded channel, on one thread. A stage in brackets is composed here, at
+//! the start, if the operator switches it on.
 
 use crate::clients::Front;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::discovery::Discovery;
 use crate::driver::Driver;
+use crate::idempotency::Idempotency;
 use crate::operator::Operator;
 use crate::peers;
+use std::rc::Rc;
 use tokio::net::{TcpSocket, UdpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
@@ -70,7 +72,11 @@
     let refetch = discovery.refetch();
     spawn_local(reload(hung_up, discovery));
     let (longest, leaving) = (config.longest_deadline(), config.connections.leaving);
-    let front = Front::new(&config, inputs.clone());
+    let idempotency = config.idempotency.as_ref().map(|settings| {
+        let (me, group) = (config.settings.me, config.settings.group_size);
+        Rc::new(Idempotency::new(settings, clock, config.seed, me, group))
+    });
+    let front = Front::new(&config, idempotency, inputs.clone());
     let accepting = spawn_local(front.clone().accept(listener));
     let driver = spawn_local(Driver::new(config, clock, inputs, peers, refetch).run(received));
 
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -21,6 +21,7 @@
 }
 
 /// A server's good answer.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Served {
     pub content_type: Option<HeaderValue>,
     pub body: Bytes,
@@ -51,6 +52,7 @@
 }
 
 /// The one final answer.
+#[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     Served(Served),
     Refused { retry_after: Millis },
--- a/crates/emberpin/src/operator.rs
+++ b/crates/emberpin/src/operator.rs
@@ -2,6 +2,7 @@
 //! platform has it.
 
 use serde::{Deserialize, Deserializer};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
@@ -12,6 +13,83 @@
 pub struct Operator {
     /// How connections are dealt out.
     pub connections: Connections,
+    /// Repeats of keyed requests are recognised; off without its table.
+    pub idempotency: Option<Idempotency>,
+}
+
+/// How repeats of keyed requests are recognised: the table `[idempotency]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Idempotency {
+    /// How long an outcome is kept.
+    #[serde(rename = "retention_s", deserialize_with = "retention")]
+    pub retention: Duration,
+    /// How long after its start the limiter sends no keyed work, as it has forgotten what it let on before; as long
+    /// as the retention if not set.
+    #[serde(rename = "quiet_s", deserialize_with = "quiet")]
+    pub quiet: Option<Duration>,
+    /// Most keys.
+    #[serde(deserialize_with = "entries")]
+    pub entries: usize,
+    /// Most bytes of kept answers.
+    #[serde(rename = "answers_mb", deserialize_with = "megabytes")]
+    pub answer_bytes: usize,
+    /// The part of keys and bytes that one customer may hold.
+    #[serde(deserialize_with = "customer_share")]
+    pub customer_share: f64,
+    /// Requests that wait for the first of their key.
+    #[serde(deserialize_with = "waiters")]
+    pub waiters_per_key: usize,
+    /// Requests of one customer that wait.
+    #[serde(deserialize_with = "waiters")]
+    pub waiters_per_customer: usize,
+    /// What a repeat does while the first is in flight.
+    pub repeats: Repeats,
+    /// Which forms of the field are taken.
+    pub keys: Keys,
+}
+
+/// What a repeat does while the first is in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeats {
+    /// It waits, and gets the same outcome.
+    Wait,
+    /// It is answered 409 at once.
+    Conflict,
+}
+
+/// Which forms of `Idempotency-Key` are taken.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Keys {
+    /// The draft's: a string in double quotes.
+    Quoted,
+    /// The bare value too, as many clients send it.
+    QuotedOrBare,
+}
+
+impl Default for Idempotency {
+    fn default() -> Idempotency {
+        Idempotency {
+            retention: Duration::from_secs(60),
+            quiet: None,
+            entries: 65_536,
+            answer_bytes: 32 << 20,
+            customer_share: 0.1,
+            waiters_per_key: 64,
+            waiters_per_customer: 256,
+            repeats: Repeats::Wait,
+            keys: Keys::QuotedOrBare,
+        }
+    }
+}
+
+impl Idempotency {
+    /// The quiet time that holds.
+    pub fn quiet(&self) -> Duration {
+        self.quiet.unwrap_or(self.retention)
+    }
 }
 
 /// How the limiter deals with its connections: the table `[connections]`.
@@ -50,6 +128,7 @@
 #[serde(deny_unknown_fields)]
 struct File {
     connections: Option<Connections>,
+    idempotency: Option<Idempotency>,
 }
 
 impl Operator {
@@ -60,17 +139,26 @@
     /// One line: file, line and column, what was found and what was expected.
     pub fn read(files: &[PathBuf]) -> Result<Operator, String> {
         let mut operator = Operator::default();
-        let mut connections_from: Option<&Path> = None;
+        let mut set_by: BTreeMap<&str, &Path> = BTreeMap::new();
         for path in files {
             let shown = path.display();
             let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
             let file: File = toml::from_str(&text).map_err(|e| place(&shown.to_string(), &text, &e))?;
-            let Some(connections) = file.connections else { continue };
-            if let Some(before) = connections_from.replace(path) {
-                let before = before.display();
-                return Err(format!("{shown}: [connections] is set already, by {before}; keep one of them"));
+            let mut once = |table| match set_by.insert(table, path) {
+                None => Ok(()),
+                Some(before) => {
+                    let before = before.display();
+                    Err(format!("{shown}: [{table}] is set already, by {before}; keep one of them"))
+                }
+            };
+            if let Some(connections) = file.connections {
+                once("connections")?;
+                operator.connections = connections;
+            }
+            if let Some(idempotency) = file.idempotency {
+                once("idempotency")?;
+                operator.idempotency = Some(idempotency);
             }
-            operator.connections = connections;
         }
         Ok(operator)
     }
@@ -83,7 +171,36 @@
         writeln!(to, "client_share = {client_share} of the descriptors")?;
         writeln!(to, "idle_per_server = {idle_per_server} connections")?;
         writeln!(to, "idle_share = {idle_share} of the servers' idle limit")?;
-        writeln!(to, "leaving_ms = {} ms", leaving.as_millis())
+        writeln!(to, "leaving_ms = {} ms", leaving.as_millis())?;
+        match &self.idempotency {
+            Some(idempotency) => idempotency.fmt(to),
+            None => writeln!(to, "[idempotency] off"),
+        }
+    }
+}
+
+impl fmt::Display for Idempotency {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (retention, quiet) = (self.retention.as_secs_f64(), self.quiet().as_secs_f64());
+        writeln!(to, "[idempotency]")?;
+        writeln!(to, "retention_s = {retention} s")?;
+        match quiet < retention {
+            true => writeln!(
+                to,
+                "quiet_s = {quiet} s: SHORTER than retention_s, so what ran before a restart may run again"
+            )?,
+            false => writeln!(
+                to,
+                "quiet_s = {quiet} s after a start, in which keyed work is told that it may have run"
+            )?,
+        }
+        writeln!(to, "entries = {} keys", self.entries)?;
+        writeln!(to, "answers_mb = {} MiB", self.answer_bytes >> 20)?;
+        writeln!(to, "customer_share = {} of keys and bytes", self.customer_share)?;
+        writeln!(to, "waiters_per_key = {} requests", self.waiters_per_key)?;
+        writeln!(to, "waiters_per_customer = {} requests", self.waiters_per_customer)?;
+        writeln!(to, "repeats = {:?}", self.repeats)?;
+        writeln!(to, "keys = {:?}", self.keys)
     }
 }
 
@@ -126,14 +243,50 @@
     within(from, 0.1..=0.9, "of the descriptors")
 }
 
-fn idle_per_server<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+/// A count within its bounds, or an error that names both.
+fn count<'de, D: Deserializer<'de>>(
+    from: D,
+    bounds: RangeInclusive<u32>,
+    unit: &str,
+) -> Result<usize, D::Error> {
     let value = u32::deserialize(from)?;
-    match (1..=4096).contains(&value) {
+    match bounds.contains(&value) {
         true => Ok(value as usize),
-        false => Err(serde::de::Error::custom(format!("found {value}, expected 1 to 4096 connections"))),
+        false => {
+            let (least, most) = bounds.into_inner();
+            Err(serde::de::Error::custom(format!("found {value}, expected {least} to {most} {unit}")))
+        }
     }
 }
 
+fn idle_per_server<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    count(from, 1..=4096, "connections")
+}
+
+fn retention<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
+    within(from, 2.0..=86_400.0, "s").map(Duration::from_secs_f64)
+}
+
+fn quiet<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Duration>, D::Error> {
+    within(from, 0.0..=86_400.0, "s").map(|seconds| Some(Duration::from_secs_f64(seconds)))
+}
+
+fn entries<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    count(from, 1..=10_000_000, "keys")
+}
+
+fn megabytes<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    count(from, 0..=4096, "MiB").map(|mebibytes| mebibytes << 20)
+}
+
+fn customer_share<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    within(from, 0.0001..=1.0, "of keys and bytes")
+}
+
+fn waiters<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    count(from, 0..=1024, "requests")
+}
+
 fn idle_share<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
     within(from, 0.1..=0.95, "of the servers' idle limit")
 }
@@ -180,7 +333,10 @@
     #[test]
     fn errors_name_file_line_column_found_and_expected() {
         let cases = [
-            ("\n[conections]\n", "0.toml:2:2: unknown field `conections`, expected `connections`"),
+            (
+                "\n[conections]\n",
+                "0.toml:2:2: unknown field `conections`, expected `connections` or `idempotency`",
+            ),
             ("[connections]\nidle = 1", "0.toml:2:1: unknown field `idle`, expected one of `client_share`"),
             ("[connections]\n  client_share = 1.5", "0.toml:2:18: found 1.5, expected 0.1 to 0.9"),
             ("[connections]\nclient_share = nan", "0.toml:2:16: found NaN, expected 0.1 to 0.9"),
@@ -189,6 +345,12 @@
                 "[connections]\nleaving_ms = \"1 s\"",
                 "0.toml:2:14: invalid type: string \"1 s\", expected f64",
             ),
+            (
+                "[idempotency]\nrepeats = \"hope\"",
+                "0.toml:2:11: unknown variant `hope`, expected `wait` or `conflict`",
+            ),
+            ("[idempotency]\nretention_s = 1", "0.toml:2:15: found 1, expected 2 to 86400 s"),
+            ("[idempotency]\nentries = 0", "0.toml:2:11: found 0, expected 1 to 10000000 keys"),
             ("[connections", "0.toml:1:13: "),
         ];
         for (text, expected) in cases {
@@ -197,6 +359,16 @@
         }
     }
 
+    #[test]
+    fn the_quiet_time_is_the_retention_unless_it_is_set_and_a_shorter_one_is_pointed_out() {
+        let idempotency = |text| read(&[text]).expect("good").idempotency.expect("on");
+        assert_eq!(idempotency("[idempotency]\nretention_s = 9").quiet(), Duration::from_secs(9));
+        let shorter = idempotency("[idempotency]\nretention_s = 9\nquiet_s = 3");
+        assert_eq!(shorter.quiet(), Duration::from_secs(3));
+        assert!(shorter.to_string().contains("may run again"));
+        assert!(Operator::default().to_string().contains("[idempotency] off"));
+    }
+
     #[test]
     fn a_table_that_stands_twice_is_refused_with_both_places() {
         let problem = read(&["[connections]", "", "[connections]"]).expect_err("twice");
--- a/crates/emberpin/tests/common/sockets.rs
+++ b/crates/emberpin/tests/common/sockets.rs
@@ -229,6 +229,13 @@
         command
     }
 
+    /// A file of this limiter's own, gone with it.
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.folder.join(name);
+        std::fs::write(&path, text).expect("written");
+        path
+    }
+
     pub fn run(&mut self) {
         let command = self.command();
         self.run_as(command);
