--- a/crates/emberpin-cost/src/main.rs
+++ b/crates/emberpin-cost/src/main.rs
@@ -4,6 +4,7 @@
 
 mod bare;
 mod instructions;
+mod keys;
 mod measure;
 mod settings;
 mod stack;
@@ -53,6 +54,9 @@
     /// Write the figures as JSON
     #[arg(long, value_name = "FILE")]
     pub json: Option<PathBuf>,
+    /// Measure the limiter with this operator file too; may be given several times
+    #[arg(long = "with", value_name = "FILE")]
+    pub with: Vec<PathBuf>,
     /// Another build of the limiter, measured in place of this program's own
     #[arg(long, value_name = "PATH")]
     pub limiter: Option<PathBuf>,
@@ -60,6 +64,15 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Operations a second of the table of idempotency keys, beside a plain cache of the same entries
+    Keys {
+        /// Keys in each round
+        #[arg(long, default_value_t = 200_000, value_parser = clap::value_parser!(u32).range(1..=10_000_000))]
+        keys: u32,
+        /// Rounds
+        #[arg(long, default_value_t = 7, value_parser = clap::value_parser!(u32).range(1..=1000))]
+        rounds: u32,
+    },
     /// Count instructions per request through admission, decision and answer, under valgrind's callgrind
     Instructions {
         /// Requests of the shorter run; the longer has twice as many
@@ -95,6 +108,10 @@
             let line = Line::parse();
             match line.command {
                 Some(Command::Instructions { requests }) => instructions::count(requests),
+                Some(Command::Keys { keys, rounds }) => {
+                    keys::run(keys, rounds);
+                    Ok(())
+                }
                 None => measure::run(&line.plan),
             }
         }
--- a/crates/emberpin-cost/src/measure.rs
+++ b/crates/emberpin-cost/src/measure.rs
@@ -76,11 +76,18 @@
         None => again(AS_LIMITER),
     };
     let subject = |name, (program, arguments)| Subject { name, program, arguments };
-    let subjects = [
+    let mut subjects = vec![
         subject("bare proxy", again(AS_BARE)),
-        subject("limiter", (limiter, limiter_arguments)),
+        subject("limiter", (limiter.clone(), limiter_arguments.clone())),
         subject("tower + governor", again(AS_STACK)),
     ];
+    if !plan.with.is_empty() {
+        let mut arguments = limiter_arguments;
+        for file in &plan.with {
+            arguments.extend(["--with".into(), file.into()]);
+        }
+        subjects.push(subject("limiter --with", (limiter, arguments)));
+    }
     let folder = std::env::temp_dir().join(format!("emberpin-cost-{}", std::process::id()));
     std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let measured = rounds(plan, &subjects, &folder);
@@ -225,19 +232,22 @@
     let mut table = Table::new();
     table.load_preset(UTF8_HORIZONTAL_ONLY).remove_style(TableComponent::HorizontalLines);
     table.remove_style(TableComponent::MiddleIntersections);
-    table.set_header(["", "median (least to most)", "to the bare proxy", "not served"]);
-    let Some(bare) = measured.first() else { return };
+    table.set_header(["", "median (least to most)", "to the bare proxy", "to the limiter", "not served"]);
+    let [bare, limiter, ..] = measured else { return };
     for (name, value, digits) in figures {
         for subject in measured {
             let own = Spread::of(subject.rounds.iter().map(value));
-            // Each round beside the same round of the bare proxy.
-            let pairs = subject.rounds.iter().zip(&bare.rounds);
-            let ratio = Spread::of(pairs.map(|(own, bare)| value(own) / value(bare)));
+            // Each round beside the same round of the other.
+            let ratio = |other: &Measured| {
+                let pairs = subject.rounds.iter().zip(&other.rounds);
+                Spread::of(pairs.map(|(own, other)| value(own) / value(other))).shown(2)
+            };
             let lost: u64 = subject.rounds.iter().map(|round| round.not_served).sum();
             table.add_row([
                 format!("{name}: {}", subject.name),
                 own.shown(digits),
-                ratio.shown(2),
+                ratio(bare),
+                ratio(limiter),
                 lost.to_string(),
             ]);
         }
