--- a/crates/emberpin-idempotency/src/table.rs
+++ b/crates/emberpin-idempotency/src/table.rs
@@ -130,6 +130,7 @@
 struct EntryId(u64);
 
 /// What is known of a key.
+#[derive(Clone)]
 enum State<A> {
     /// The first is out, and these wait for it; it is told its outcome unless it has left.
     InFlight { first: Option<Ticket>, waiters: Vec<Ticket> },
@@ -139,6 +140,7 @@
     Unknown,
 }
 
+#[derive(Clone)]
 struct Entry<A> {
     customer: Customer,
     key: Key,
@@ -149,7 +151,7 @@
 }
 
 /// What one customer holds.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Holding {
     entries: usize,
     bytes: usize,
@@ -161,6 +163,7 @@
 }
 
 /// The table.
+#[derive(Clone)]
 pub struct Table<A> {
     limits: Limits,
     /// The latest time seen: a clock that steps back stands still here.
--- a/crates/emberpin-site/src/report.rs
+++ b/crates/emberpin-site/src/report.rs
@@ -348,7 +348,7 @@
 
 /// The run in stretches, each as rates a second.
 pub fn bins(events: &[Event], length: Micros) -> Vec<Bin> {
-    let count = (length / BIN + 1) as usize;
+    let count = length.div_ceil(BIN) as usize;
     let mut bins = vec![Bin::default(); count];
     let mut times: Vec<Vec<f64>> = vec![Vec::new(); count];
     let mut asked: BTreeMap<Try, Micros> = BTreeMap::new();
--- a/crates/emberpin-site/tests/idempotency.rs
+++ b/crates/emberpin-site/tests/idempotency.rs
@@ -84,12 +84,14 @@
     }
 }
 
-/// Firms move all their traffic between limiters in the middle of their bursts.
+/// Firms move all their traffic between limiters in the middle of their bursts, while the limiters hear nothing of
+/// each other: the old place and the new are both alive.
 #[test]
 fn firms_that_hop_between_limiters_sign_nothing_twice() {
     let hops: String = (1..8)
         .map(|n| format!("[[fault]]\nat_s = {}\nwhat = \"firms-hop\"\nshare = 1.0\n", f64::from(n) * 0.4))
         .collect();
+    let hops = format!("{hops}[[fault]]\nat_s = 0\nwhat = \"peers-split\"\ngroup = [0]\nfor_s = 4\n");
     let limiters = Limiters::with("hops", "retention_s = 20\nquiet_s = 0");
     for seed in 1..=2 {
         let outcome = limiters.play(&scenario(3, seed, &hops));
--- a/crates/emberpin/tests/idempotency.rs
+++ b/crates/emberpin/tests/idempotency.rs
@@ -37,9 +37,14 @@
 
     /// The answer to a client's request, every attempt at the server being answered so meanwhile.
     fn answered(&self, client: &TcpStream, status: &str, headers: &str) -> Message {
+        self.met(client, |mut arrived| arrived.answer(status, headers, ""))
+    }
+
+    /// The answer to a client's request, every attempt at the server being met so meanwhile.
+    fn met(&self, client: &TcpStream, meet: impl Fn(Message)) -> Message {
         loop {
-            if let Some(mut arrived) = self.server.soon() {
-                arrived.answer(status, headers, "");
+            if let Some(arrived) = self.server.soon() {
+                meet(arrived);
             }
             client.set_nonblocking(true).expect("set");
             let answered = client.peek(&mut [0]).is_ok();
@@ -195,6 +200,70 @@
     assert!(site.server.is_quiet());
 }
 
+/// Both are written before anything is read; whichever is taken first is the first.
+#[test]
+fn a_repeat_that_races_its_first_makes_one_attempt() {
+    let site = Site::start("quiet_s = 0");
+    for round in 0..50 {
+        let (mut one, mut other) = (site.limiter.connect(), site.limiter.connect());
+        let text = |id: &str| keyed(&format!("{round}-{id}"), &format!("key-{round}"), "image", 30.0);
+        one.write_all(text("a").as_bytes()).expect("sent");
+        other.write_all(text("b").as_bytes()).expect("sent");
+        site.server.next().answer("200 OK", "", "done");
+        let answers = [Message::read(&one).expect("an answer"), Message::read(&other).expect("an answer")];
+        assert!(answers.iter().all(|answer| answer.status() == 200 && answer.body == b"done"));
+        let replayed = answers.iter().filter(|answer| answer.header("idempotency-replayed").is_some());
+        assert_eq!(replayed.count(), 1, "round {round}");
+        assert!(site.server.is_quiet());
+    }
+}
+
+/// Answers as large as they may be, more of them than there is room for: the oldest give way, their keys do not.
+#[test]
+fn answers_of_64_kib_beyond_the_tables_size_give_way_and_nothing_is_sent_again() {
+    let site = Site::start("quiet_s = 0\nanswers_mb = 1\ncustomer_share = 1.0");
+    let large = "a".repeat(64 * 1024);
+    for number in 0..40 {
+        let client = site.ask(&format!("{number}"), &format!("key-{number}"), "image");
+        site.server.next().answer("200 OK", "", &large);
+        assert_eq!(Message::read(&client).expect("an answer").body.len(), large.len());
+    }
+    let mut kept = 0;
+    for number in 0..40 {
+        let repeat = site.exchange(&format!("again-{number}"), &format!("key-{number}"), "image");
+        match repeat.status() {
+            200 => {
+                assert_eq!(repeat.body, large.as_bytes());
+                kept += 1;
+            }
+            status => {
+                assert_eq!(status, 409);
+                assert!(detail(&repeat).contains("not kept") && kept == 0, "the oldest gave way");
+            }
+        }
+    }
+    assert!((10..16).contains(&kept), "{kept} of 40 in 1 MiB");
+    assert!(site.server.is_quiet());
+}
+
+/// What the server's bytes do not say beyond doubt is no answer, and nothing that is replayed.
+#[test]
+fn a_spoilt_answer_is_not_replayed_and_its_key_not_sent_again() {
+    let site = Site::start("quiet_s = 0");
+    for (number, spoilt) in ["garbage\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nno length"].iter().enumerate() {
+        let first = site.limiter.ask(&keyed(&format!("{number}"), &format!("key-{number}"), "image", 0.4));
+        let answer = site.met(&first, |mut arrived| {
+            arrived.stream.write_all(spoilt.as_bytes()).expect("sent");
+            arrived.stream.shutdown(Shutdown::Both).expect("closed");
+        });
+        assert_eq!(answer.status(), 502);
+        let repeat = site.exchange(&format!("again-{number}"), &format!("key-{number}"), "image");
+        assert_eq!(repeat.status(), 409);
+        assert!(detail(&repeat).contains("may have run"));
+    }
+    assert!(site.server.is_quiet());
+}
+
 #[test]
 fn where_the_operator_wants_a_conflict_a_repeat_is_told_at_once() {
     let site = Site::start("quiet_s = 0\nrepeats = \"conflict\"");
