End a run when a limiter does not start again, rather than wait for it for ever

Need: a restart that failed left the site waiting for a process that was not there: found by reading, brought about by a limiter that starts only once.

Change: a failed start leaves nobody waiting; the run ends with the error.

--- a/crates/emberpin-site/src/bin/wrong-limiter.rs
+++ b/crates/emberpin-site/src/bin/wrong-limiter.rs
@@ -40,9 +40,11 @@
     FloodsCold,
     /// Sends requests that no client made.
     Invents,
+    /// Does not start again once it has run.
+    StartsOnce,
 }
 
-const ALL: [(&str, Wrong); 11] = [
+const ALL: [(&str, Wrong); 12] = [
     ("nothing", Wrong::Nothing),
     ("resends-across-halls", Wrong::ResendsAcrossHalls),
     ("sends-twice", Wrong::SendsTwice),
@@ -54,6 +56,7 @@
     ("makes-answers-up", Wrong::MakesAnswersUp),
     ("floods-cold", Wrong::FloodsCold),
     ("invents", Wrong::Invents),
+    ("starts-once", Wrong::StartsOnce),
 ];
 
 /// What it does wrong, it does to every so many requests.
@@ -80,7 +83,12 @@
     let name = std::env::args().nth(1).unwrap_or_default();
     let wrong = ALL.iter().find(|(known, _)| *known == name).ok_or(format!("unknown wrong '{name}'"))?.1;
     let file = std::env::var("GW_CONFIG")?;
-    let config: Value = serde_json::from_slice(&std::fs::read(file)?)?;
+    let config: Value = serde_json::from_slice(&std::fs::read(&file)?)?;
+    let ran = format!("{file}.ran");
+    if wrong == Wrong::StartsOnce && std::fs::exists(&ran)? {
+        return Err("this one starts only once".into());
+    }
+    std::fs::write(ran, "")?;
     LocalSet::new().run_until(run(wrong, config)).await
 }
 
--- a/crates/emberpin-site/src/process.rs
+++ b/crates/emberpin-site/src/process.rs
@@ -125,16 +125,21 @@
                 tokio::time::sleep(Duration::from_millis(2)).await;
             }
         };
-        tokio::select! {
+        let started = tokio::select! {
             ended = child.wait() => {
                 let said = std::fs::read_to_string(&log).unwrap_or_default();
                 let last = said.lines().last().unwrap_or("nothing").to_string();
-                self.pid.set(None);
-                return Err(format!("limiter {number} ended before it was ready ({ended:?}); it said: {last}"));
+                Err(format!("limiter {number} ended before it was ready ({ended:?}); it said: {last}"))
             }
             late = tokio::time::timeout(START, ready) => {
-                late.map_err(|_| format!("limiter {number} is not ready after {} s", START.as_secs()))?;
+                late.map_err(|_| format!("limiter {number} is not ready after {} s", START.as_secs()))
             }
+        };
+        if let Err(problem) = started {
+            // Nobody is to wait for its end; what is left of it goes with the handle.
+            self.pid.set(None);
+            self.ended.send_replace(true);
+            return Err(problem);
         }
         self.recorder.note(What::LimiterUp { limiter: number });
         spawn_local(self.clone().watch(child, log));
--- a/crates/emberpin-site/tests/catches.rs
+++ b/crates/emberpin-site/tests/catches.rs
@@ -139,3 +139,14 @@
     let problem = run(&scenario, &wrong("what"), |_| ()).err().expect("ends at once");
     assert!(problem.contains("ended before it was ready") && problem.contains("unknown wrong"), "{problem}");
 }
+
+#[test]
+fn a_limiter_that_does_not_start_again_ends_the_run_with_one_clear_error() {
+    let killed = "[[fault]]\nat_s = 0.2\nwhat = \"limiter-killed\"\nlimiter = 0\nback_s = 0.1\n";
+    let text = format!("{}{killed}", SITE.replace("SEED", "1"));
+    let scenario = Scenario::parse("test", &text).expect("sound");
+    let began = std::time::Instant::now();
+    let problem = run(&scenario, &wrong("starts-once"), |_| ()).err().expect("it does not start again");
+    assert!(problem.contains("ended before it was ready") && problem.contains("only once"), "{problem}");
+    assert!(began.elapsed() < std::time::Duration::from_secs(30), "bounded: {:?}", began.elapsed());
+}
