--- a/crates/emberpin-cost/src/standins.rs
+++ b/crates/emberpin-cost/src/standins.rs
@@ -70,7 +70,7 @@
 }
 
 async fn serve(mut wire: Wire) {
-    while let Ok((head, _)) = wire.read(false, || ()).await {
+    while let Ok((head, _)) = wire.read(false).await {
         let id = head.header("req-id").unwrap_or_default();
         let text = format!(
             "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nSrv-Load: mean_ms=20.0,depth=0\r\nX-RateLimit-Used: \
@@ -84,7 +84,7 @@
 }
 
 async fn watch(mut wire: Wire) {
-    if wire.read(false, || ()).await.is_err() {
+    if wire.read(false).await.is_err() {
         return;
     }
     let mut chunk = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
@@ -209,7 +209,7 @@
         let id = format!("{number:016x}");
         wire.stream.write_all(&request(number, &id)).await.ok()?;
         let asked = Instant::now();
-        let (head, body) = wire.read(true, || ()).await.ok()?;
+        let (head, body) = wire.read(true).await.ok()?;
         let time = asked.elapsed();
         self.idle.borrow_mut().push(wire);
         (head.status == 200 && body == id.as_bytes()).then_some(time)
--- a/crates/emberpin-site/src/bin/wrong-limiter.rs
+++ b/crates/emberpin-site/src/bin/wrong-limiter.rs
@@ -167,7 +167,7 @@
     }
 
     async fn client(&self, mut wire: Wire) {
-        while let Ok((head, body)) = wire.read(false, || ()).await {
+        while let Ok((head, body)) = wire.read(false).await {
             if head.path == "/health/ready" {
                 _ = wire.stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
                 continue;
@@ -251,7 +251,7 @@
         if wire.stream.write_all(&whole).await.is_err() {
             return Sent::MayHaveRun;
         }
-        match timeout(patience, wire.read(true, || ())).await {
+        match timeout(patience, wire.read(true)).await {
             Ok(Ok((head, body))) if head.status == 200 => Sent::Served(body),
             Ok(Ok((head, _))) if head.header("srv-declined").is_some() => Sent::NeverRan,
             Ok(Ok(_) | Err(Broken::Ended | Broken::Cut | Broken::Garbled)) | Err(_) => Sent::MayHaveRun,
--- a/crates/emberpin-site/src/clients.rs
+++ b/crates/emberpin-site/src/clients.rs
@@ -176,7 +176,7 @@
                 arrival.leaves.filter(|_| number == 0).map(|after| asked + Duration::from_micros(after));
             let read = tokio::select! {
                 biased;
-                read = wire.read(true, || ()) => read,
+                read = wire.read(true) => read,
                 () = sleep_until(leaves.unwrap_or(gives_up)) => {
                     let left = leaves.is_some();
                     world.recorder.note(if left { What::Left { what: of } } else { What::GaveUp { what: of } });
--- a/crates/emberpin-site/src/discovery.rs
+++ b/crates/emberpin-site/src/discovery.rs
@@ -170,7 +170,7 @@
     async fn serve(&self, limiter: usize, mut wire: Wire) {
         let agent = &self.agents[limiter];
         let mut silent = self.silent.subscribe();
-        while let Ok((head, _)) = wire.read(false, || ()).await {
+        while let Ok((head, _)) = wire.read(false).await {
             _ = silent.wait_for(|silent| !silent).await;
             let (path, query) = head.path.split_once('?').unwrap_or((&head.path, ""));
             if path != "/registry/instances" {
--- a/crates/emberpin-site/src/http.rs
+++ b/crates/emberpin-site/src/http.rs
@@ -105,19 +105,15 @@
         Wire { stream, held: Vec::with_capacity(1024) }
     }
 
-    /// One message; `first_byte` is called when its first byte is there.
+    /// One message.
     ///
     /// # Errors
     ///
     /// How the connection broke.
-    pub async fn read(&mut self, answer: bool, first_byte: impl FnOnce()) -> Result<(Head, Vec<u8>), Broken> {
-        let mut first_byte = Some(first_byte);
+    pub async fn read(&mut self, answer: bool) -> Result<(Head, Vec<u8>), Broken> {
         if self.held.is_empty() {
             self.fill().await.map_err(|_| Broken::Ended)?;
         }
-        if let Some(first_byte) = first_byte.take() {
-            first_byte();
-        }
         let (head, length) = loop {
             match Head::parse(&self.held, answer)? {
                 Some(parsed) => break parsed,
--- a/crates/emberpin-site/src/process.rs
+++ b/crates/emberpin-site/src/process.rs
@@ -168,7 +168,7 @@
         if wire.stream.write_all(asked).await.is_err() {
             return false;
         }
-        wire.read(true, || ()).await.is_ok_and(|(head, _)| head.status == 200)
+        wire.read(true).await.is_ok_and(|(head, _)| head.status == 200)
     }
 
     /// kill -9; returns when the process is gone.
--- a/crates/emberpin-site/src/servers.rs
+++ b/crates/emberpin-site/src/servers.rs
@@ -427,7 +427,7 @@
                 () = tokio::time::sleep(idle) => return Over::OurEnd,
             }
             let began = world.recorder.now();
-            let (head, body) = match wire.read(false, || ()).await {
+            let (head, body) = match wire.read(false).await {
                 Ok(message) => message,
                 Err(Broken::Ended | Broken::Cut) => return Over::TheirEnd,
                 Err(Broken::Garbled) => return Over::OurEnd,
