Add emberpin-log: records that outlast a life, with a verdict on what may be lost

Limiters forget everything at their end, and safety was bought with a quiet time after every start. Opening says whether anything that counted may be missing. A model found that a second opening could leave a gap before power was lost: the old end is synced first.

--- /dev/null
+++ b/crates/emberpin-log/src/files.rs
@@ -0,0 +1,132 @@
+//! A folder as storage, held by one process.
+
+use crate::storage::{FileIdentity, Storage};
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io;
+use std::os::unix::fs::{DirBuilderExt, FileExt, MetadataExt, OpenOptionsExt};
+use std::path::{Path, PathBuf};
+use std::time::UNIX_EPOCH;
+
+/// The file whose lock (flock(2)) tells that a process uses the folder.
+const LOCK: &str = "lock";
+
+/// A folder of its owner's alone.
+#[derive(Debug)]
+pub struct Files {
+    folder: PathBuf,
+    open: BTreeMap<String, File>,
+    /// Held until this goes.
+    _lock: Option<File>,
+}
+
+impl Files {
+    /// Takes a folder for this process alone, making it if it is not there.
+    ///
+    /// # Errors
+    ///
+    /// [`io::ErrorKind::WouldBlock`] if another process has it; else the operating system's.
+    pub fn take(folder: &Path) -> io::Result<Files> {
+        std::fs::DirBuilder::new().recursive(true).mode(0o700).create(folder)?;
+        let lock = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .mode(0o600)
+            .open(folder.join(LOCK))?;
+        match lock.try_lock() {
+            Ok(()) => Ok(Files { folder: folder.into(), open: BTreeMap::new(), _lock: Some(lock) }),
+            Err(TryLockError::WouldBlock) => Err(io::ErrorKind::WouldBlock.into()),
+            Err(TryLockError::Error(e)) => Err(e),
+        }
+    }
+
+    /// A folder to look at only, whoever has it.
+    pub fn look(folder: &Path) -> Files {
+        Files { folder: folder.into(), open: BTreeMap::new(), _lock: None }
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&File> {
+        if !self.open.contains_key(name) {
+            let writable = self._lock.is_some();
+            let file = OpenOptions::new().read(true).write(writable).open(self.folder.join(name))?;
+            self.open.insert(name.into(), file);
+        }
+        self.open.get(name).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Storage for Files {
+    fn names(&mut self) -> io::Result<Vec<String>> {
+        std::fs::read_dir(&self.folder)?
+            .map(|entry| entry.map(|entry| entry.file_name().to_string_lossy().into_owned()))
+            .collect()
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        let path = self.folder.join(name);
+        let file = OpenOptions::new().read(true).write(true).create_new(true).mode(0o600).open(path)?;
+        self.open.insert(name.into(), file);
+        Ok(())
+    }
+
+    fn identity(&mut self, name: &str) -> io::Result<FileIdentity> {
+        let metadata = self.file(name)?.metadata()?;
+        let born = metadata.created().ok().and_then(|born| born.duration_since(UNIX_EPOCH).ok());
+        Ok(FileIdentity {
+            inode: metadata.ino(),
+            born_ns: born.and_then(|born| u64::try_from(born.as_nanos()).ok()),
+        })
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let file = self.file(name)?;
+        let end = file.metadata()?.len();
+        file.write_all_at(bytes, end)
+    }
+
+    fn overwrite(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all_at(bytes, at)
+    }
+
+    fn read(&mut self, name: &str, at: u64, into: &mut [u8]) -> io::Result<usize> {
+        self.file(name)?.read_at(into, at)
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.file(name)?.set_len(length)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open.remove(from);
+        self.open.remove(to);
+        std::fs::rename(self.folder.join(from), self.folder.join(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open.remove(name);
+        std::fs::remove_file(self.folder.join(name))
+    }
+}
+
+/// What the kernel drew for this boot of the machine (random(4)); zeros where it does not say, and then no two starts
+/// are taken for the same boot.
+pub fn boot_id() -> [u8; 16] {
+    let text = std::fs::read_to_string("/proc/sys/kernel/random/boot_id").unwrap_or_default();
+    let digits: Vec<u8> = text.chars().filter_map(|c| c.to_digit(16)).map(|digit| digit as u8).collect();
+    let mut id = [0; 16];
+    if digits.len() == 32 {
+        for (byte, pair) in id.iter_mut().zip(digits.chunks_exact(2)) {
+            *byte = pair[0] << 4 | pair[1];
+        }
+    }
+    id
+}
--- /dev/null
+++ b/crates/emberpin-log/src/frame.rs
@@ -0,0 +1,234 @@
+//! The bytes of a segment: a header, then frames.
+//!
+//! ```text
+//! header  "EMBERLOG" | version u16 | length u16 | body (postcard) | crc32 of all before it
+//! frame   length u32 | seq u64 | crc32 of salt, length, seq | payload | crc32 of salt, seq, payload
+//! ```
+//!
+//! Integers are little-endian. The salt is the header's own checksum: a frame that another file left in a disk's blocks
+//! is not taken for one of this file. A frame's head has a checksum of its own, so that a flipped length is damage
+//! and not a torn end.
+
+use crate::storage::FileIdentity;
+use crc32fast::Hasher;
+use serde::{Deserialize, Serialize};
+
+/// The version of the format that this build writes, and the only one that it reads.
+pub const VERSION: u16 = 1;
+/// Most bytes of one record.
+pub const LONGEST: usize = 1 << 20;
+/// Most bytes of a header.
+pub const HEADER_LONGEST: usize = 1024;
+const MAGIC: [u8; 8] = *b"EMBERLOG";
+/// Magic, version, length.
+const HEADER_FIXED: usize = 12;
+/// Length, sequence number, checksum.
+const FRAME_HEAD: usize = 16;
+const CRC: usize = 4;
+
+/// What a segment says of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Header {
+    /// Whose log it is.
+    pub instance: String,
+    /// Drawn when the log was begun; the same in all of its segments.
+    pub log: [u8; 16],
+    /// The segment's number; they have no gaps.
+    pub segment: u64,
+    /// The sequence number of its first record.
+    pub first: u64,
+    /// The file that it was written into.
+    pub file: FileIdentity,
+    /// The machine's boot in which it was written: clocks that count from the boot can be compared within one.
+    pub boot: [u8; 16],
+    /// It was begun by a start that found records lost.
+    pub after_loss: bool,
+}
+
+/// Why bytes are no header.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeaderProblem {
+    /// The file ends within it.
+    Short,
+    /// The file is something else.
+    NotALog,
+    /// Of a version that this build does not read.
+    Version(u16),
+    /// Its checksum, or what stands in it, is wrong.
+    Damaged,
+}
+
+impl Header {
+    /// Its bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        // A body of this type always encodes: it is held in memory and has no maps or floats.
+        let body = postcard::to_allocvec(self).unwrap_or_default();
+        let mut bytes = Vec::with_capacity(HEADER_FIXED + body.len() + CRC);
+        bytes.extend_from_slice(&MAGIC);
+        bytes.extend_from_slice(&VERSION.to_le_bytes());
+        bytes.extend_from_slice(&(body.len() as u16).to_le_bytes());
+        bytes.extend_from_slice(&body);
+        let crc = crc32fast::hash(&bytes);
+        bytes.extend_from_slice(&crc.to_le_bytes());
+        bytes
+    }
+
+    /// Reads one from a file's first bytes, of which there are [`HEADER_LONGEST`] or all.
+    ///
+    /// # Errors
+    ///
+    /// Why it is none.
+    pub fn decode(bytes: &[u8]) -> Result<(Header, Scanner), HeaderProblem> {
+        let known = bytes.len().min(MAGIC.len());
+        if bytes[..known] != MAGIC[..known] {
+            return Err(HeaderProblem::NotALog);
+        }
+        let Some(fixed) = bytes.get(..HEADER_FIXED) else { return Err(HeaderProblem::Short) };
+        let number = |at: usize| u16::from_le_bytes([fixed[at], fixed[at + 1]]);
+        // Before the checksum, as another version may have another one.
+        if number(8) != VERSION {
+            return Err(HeaderProblem::Version(number(8)));
+        }
+        let end = HEADER_FIXED + usize::from(number(10));
+        if end + CRC > HEADER_LONGEST {
+            return Err(HeaderProblem::Damaged);
+        }
+        let Some(crc) = bytes.get(end..end + CRC) else { return Err(HeaderProblem::Short) };
+        let hashed = crc32fast::hash(&bytes[..end]);
+        if hashed.to_le_bytes() != crc {
+            return Err(HeaderProblem::Damaged);
+        }
+        let header: Header =
+            postcard::from_bytes(&bytes[HEADER_FIXED..end]).map_err(|_| HeaderProblem::Damaged)?;
+        let scanner = Scanner {
+            salt: hashed,
+            next: header.first,
+            buffer: Vec::new(),
+            used: 0,
+            at: (end + CRC) as u64,
+            over: false,
+        };
+        Ok((header, scanner))
+    }
+}
+
+fn head_crc(salt: u32, length: u32, seq: u64) -> u32 {
+    let mut hasher = Hasher::new();
+    hasher.update(&salt.to_le_bytes());
+    hasher.update(&length.to_le_bytes());
+    hasher.update(&seq.to_le_bytes());
+    hasher.finalize()
+}
+
+fn payload_crc(salt: u32, seq: u64, payload: &[u8]) -> u32 {
+    let mut hasher = Hasher::new();
+    hasher.update(&salt.to_le_bytes());
+    hasher.update(&seq.to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+/// Appends the frame of one record of at most [`LONGEST`] bytes.
+pub(crate) fn encode(salt: u32, seq: u64, payload: &[u8], into: &mut Vec<u8>) {
+    let length = payload.len() as u32;
+    into.extend_from_slice(&length.to_le_bytes());
+    into.extend_from_slice(&seq.to_le_bytes());
+    into.extend_from_slice(&head_crc(salt, length, seq).to_le_bytes());
+    into.extend_from_slice(payload);
+    into.extend_from_slice(&payload_crc(salt, seq, payload).to_le_bytes());
+}
+
+/// Bytes that are not what was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Damage {
+    /// Where in the file, in bytes.
+    pub at: u64,
+    /// Nothing after it in this file can be read.
+    pub rest_unreadable: bool,
+}
+
+/// What stands next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Scanned {
+    /// A record that is whole.
+    Record {
+        /// Its sequence number.
+        seq: u64,
+        /// What was written.
+        payload: Vec<u8>,
+    },
+    /// Something that is not what was written.
+    Damaged(Damage),
+}
+
+/// Reads frames as a file's bytes come, without holding more than one of them.
+#[derive(Clone, Debug)]
+pub struct Scanner {
+    salt: u32,
+    next: u64,
+    buffer: Vec<u8>,
+    used: usize,
+    /// Where in the file the unread part of the buffer begins.
+    at: u64,
+    over: bool,
+}
+
+impl Scanner {
+    /// Where the first frame, or the next, begins.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// The sequence number that the next record must have.
+    pub fn next_seq(&self) -> u64 {
+        self.next
+    }
+
+    pub(crate) fn salt(&self) -> u32 {
+        self.salt
+    }
+
+    /// Takes the file's next bytes.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.used);
+        self.used = 0;
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// What stands next; `None` if it is not all there yet.
+    pub fn scan(&mut self) -> Option<Scanned> {
+        let unread = self.buffer.get(self.used..)?;
+        if self.over || unread.len() < FRAME_HEAD {
+            return None;
+        }
+        let word =
+            |at: usize| u32::from_le_bytes([unread[at], unread[at + 1], unread[at + 2], unread[at + 3]]);
+        let (length, crc) = (word(0), word(12));
+        let seq = u64::from(word(4)) | u64::from(word(8)) << 32;
+        let sound = crc == head_crc(self.salt, length, seq) && length as usize <= LONGEST && seq == self.next;
+        if !sound {
+            self.over = true;
+            return Some(Scanned::Damaged(Damage { at: self.at, rest_unreadable: true }));
+        }
+        let end = FRAME_HEAD + length as usize;
+        let crc = unread.get(end..end + CRC)?;
+        let payload = &unread[FRAME_HEAD..end];
+        let scanned = match crc == payload_crc(self.salt, seq, payload).to_le_bytes() {
+            true => Scanned::Record { seq, payload: payload.to_vec() },
+            // Its head is sound, so what follows can still be read.
+            false => Scanned::Damaged(Damage { at: self.at, rest_unreadable: false }),
+        };
+        self.next = seq + 1;
+        self.used += end + CRC;
+        self.at += (end + CRC) as u64;
+        Some(scanned)
+    }
+
+    /// Bytes of a record that the file's end cuts off, once all is fed and scanned.
+    pub fn torn(&self) -> usize {
+        if self.over {
+            return 0;
+        }
+        self.buffer.len().saturating_sub(self.used)
+    }
+}
--- /dev/null
+++ b/crates/emberpin-log/src/log.rs
@@ -0,0 +1,624 @@
+//! The log over a storage: what is begun, recovered, written, turned over and let go, and what a failure of each
+//! leaves behind.
+//!
+//! What a recovery proves. A record counts once [`Log::write`] has returned with `durable`, and not before. After a
+//! crash all that counted is read again, or [`Recovery::lost`] says that something may be missing:
+//!
+//! - a cut or torn end is told from the mark beside the segments, which holds the last sequence number that
+//!   counted;
+//! - a changed byte from checksums, a missing file from the numbers of segments and records;
+//! - a copy put in place of the log, of an hour ago say, from the file's inode and time of birth, which stand in
+//!   its header.
+//!
+//! What no file can tell is a folder put back to an earlier state with all of its inodes, as a snapshot of a whole
+//! disk does. Only somebody else's memory can.
+
+use crate::frame::{encode, Damage, Header, HeaderProblem, Scanned, HEADER_LONGEST, LONGEST, VERSION};
+use crate::storage::Storage;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::{fmt, io};
+
+const MARK: &str = "mark";
+/// Log id, sequence number, checksum.
+const SLOT: usize = 28;
+const CHUNK: usize = 64 * 1024;
+const ASIDE: &str = "damaged";
+
+/// Who opens a log.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The instance whose log it is.
+    pub instance: String,
+    /// This boot of the machine.
+    pub boot: [u8; 16],
+    /// Drawn by the caller from the system's random source; names the log if one is begun.
+    pub fresh: [u8; 16],
+}
+
+/// One record read again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Record<'a> {
+    /// Its number; they rise without gaps.
+    pub seq: u64,
+    /// What was written.
+    pub payload: &'a [u8],
+    /// Written in this boot of the machine, so that its readings of a boot-time clock mean something now.
+    pub same_boot: bool,
+}
+
+/// Why something that counted may be missing.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum Lost {
+    /// There is no log, and nobody has said that there never was one.
+    NoLog,
+    /// A file holds what was not written there.
+    Damaged {
+        /// Which.
+        file: String,
+        /// Where in it, in bytes.
+        at: u64,
+    },
+    /// A segment or records between two are not there.
+    Missing {
+        /// The file before which they should be.
+        before: String,
+    },
+    /// It ends before what counted.
+    Rewound {
+        /// The last number that counted.
+        counted: u64,
+        /// The last number that is there.
+        found: u64,
+    },
+    /// A file is a copy of the one that was written.
+    Copied {
+        /// Which.
+        file: String,
+    },
+    /// What says how far the log counted is not there, or not readable.
+    NoMark,
+    /// An earlier start found something lost, and the log goes on from there.
+    Before,
+}
+
+impl fmt::Display for Lost {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Lost::NoLog => write!(to, "there is no log"),
+            Lost::Damaged { file, at } => write!(to, "{file} is damaged at byte {at}"),
+            Lost::Missing { before } => write!(to, "records before {before} are missing"),
+            Lost::Rewound { counted, found } => {
+                write!(to, "it ends at record {found}, and {counted} had counted")
+            }
+            Lost::Copied { file } => write!(to, "{file} is a copy, not the file that was written"),
+            Lost::NoMark => write!(to, "its mark is missing or damaged"),
+            Lost::Before => write!(to, "an earlier start found records lost"),
+        }
+    }
+}
+
+/// What an opening found.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Recovery {
+    /// Records read.
+    pub records: u64,
+    /// Bytes read.
+    pub bytes: u64,
+    /// Bytes of a record that the last life did not finish writing.
+    pub torn: u64,
+    /// Why something that counted may be missing; the first reason found.
+    pub lost: Option<Lost>,
+}
+
+/// Why a log cannot be opened at all; each is for a person to mend.
+#[derive(Debug)]
+pub enum Unusable {
+    /// Another version's.
+    Version {
+        /// Which file.
+        file: String,
+        /// Its version.
+        found: u16,
+    },
+    /// Another instance's.
+    OtherInstance {
+        /// Which file.
+        file: String,
+        /// Whose it is.
+        found: String,
+    },
+    /// One is there already where one was to be begun.
+    Begun,
+    /// The operating system's word.
+    Io {
+        /// What was being done.
+        doing: String,
+        /// What it said.
+        error: io::Error,
+    },
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Unusable::Version { file, found } => write!(
+                to,
+                "{file} is of version {found}, this program reads {VERSION}: start the version that wrote it, or move \
+                 the folder away and begin without it"
+            ),
+            Unusable::OtherInstance { file, found } => {
+                write!(to, "{file} belongs to the instance '{found}': give each instance a folder of its own")
+            }
+            Unusable::Begun => write!(to, "a log is there already"),
+            Unusable::Io { doing, error } => write!(to, "{doing}: {error}"),
+        }
+    }
+}
+
+/// Why records were not written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteProblem {
+    /// One of them is longer than [`LONGEST`].
+    TooLong,
+    /// None of them is in the log, which goes on: the disk is full, say.
+    NotWritten(String),
+    /// What is on the disk is unknown: an fsync failed, or what was half written could not be cut off. Nothing is
+    /// written any more until the log is opened again: an fsync that is tried again may succeed without having
+    /// written what failed before.
+    Failed(String),
+}
+
+impl fmt::Display for WriteProblem {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            WriteProblem::TooLong => write!(to, "a record is longer than {LONGEST} bytes"),
+            WriteProblem::NotWritten(why) => write!(to, "not written: {why}"),
+            WriteProblem::Failed(why) => write!(to, "the log ended: {why}"),
+        }
+    }
+}
+
+struct Segment {
+    bytes: u64,
+    damaged: bool,
+}
+
+/// A log that is open.
+pub struct Log<S> {
+    storage: S,
+    identity: Identity,
+    log: [u8; 16],
+    salt: u32,
+    /// All files, by number; the last is written to.
+    segments: BTreeMap<u64, Segment>,
+    current: u64,
+    next: u64,
+    /// The last number that counts.
+    durable: u64,
+    /// Something is written that does not count yet.
+    unsynced: bool,
+    failed: Option<String>,
+}
+
+fn name(segment: u64) -> String {
+    format!("{segment:010}.log")
+}
+
+fn number(name: &str) -> Option<u64> {
+    let digits = name.strip_suffix(".log").filter(|digits| digits.len() == 10)?;
+    digits.bytes().all(|b| b.is_ascii_digit()).then(|| digits.parse().ok()).flatten()
+}
+
+fn doing(what: &str, file: &str) -> impl FnOnce(io::Error) -> Unusable {
+    let doing = format!("cannot {what} {file}");
+    move |error| Unusable::Io { doing, error }
+}
+
+/// The numbers of the segments there are, rising.
+pub(crate) fn segments<S: Storage>(storage: &mut S) -> io::Result<Vec<u64>> {
+    let mut numbers: Vec<u64> = storage.names()?.iter().filter_map(|name| number(name)).collect();
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
+/// What one segment holds, read without keeping it.
+pub(crate) struct Read {
+    pub header: Result<Header, HeaderProblem>,
+    pub records: u64,
+    pub next: u64,
+    pub bytes: u64,
+    pub torn: u64,
+    pub damage: Vec<Damage>,
+}
+
+/// Reads a whole segment, giving each sound record to `visit`.
+pub(crate) fn read<S: Storage>(
+    storage: &mut S,
+    file: &str,
+    mut visit: impl FnMut(&Header, u64, &[u8]),
+) -> io::Result<Read> {
+    let mut chunk = vec![0; CHUNK];
+    let mut head = Vec::new();
+    while head.len() < HEADER_LONGEST {
+        match storage.read(file, head.len() as u64, &mut chunk[..HEADER_LONGEST - head.len()])? {
+            0 => break,
+            n => head.extend_from_slice(&chunk[..n]),
+        }
+    }
+    let bytes = head.len() as u64;
+    let (header, mut scanner) = match Header::decode(&head) {
+        Ok(decoded) => decoded,
+        Err(problem) => {
+            let header = Err(problem);
+            return Ok(Read { header, records: 0, next: 0, bytes, torn: bytes, damage: Vec::new() });
+        }
+    };
+    let mut read = Read {
+        header: Ok(header.clone()),
+        records: 0,
+        next: 0,
+        bytes: scanner.at(),
+        torn: 0,
+        damage: Vec::new(),
+    };
+    loop {
+        let n = storage.read(file, read.bytes, &mut chunk)?;
+        if n == 0 {
+            break;
+        }
+        read.bytes += n as u64;
+        scanner.feed(&chunk[..n]);
+        while let Some(scanned) = scanner.scan() {
+            match scanned {
+                Scanned::Record { seq, payload } => {
+                    read.records += 1;
+                    visit(&header, seq, &payload);
+                }
+                Scanned::Damaged(damage) => read.damage.push(damage),
+            }
+        }
+    }
+    read.torn = scanner.torn() as u64;
+    read.next = scanner.next_seq();
+    Ok(read)
+}
+
+/// The last number that counted, if the mark can be read.
+pub(crate) fn marked<S: Storage>(storage: &mut S, log: &[u8; 16]) -> Option<u64> {
+    let mut bytes = [0; 2 * SLOT];
+    let mut read = 0;
+    while read < bytes.len() {
+        match storage.read(MARK, read as u64, &mut bytes[read..]) {
+            Ok(0) | Err(_) => break,
+            Ok(n) => read += n,
+        }
+    }
+    bytes[..read].chunks_exact(SLOT).filter_map(|slot| unmark(slot, log)).max()
+}
+
+fn unmark(slot: &[u8], log: &[u8; 16]) -> Option<u64> {
+    let (body, crc) = slot.split_at_checked(24)?;
+    let sound = crc32fast::hash(body).to_le_bytes() == crc && body[..16] == log[..];
+    sound.then(|| body[16..].try_into().ok().map(u64::from_le_bytes)).flatten()
+}
+
+fn mark(log: &[u8; 16], seq: u64) -> [u8; SLOT] {
+    let mut slot = [0; SLOT];
+    slot[..16].copy_from_slice(log);
+    slot[16..24].copy_from_slice(&seq.to_le_bytes());
+    let crc = crc32fast::hash(&slot[..24]);
+    slot[24..].copy_from_slice(&crc.to_le_bytes());
+    slot
+}
+
+impl<S: Storage> Log<S> {
+    /// Begins a log where none is, saying that there never was one: nothing is lost at its next opening.
+    ///
+    /// # Errors
+    ///
+    /// One is there already, or the operating system's.
+    pub fn begin(mut storage: S, identity: &Identity) -> Result<(), Unusable> {
+        if !segments(&mut storage).map_err(doing("list", "the folder"))?.is_empty() {
+            return Err(Unusable::Begun);
+        }
+        Log::make(storage, identity, identity.fresh, 1, 1, 0, false).map(|_| ())
+    }
+
+    /// Reads a log again, every record in the order in which they were written, and goes on behind it in a segment
+    /// of its own. The storage must be this process's alone.
+    ///
+    /// # Errors
+    ///
+    /// What a person has to mend; a log that lost something opens, and says so.
+    pub fn open(
+        mut storage: S,
+        identity: &Identity,
+        mut visit: impl FnMut(Record<'_>),
+    ) -> Result<(Log<S>, Recovery), Unusable> {
+        let mut recovery = Recovery::default();
+        let mut kept: BTreeMap<u64, Segment> = BTreeMap::new();
+        let mut log = None;
+        let mut next = None;
+        let numbers = segments(&mut storage).map_err(doing("list", "the folder"))?;
+        let last = numbers.last().copied();
+        let lose = |recovery: &mut Recovery, lost: Lost| {
+            recovery.lost.get_or_insert(lost);
+        };
+        let mut before = None;
+        for segment in numbers {
+            let file = name(segment);
+            let found = read(&mut storage, &file, |header, seq, payload| {
+                let same_boot = header.boot == identity.boot && header.boot != [0; 16];
+                if header.instance == identity.instance {
+                    visit(Record { seq, payload, same_boot });
+                }
+            })
+            .map_err(doing("read", &file))?;
+            recovery.records += found.records;
+            recovery.bytes += found.bytes;
+            let header = match found.header {
+                Ok(header) => header,
+                // The last life ended while it made this file; whether more went with it, the mark tells.
+                Err(HeaderProblem::Short) if Some(segment) == last && before.is_some() => {
+                    recovery.torn += found.torn;
+                    storage.remove(&file).map_err(doing("remove", &file))?;
+                    continue;
+                }
+                Err(HeaderProblem::Version(found)) => return Err(Unusable::Version { file, found }),
+                Err(HeaderProblem::Short | HeaderProblem::NotALog | HeaderProblem::Damaged) => {
+                    lose(&mut recovery, Lost::Damaged { file, at: 0 });
+                    kept.insert(segment, Segment { bytes: found.bytes, damaged: true });
+                    before = Some(segment);
+                    continue;
+                }
+            };
+            if header.instance != identity.instance {
+                return Err(Unusable::OtherInstance { file, found: header.instance });
+            }
+            let follows = before.is_none_or(|before| before + 1 == segment)
+                && next.is_none_or(|next| next == header.first)
+                && log.is_none_or(|log| log == header.log)
+                && header.segment == segment;
+            if !follows {
+                lose(&mut recovery, Lost::Missing { before: file.clone() });
+            }
+            if storage.identity(&file).map_err(doing("look at", &file))? != header.file {
+                lose(&mut recovery, Lost::Copied { file: file.clone() });
+            }
+            if header.after_loss {
+                lose(&mut recovery, Lost::Before);
+            }
+            if let Some(damage) = found.damage.first() {
+                lose(&mut recovery, Lost::Damaged { file, at: damage.at });
+            }
+            recovery.torn += found.torn;
+            kept.insert(segment, Segment { bytes: found.bytes, damaged: !found.damage.is_empty() });
+            log = Some(header.log);
+            next = Some(found.next);
+            before = Some(segment);
+        }
+        // What the last life wrote without making it count was read, so it must stay, or the next segment would
+        // begin behind a gap.
+        if let Some(segment) = before {
+            let file = name(segment);
+            storage.sync(&file).map_err(doing("sync", &file))?;
+        }
+        let found = next.map_or(0, |next| next - 1);
+        let mut counted = found;
+        match log.map(|log| marked(&mut storage, &log)) {
+            None => lose(&mut recovery, Lost::NoLog),
+            Some(None) => lose(&mut recovery, Lost::NoMark),
+            Some(Some(marked)) if marked > found => {
+                lose(&mut recovery, Lost::Rewound { counted: marked, found });
+                counted = marked;
+            }
+            Some(Some(_)) => {}
+        }
+        let after_loss = recovery.lost.is_some();
+        // A gap in the numbers after a loss, so that it is seen again if this life ends at once.
+        let first = counted + 1 + u64::from(after_loss);
+        let log = log.unwrap_or(identity.fresh);
+        let segment = before.unwrap_or(0) + 1;
+        let mut log = Log::make(storage, identity, log, segment, first, counted, after_loss)?;
+        log.segments.append(&mut kept);
+        Ok((log, recovery))
+    }
+
+    /// Makes a segment and the log that writes to it.
+    fn make(
+        storage: S,
+        identity: &Identity,
+        log: [u8; 16],
+        segment: u64,
+        first: u64,
+        durable: u64,
+        after_loss: bool,
+    ) -> Result<Log<S>, Unusable> {
+        let mut log = Log {
+            storage,
+            identity: identity.clone(),
+            log,
+            salt: 0,
+            segments: BTreeMap::new(),
+            current: segment,
+            next: first,
+            durable,
+            unsynced: false,
+            failed: None,
+        };
+        log.turn_to(segment, after_loss).map_err(doing("make", &name(segment)))?;
+        let slots = [mark(&log.log, durable), mark(&log.log, durable)].concat();
+        let marked = match log.storage.names().map(|names| names.iter().any(|name| name == MARK)) {
+            Ok(true) => Ok(()),
+            Ok(false) => log.storage.create(MARK),
+            Err(e) => Err(e),
+        };
+        marked
+            .and_then(|()| log.storage.overwrite(MARK, 0, &slots))
+            .and_then(|()| log.storage.sync(MARK))
+            .and_then(|()| log.storage.sync_folder())
+            .map_err(doing("write", MARK))?;
+        Ok(log)
+    }
+
+    /// Makes a file with its header, down on the disk, and writes there from now on.
+    fn turn_to(&mut self, segment: u64, after_loss: bool) -> io::Result<()> {
+        let file = name(segment);
+        self.storage.create(&file)?;
+        let begun = self.storage.identity(&file).and_then(|identity| {
+            let header = Header {
+                instance: self.identity.instance.clone(),
+                log: self.log,
+                segment,
+                first: self.next,
+                file: identity,
+                boot: self.identity.boot,
+                after_loss,
+            };
+            let bytes = header.encode();
+            self.storage.append(&file, &bytes)?;
+            self.storage.sync(&file)?;
+            self.storage.sync_folder()?;
+            Ok(bytes)
+        });
+        let bytes = match begun {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                // A file that is half made would be damage at the next opening.
+                self.storage.remove(&file)?;
+                return Err(e);
+            }
+        };
+        // What was just encoded decodes; if it does not, nothing may be written behind it.
+        let (_, scanner) = Header::decode(&bytes)
+            .map_err(|problem| io::Error::other(format!("a header that does not read: {problem:?}")))?;
+        self.salt = scanner.salt();
+        self.segments.insert(segment, Segment { bytes: bytes.len() as u64, damaged: false });
+        self.current = segment;
+        Ok(())
+    }
+
+    /// Appends records, and, with `durable`, returns once they and all before them are on the disk.
+    ///
+    /// # Errors
+    ///
+    /// None of them counts, and why.
+    pub fn write(&mut self, payloads: &[impl AsRef<[u8]>], durable: bool) -> Result<(), WriteProblem> {
+        if let Some(why) = &self.failed {
+            return Err(WriteProblem::Failed(why.clone()));
+        }
+        let mut frames = Vec::new();
+        for (seq, payload) in (self.next..).zip(payloads) {
+            if payload.as_ref().len() > LONGEST {
+                return Err(WriteProblem::TooLong);
+            }
+            encode(self.salt, seq, payload.as_ref(), &mut frames);
+        }
+        let file = name(self.current);
+        let length = self.segments.get(&self.current).map_or(0, |segment| segment.bytes);
+        if !frames.is_empty() {
+            if let Err(why) = self.storage.append(&file, &frames) {
+                return match self.storage.truncate(&file, length) {
+                    Ok(()) => Err(WriteProblem::NotWritten(why.to_string())),
+                    Err(e) => Err(self.fail(format!("{why}, and what was half written is not cut off: {e}"))),
+                };
+            }
+            self.next += payloads.len() as u64;
+            self.unsynced = true;
+            if let Some(segment) = self.segments.get_mut(&self.current) {
+                segment.bytes += frames.len() as u64;
+            }
+        }
+        match durable {
+            true => self.sync(),
+            false => Ok(()),
+        }
+    }
+
+    /// Makes all that is written count.
+    fn sync(&mut self) -> Result<(), WriteProblem> {
+        if !self.unsynced {
+            return Ok(());
+        }
+        if let Err(why) = self.storage.sync(&name(self.current)) {
+            return Err(self.fail(format!("fsync: {why}")));
+        }
+        self.unsynced = false;
+        self.durable = self.next - 1;
+        // Not synced itself: behind a crash of the process it is right, behind one of the machine it says too little,
+        // never too much. Two slots in turn, so that one is whole. If it cannot be written, less is found out.
+        let at = (self.durable % 2) * SLOT as u64;
+        _ = self.storage.overwrite(MARK, at, &mark(&self.log, self.durable));
+        Ok(())
+    }
+
+    fn fail(&mut self, why: String) -> WriteProblem {
+        self.failed = Some(why.clone());
+        WriteProblem::Failed(why)
+    }
+
+    /// Turns to a new segment. Once its writer has written again all that it still wants, [`Log::retire`] lets go of
+    /// those before it.
+    ///
+    /// # Errors
+    ///
+    /// The old segment is written to as before if the new one could not be made.
+    pub fn rotate(&mut self) -> Result<u64, WriteProblem> {
+        if let Some(why) = &self.failed {
+            return Err(WriteProblem::Failed(why.clone()));
+        }
+        self.sync()?;
+        let segment = self.current + 1;
+        match self.turn_to(segment, false) {
+            Ok(()) => Ok(segment),
+            Err(why) => Err(WriteProblem::NotWritten(why.to_string())),
+        }
+    }
+
+    /// Lets go of all segments before this one, once all that is written counts. The oldest goes first, so that a crash
+    /// in between leaves no gap. The last damaged one is set aside for a person to look at.
+    ///
+    /// # Errors
+    ///
+    /// What is left will go the next time.
+    pub fn retire(&mut self, before: u64) -> Result<(), WriteProblem> {
+        self.sync()?;
+        let old: Vec<u64> = self.segments.range(..before.min(self.current)).map(|(n, _)| *n).collect();
+        for segment in old {
+            let file = name(segment);
+            let gone = match self.segments.get(&segment).is_some_and(|segment| segment.damaged) {
+                true => self.storage.rename(&file, ASIDE),
+                false => self.storage.remove(&file),
+            };
+            gone.map_err(|e| WriteProblem::NotWritten(format!("cannot let go of {file}: {e}")))?;
+            self.segments.remove(&segment);
+        }
+        self.storage.sync_folder().map_err(|e| WriteProblem::NotWritten(e.to_string()))
+    }
+
+    /// The segment that is written to.
+    pub fn segment(&self) -> u64 {
+        self.current
+    }
+
+    /// The last number that counts.
+    pub fn durable(&self) -> u64 {
+        self.durable
+    }
+
+    /// Bytes of all segments.
+    pub fn bytes(&self) -> u64 {
+        self.segments.values().map(|segment| segment.bytes).sum()
+    }
+
+    /// The storage beneath.
+    pub fn storage_mut(&mut self) -> &mut S {
+        &mut self.storage
+    }
+
+    /// Ends it, giving the storage back.
+    pub fn into_storage(self) -> S {
+        self.storage
+    }
+}
--- /dev/null
+++ b/crates/emberpin-log/src/storage.rs
@@ -0,0 +1,77 @@
+//! What a log needs of a file system, so that tests can break each of its promises.
+
+use std::io;
+
+/// Tells a file from a copy of it: a copy has another number, or another time of birth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct FileIdentity {
+    /// Its inode.
+    pub inode: u64,
+    /// When it was made, in nanoseconds since 1970, where the file system says so.
+    pub born_ns: Option<u64>,
+}
+
+/// One folder of files. Names are plain file names.
+///
+/// Errors are the operating system's; after one, what a write has done is unknown until it is truncated.
+pub trait Storage {
+    /// All names in the folder, in any order.
+    fn names(&mut self) -> io::Result<Vec<String>>;
+    /// Makes an empty file; one that is there already is an error.
+    fn create(&mut self, name: &str) -> io::Result<()>;
+    /// What tells this file from its copies.
+    fn identity(&mut self, name: &str) -> io::Result<FileIdentity>;
+    /// Writes at the end of a file, which may be written in part when this fails.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+    /// Writes over a file's bytes from `at` on, lengthening it if need be.
+    fn overwrite(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()>;
+    /// Reads from `at` on; 0 at the end.
+    fn read(&mut self, name: &str, at: u64, into: &mut [u8]) -> io::Result<usize>;
+    /// Cuts a file to `length` bytes.
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
+    /// Returns once a file's bytes outlast a loss of power (fdatasync(2)).
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+    /// The same for the folder: names made and removed.
+    fn sync_folder(&mut self) -> io::Result<()>;
+    /// Gives a file another name, in place of any that has it.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+    /// Removes a file.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+}
+
+/// A storage that outlives the log over it.
+impl<S: Storage> Storage for &mut S {
+    fn names(&mut self) -> io::Result<Vec<String>> {
+        (**self).names()
+    }
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        (**self).create(name)
+    }
+    fn identity(&mut self, name: &str) -> io::Result<FileIdentity> {
+        (**self).identity(name)
+    }
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        (**self).append(name, bytes)
+    }
+    fn overwrite(&mut self, name: &str, at: u64, bytes: &[u8]) -> io::Result<()> {
+        (**self).overwrite(name, at, bytes)
+    }
+    fn read(&mut self, name: &str, at: u64, into: &mut [u8]) -> io::Result<usize> {
+        (**self).read(name, at, into)
+    }
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        (**self).truncate(name, length)
+    }
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        (**self).sync(name)
+    }
+    fn sync_folder(&mut self) -> io::Result<()> {
+        (**self).sync_folder()
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        (**self).rename(from, to)
+    }
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        (**self).remove(name)
+    }
+}
