--- a/crates/emberpin-cost/src/keys.rs
+++ b/crates/emberpin-cost/src/keys.rs
@@ -64,6 +64,7 @@
         retention: RETENTION.as_secs_f64() * 1000.0,
         quiet: 0.0,
         wait: true,
+        recorded: false,
     };
     let (mut table, secret) = (Table::new(limits, 0.0), Secret::new([7; 32]));
     let answer = Answer(Bytes::copy_from_slice(body));
--- a/crates/emberpin-idempotency/src/fingerprint.rs
+++ b/crates/emberpin-idempotency/src/fingerprint.rs
@@ -1,6 +1,7 @@
 //! The fingerprint of a request (section 2.4 of the draft): a keyed hash, so that nobody without the secret can
 //! make two requests that look the same. BLAKE3 in its keyed mode, cut to 128 bits.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// What the limiters of a site share; never shown.
@@ -21,7 +22,7 @@
 }
 
 /// What a request looks like.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Fingerprint([u8; 16]);
 
 impl Fingerprint {
--- a/crates/emberpin-idempotency/src/key.rs
+++ b/crates/emberpin-idempotency/src/key.rs
@@ -2,6 +2,7 @@
 //! printable ASCII in double quotes, with `\"` and `\\` escaped. Many clients send the bare value; where the
 //! operator allows it, that is taken too, and means the same key as the quoted one.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Most characters of a key.
@@ -17,7 +18,7 @@
 }
 
 /// A key as its client chose it, unquoted: 1 to [`LONGEST`] printable ASCII characters.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key(Box<str>);
 
 /// Why a field's value is no key.
--- a/crates/emberpin-idempotency/src/lib.rs
+++ b/crates/emberpin-idempotency/src/lib.rs
@@ -12,9 +12,11 @@
 mod fingerprint;
 mod key;
 mod owner;
+mod record;
 mod table;
 
 pub use fingerprint::{Fingerprint, Secret};
 pub use key::{Form, Key, Malformed, LONGEST};
 pub use owner::owner;
-pub use table::{Action, Customer, Event, Limits, Millis, Table, Telling, Ticket, Weight};
+pub use record::{Known, Record};
+pub use table::{Action, Customer, Event, Limits, Millis, Sweep, Table, Telling, Ticket, Weight};
--- /dev/null
+++ b/crates/emberpin-idempotency/src/record.rs
@@ -0,0 +1,48 @@
+//! What a log keeps of a key, so that the next life knows it.
+
+use crate::fingerprint::Fingerprint;
+use crate::key::Key;
+use crate::table::{Customer, Millis};
+use serde::{Deserialize, Serialize};
+
+/// All that is known of one key; a later record of a key stands in place of an earlier one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record<A> {
+    /// Whose key it is.
+    pub customer: Customer,
+    /// The key.
+    pub key: Key,
+    /// What its request looks like.
+    pub fingerprint: Fingerprint,
+    /// When this came to be known, by the writer's clock.
+    pub at: Millis,
+    /// What is known.
+    pub known: Known<A>,
+}
+
+/// What is known of a key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Known<A> {
+    /// Its first request is let on, if nothing else is heard: it may have run.
+    Claimed,
+    /// Served, with this answer unless it gave way.
+    Served(Option<A>),
+    /// It may have run.
+    Unknown,
+    /// It never ran, or its time is over.
+    Gone,
+}
+
+impl<A> Record<A> {
+    /// The same with its answer in another form.
+    pub fn map<B>(self, answer: impl FnOnce(A) -> B) -> Record<B> {
+        let Record { customer, key, fingerprint, at, known } = self;
+        let known = match known {
+            Known::Claimed => Known::Claimed,
+            Known::Served(kept) => Known::Served(kept.map(answer)),
+            Known::Unknown => Known::Unknown,
+            Known::Gone => Known::Gone,
+        };
+        Record { customer, key, fingerprint, at, known }
+    }
+}
--- a/crates/emberpin-idempotency/src/table.rs
+++ b/crates/emberpin-idempotency/src/table.rs
@@ -7,13 +7,15 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::key::Key;
+use crate::record::{Known, Record};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Milliseconds of the host's steady clock; only differences have a meaning.
 pub type Millis = f64;
 
 /// A customer, equal at every limiter.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Customer(pub u64);
 
 /// One request as the host names it; never used again.
@@ -45,6 +47,8 @@
     pub quiet: Millis,
     /// A repeat waits for the first; else it is told that the first is in flight.
     pub wait: bool,
+    /// Records are written to a log, and a first request goes on only once its record counts there.
+    pub recorded: bool,
 }
 
 /// What happened.
@@ -87,6 +91,16 @@
         /// Which.
         ticket: Ticket,
     },
+    /// The record of a first request counts.
+    Written {
+        /// Which.
+        ticket: Ticket,
+    },
+    /// The record of a first request could not be written.
+    Unwritten {
+        /// Which.
+        ticket: Ticket,
+    },
     /// Time has passed.
     Tick,
 }
@@ -98,6 +112,10 @@
     Pass(Ticket),
     /// Keep it until it is told something, or leaves.
     Hold(Ticket),
+    /// Nobody wants this first request any more, and nothing of it was sent: forget it.
+    Drop(Ticket),
+    /// Append this to the log. With a ticket, say whether it counts.
+    Record(Record<A>, Option<Ticket>),
     /// Its one answer.
     Tell(Ticket, Telling<A>),
 }
@@ -124,6 +142,8 @@
     },
     /// Too soon after a start to know whether it ran before; it is never sent under this key: 409.
     Quiet,
+    /// The log cannot be written, so nothing was sent: come back later.
+    NotWritten,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -132,8 +152,9 @@
 /// What is known of a key.
 #[derive(Clone)]
 enum State<A> {
-    /// The first is out, and these wait for it; it is told its outcome unless it has left.
-    InFlight { first: Option<Ticket>, waiters: Vec<Ticket> },
+    /// The first is out, and these wait for it; it is told its outcome unless it has left. It is not out yet while
+    /// its record is being written.
+    InFlight { first: Option<Ticket>, waiters: Vec<Ticket>, writing: bool },
     /// Served; the answer unless it gave way.
     Served { answer: Option<A> },
     /// It may have run.
@@ -162,6 +183,10 @@
     answers: VecDeque<EntryId>,
 }
 
+/// How far a sweep over all entries has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sweep(u64);
+
 /// The table.
 #[derive(Clone)]
 pub struct Table<A> {
@@ -221,8 +246,14 @@
         self.expire();
         match event {
             Event::Arrived { ticket, customer, key, fingerprint } => {
-                actions.push(self.arrive(ticket, customer, key, fingerprint));
+                let action = self.arrive(ticket, customer, key, fingerprint);
+                if let (Action::Hold(_), Some(record)) = (&action, self.claim(ticket)) {
+                    actions.push(Action::Record(record, Some(ticket)));
+                }
+                actions.push(action);
             }
+            Event::Written { ticket } => self.written(ticket, actions),
+            Event::Unwritten { ticket } => self.unwritten(ticket, actions),
             Event::Served { ticket, answer } => self.conclude(ticket, answer, Outcome::Served, actions),
             Event::Refused { ticket, answer } => self.conclude(ticket, answer, Outcome::Refused, actions),
             Event::Failed { ticket, answer } => self.conclude(ticket, answer, Outcome::Failed, actions),
@@ -297,10 +328,136 @@
             let share = if own_full { goes(own.map(|own| &own.done)) } else { 0.0 };
             return Action::Tell(ticket, Telling::Full { retry_after: table.max(share) });
         }
-        let state = State::InFlight { first: Some(ticket), waiters: Vec::new() };
+        let writing = self.limits.recorded;
+        let state = State::InFlight { first: Some(ticket), waiters: Vec::new(), writing };
         let id = self.insert(customer, key, fingerprint, state, f64::INFINITY);
         self.tickets.insert(ticket, id);
-        Action::Pass(ticket)
+        match writing {
+            true => Action::Hold(ticket),
+            false => Action::Pass(ticket),
+        }
+    }
+
+    /// The record that a first request waits for; none for one that waits for something else.
+    fn claim(&self, ticket: Ticket) -> Option<Record<A>> {
+        let entry = self.entries.get(self.tickets.get(&ticket)?)?;
+        match &entry.state {
+            State::InFlight { first, writing: true, .. } if *first == Some(ticket) => {
+                Some(self.record(entry, Known::Claimed))
+            }
+            _ => None,
+        }
+    }
+
+    fn record(&self, entry: &Entry<A>, known: Known<A>) -> Record<A> {
+        let Entry { customer, key, fingerprint, .. } = entry;
+        Record { customer: *customer, key: key.clone(), fingerprint: *fingerprint, at: self.now, known }
+    }
+
+    fn written(&mut self, ticket: Ticket, actions: &mut Vec<Action<A>>) {
+        let Some(id) = self.tickets.get(&ticket).copied() else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let State::InFlight { first, waiters, writing } = &mut entry.state else { return };
+        if !std::mem::take(writing) {
+            return;
+        }
+        if first.is_some() || !waiters.is_empty() {
+            actions.push(Action::Pass(ticket));
+            return;
+        }
+        // Whoever wanted it left before anything was sent: the key is as if it had never come.
+        self.tickets.remove(&ticket);
+        if let Some(entry) = self.entries.get(&id) {
+            actions.push(Action::Record(self.record(entry, Known::Gone), None));
+        }
+        actions.push(Action::Drop(ticket));
+        self.forget(id);
+    }
+
+    fn unwritten(&mut self, ticket: Ticket, actions: &mut Vec<Action<A>>) {
+        let Some(id) = self.tickets.get(&ticket).copied() else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let State::InFlight { first, waiters, writing: true } = &mut entry.state else { return };
+        let (first, waiters, customer) = (*first, std::mem::take(waiters), entry.customer);
+        self.tickets.remove(&ticket);
+        if let Some(holding) = self.customers.get_mut(&customer) {
+            holding.waiters -= waiters.len();
+        }
+        actions.push(Action::Drop(ticket));
+        for waiter in first.into_iter().chain(waiters) {
+            self.tickets.remove(&waiter);
+            actions.push(Action::Tell(waiter, Telling::NotWritten));
+        }
+        self.forget(id);
+    }
+
+    /// Takes a record that an earlier life wrote. Records come in the order in which they were written, before any
+    /// event; [`Table::restored`] follows the last. `same_clock` if that life's clock can be compared with this
+    /// one's.
+    pub fn restore(&mut self, record: Record<A>, same_clock: bool) {
+        let Record { customer, key, fingerprint, at, known } = record;
+        if let Some(id) = self.by_key.get(&(customer, key.clone())).copied() {
+            self.forget_with_answer(id);
+        }
+        let kept = if same_clock { at.min(self.now) } else { self.now };
+        let (expires, answer) = match known {
+            Known::Gone => return,
+            // It may have run until that life's end, which nothing tells.
+            Known::Claimed => (self.now + self.limits.retention, None),
+            Known::Unknown => (kept + self.limits.retention, None),
+            Known::Served(answer) => (kept + self.limits.retention, Some(answer)),
+        };
+        if expires <= self.now {
+            return;
+        }
+        let state = match answer {
+            Some(_) => State::Served { answer: None },
+            None => State::Unknown,
+        };
+        let id = self.insert(customer, key, fingerprint, state, expires);
+        if let Some(Some(answer)) = answer {
+            self.keep(id, customer, answer);
+        }
+    }
+
+    /// All that earlier lives wrote has been taken.
+    pub fn restored(&mut self) {
+        let mut ids: Vec<(Millis, EntryId)> =
+            self.entries.iter().map(|(id, entry)| (entry.expires, *id)).collect();
+        ids.sort_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
+        for holding in self.customers.values_mut() {
+            holding.done.clear();
+            holding.answers.clear();
+        }
+        self.done = ids.iter().map(|(_, id)| *id).collect();
+        for (_, id) in ids {
+            let Some(entry) = self.entries.get(&id) else { continue };
+            let holding = self.customers.entry(entry.customer).or_default();
+            holding.done.push_back(id);
+            if matches!(entry.state, State::Served { answer: Some(_) }) {
+                holding.answers.push_back(id);
+            }
+        }
+    }
+
+    /// The records of some entries more, and how far that is; all have been told when it comes back without a place.
+    /// What is told to the log of changes meanwhile stands behind these there, and so holds.
+    pub fn sweep(&self, from: Sweep, most: usize) -> (Vec<Record<A>>, Option<Sweep>) {
+        let mut records = Vec::new();
+        for (id, entry) in self.entries.range(EntryId(from.0)..) {
+            if records.len() >= most {
+                return (records, Some(Sweep(id.0)));
+            }
+            let (known, at) = match &entry.state {
+                State::InFlight { .. } => (Known::Claimed, self.now),
+                State::Served { answer } => {
+                    (Known::Served(answer.clone()), entry.expires - self.limits.retention)
+                }
+                State::Unknown => (Known::Unknown, entry.expires - self.limits.retention),
+            };
+            records.push(Record { at, ..self.record(entry, known) });
+        }
+        (records, None)
     }
 
     fn insert(
@@ -331,7 +488,9 @@
             Outcome::Served => State::Served { answer: None },
             Outcome::Refused | Outcome::Failed => State::Unknown,
         };
-        let State::InFlight { first, waiters } = std::mem::replace(&mut entry.state, state) else { return };
+        let State::InFlight { first, waiters, .. } = std::mem::replace(&mut entry.state, state) else {
+            return;
+        };
         let customer = entry.customer;
         entry.expires = self.now + self.limits.retention;
         if first.is_some() {
@@ -344,6 +503,14 @@
             self.tickets.remove(&waiter);
             actions.push(Action::Tell(waiter, Telling::Replay(answer.clone())));
         }
+        if let (true, Some(entry)) = (self.limits.recorded, self.entries.get(&id)) {
+            let known = match outcome {
+                Outcome::Served => Known::Served(Some(answer.clone())),
+                Outcome::Refused => Known::Gone,
+                Outcome::Failed => Known::Unknown,
+            };
+            actions.push(Action::Record(self.record(entry, known), None));
+        }
         match outcome {
             // It never ran: a repeat is new work.
             Outcome::Refused => self.forget(id),
@@ -407,9 +574,9 @@
     fn leave(&mut self, ticket: Ticket) {
         let Some(id) = self.tickets.get(&ticket).copied() else { return };
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        let State::InFlight { first, waiters } = &mut entry.state else { return };
+        let State::InFlight { first, waiters, .. } = &mut entry.state else { return };
         if *first == Some(ticket) {
-            // It goes on, so that a repeat has its outcome; its ticket stays, to say what came of it.
+            // It goes on if it is out, so that a repeat has its outcome; its ticket stays, to say what came of it.
             *first = None;
             return;
         }
@@ -444,6 +611,20 @@
         }
     }
 
+    /// Forgets an entry whose answer may be kept and which stands in no order of outcomes.
+    fn forget_with_answer(&mut self, id: EntryId) {
+        if let Some(Entry { customer, state: State::Served { answer: Some(answer) }, .. }) =
+            self.entries.get(&id)
+        {
+            let (customer, weight) = (*customer, answer.weight());
+            self.change_bytes(customer, 0, weight);
+            if let Some(holding) = self.customers.get_mut(&customer) {
+                holding.answers.retain(|kept| *kept != id);
+            }
+        }
+        self.forget(id);
+    }
+
     fn forget(&mut self, id: EntryId) {
         let Some(entry) = self.entries.remove(&id) else { return };
         self.by_key.remove(&(entry.customer, entry.key));
--- a/crates/emberpin-idempotency/tests/explore.rs
+++ b/crates/emberpin-idempotency/tests/explore.rs
@@ -61,6 +61,7 @@
             retention: RETENTION,
             quiet,
             wait: true,
+            recorded: false,
         };
         // The clocks of two limiters are five seconds apart; all have long been up.
         let skew = vec![0.0, 5000.0, -5000.0];
--- a/crates/emberpin-idempotency/tests/table.rs
+++ b/crates/emberpin-idempotency/tests/table.rs
@@ -26,6 +26,7 @@
         retention: RETENTION,
         quiet: 0.0,
         wait: true,
+        recorded: false,
     }
 }
 
@@ -37,6 +38,10 @@
     Answer(text.as_bytes().to_vec())
 }
 
+fn key_of(text: &str) -> Key {
+    Key::parse(text, Form::QuotedOrBare).expect("a key")
+}
+
 /// A table played by hand.
 struct Bench {
     table: Table<Answer>,
@@ -58,7 +63,7 @@
     fn arrives_as(&mut self, customer: u64, key: &str, like: u8) -> (Ticket, Action<Answer>) {
         let ticket = Ticket(self.next);
         self.next += 1;
-        let key = Key::parse(key, Form::QuotedOrBare).expect("a key");
+        let key = key_of(key);
         let arrived = Event::Arrived { ticket, customer: Customer(customer), key, fingerprint: looks(like) };
         let mut actions = self.handle(arrived);
         assert_eq!(actions.len(), 1, "exactly one thing is done about an arrival");
@@ -337,7 +342,7 @@
 
 /// What the model knows of a key: only what may never be got wrong.
 #[derive(Clone, Debug)]
-enum Known {
+enum Seen {
     InFlight,
     Served(Answer, Millis),
     MayHaveRun(Millis),
@@ -357,7 +362,7 @@
         let limits = Limits { entries, answer_bytes: 600, waiters_per_key: 3, waiters_per_customer: 4, wait, ..limits() };
         let mut bench = Bench::new(limits.clone());
         let mut latest: Millis = 0.0;
-        let mut known: BTreeMap<(u64, u8), (u8, Known)> = BTreeMap::new();
+        let mut known: BTreeMap<(u64, u8), (u8, Seen)> = BTreeMap::new();
         let mut out: Vec<(Ticket, (u64, u8))> = Vec::new();
         let mut waiting: BTreeMap<Ticket, (u64, u8)> = BTreeMap::new();
         let mut left: BTreeSet<Ticket> = BTreeSet::new();
@@ -372,14 +377,14 @@
                 Step::Arrives { customer, key, like } => {
                     latest = latest.max(bench.now);
                     known.retain(|_, (_, known)| match known {
-                        Known::InFlight => true,
-                        Known::Served(_, until) | Known::MayHaveRun(until) => *until > latest,
+                        Seen::InFlight => true,
+                        Seen::Served(_, until) | Seen::MayHaveRun(until) => *until > latest,
                     });
                     let (ticket, action) = bench.arrives_as(customer, &format!("k{key}"), like);
                     let at = (customer, key);
                     match (known.get(&at), action) {
                         (None, Action::Pass(_)) => {
-                            known.insert(at, (like, Known::InFlight));
+                            known.insert(at, (like, Seen::InFlight));
                             out.push((ticket, at));
                         }
                         (None, Action::Tell(_, Telling::Full { retry_after })) => {
@@ -391,20 +396,20 @@
                         (Some((as_first, _)), Action::Tell(_, Telling::Mismatch)) => {
                             prop_assert!(*as_first != like);
                         }
-                        (Some((as_first, Known::InFlight)), Action::Hold(_)) => {
+                        (Some((as_first, Seen::InFlight)), Action::Hold(_)) => {
                             prop_assert!(*as_first == like && wait);
                             waiting.insert(ticket, at);
                         }
-                        (Some((as_first, Known::InFlight)), Action::Tell(_, Telling::InFlight)) => {
+                        (Some((as_first, Seen::InFlight)), Action::Tell(_, Telling::InFlight)) => {
                             let same = waiting.values().filter(|other| **other == at).count();
                             let own = waiting.values().filter(|(whose, _)| *whose == customer).count();
                             prop_assert!(*as_first == like && (!wait || same >= 3 || own >= 4));
                         }
-                        (Some((as_first, Known::Served(kept, _))), Action::Tell(_, telling)) => {
+                        (Some((as_first, Seen::Served(kept, _))), Action::Tell(_, telling)) => {
                             prop_assert!(*as_first == like);
                             prop_assert!(telling == Telling::Replay(kept.clone()) || telling == Telling::NotKept);
                         }
-                        (Some((as_first, Known::MayHaveRun(_))), Action::Tell(_, Telling::Unknown)) => {
+                        (Some((as_first, Seen::MayHaveRun(_))), Action::Tell(_, Telling::Unknown)) => {
                             prop_assert!(*as_first == like);
                         }
                         (known, action) => prop_assert!(false, "{known:?}: {action:?}"),
@@ -432,10 +437,10 @@
                     let (event, outcome) = match step {
                         Step::Served { .. } => (
                             Event::Served { ticket, answer },
-                            Some(Known::Served(given.clone(), latest + RETENTION)),
+                            Some(Seen::Served(given.clone(), latest + RETENTION)),
                         ),
                         Step::Refused { .. } => (Event::Refused { ticket, answer }, None),
-                        _ => (Event::Failed { ticket, answer }, Some(Known::MayHaveRun(latest + RETENTION))),
+                        _ => (Event::Failed { ticket, answer }, Some(Seen::MayHaveRun(latest + RETENTION))),
                     };
                     let mut told: BTreeSet<Ticket> = BTreeSet::new();
                     for action in bench.handle(event) {
@@ -469,3 +474,184 @@
         }
     }
 }
+
+fn recorded() -> Limits {
+    Limits { recorded: true, ..limits() }
+}
+
+/// What stands in the log after these actions.
+fn records(actions: &[Action<Answer>]) -> Vec<Record<Answer>> {
+    let record = |action: &Action<Answer>| match action {
+        Action::Record(record, _) => Some(record.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(record).collect()
+}
+
+/// A table that read these records at its start.
+fn restored(limits: Limits, now: Millis, log: &[Record<Answer>], same_clock: bool) -> Bench {
+    let mut table = Table::new(limits, now);
+    log.iter().for_each(|record| table.restore(record.clone(), same_clock));
+    table.restored();
+    Bench { table, now, next: 1000 }
+}
+
+#[test]
+fn a_first_goes_on_only_once_its_record_counts() {
+    let mut bench = Bench::new(recorded());
+    let (customer, key, fingerprint) = (Customer(1), key_of("k"), looks(1));
+    let ticket = Ticket(0);
+    let actions = bench.handle(Event::Arrived { ticket, customer, key, fingerprint });
+    assert!(matches!(&actions[..], [Action::Record(record, Some(Ticket(0))), Action::Hold(Ticket(0))]
+        if record.known == Known::Claimed));
+    // A repeat waits without a record of its own.
+    let repeat = Event::Arrived { ticket: Ticket(7), customer, key: key_of("k"), fingerprint };
+    assert_eq!(bench.handle(repeat), [Action::Hold(Ticket(7))]);
+    assert_eq!(bench.handle(Event::Written { ticket }), [Action::Pass(ticket)]);
+    assert_eq!(bench.handle(Event::Written { ticket }), []);
+}
+
+#[test]
+fn a_first_whose_record_cannot_be_written_is_told_so_with_all_that_wait_and_the_key_is_free() {
+    let mut bench = Bench::new(recorded());
+    let (customer, key, fingerprint) = (Customer(1), key_of("k"), looks(1));
+    let (ticket, waits) = (Ticket(0), Ticket(7));
+    bench.handle(Event::Arrived { ticket, customer, key: key.clone(), fingerprint });
+    bench.handle(Event::Arrived { ticket: waits, customer, key: key.clone(), fingerprint });
+    let actions = bench.handle(Event::Unwritten { ticket });
+    let told = |ticket| Action::Tell(ticket, Telling::NotWritten);
+    assert_eq!(actions, [Action::Drop(ticket), told(ticket), told(waits)]);
+    assert_eq!(bench.table.entries(), 0);
+    let ticket = Ticket(8);
+    assert_eq!(bench.handle(Event::Arrived { ticket, customer, key, fingerprint }).len(), 2);
+}
+
+#[test]
+fn a_first_whose_client_left_before_anything_was_sent_is_dropped_unless_a_repeat_waits() {
+    for waits in [false, true] {
+        let mut bench = Bench::new(recorded());
+        let (customer, key, fingerprint) = (Customer(1), key_of("k"), looks(1));
+        let ticket = Ticket(0);
+        bench.handle(Event::Arrived { ticket, customer, key: key.clone(), fingerprint });
+        if waits {
+            bench.handle(Event::Arrived { ticket: Ticket(7), customer, key, fingerprint });
+        }
+        bench.handle(Event::Left { ticket });
+        let actions = bench.handle(Event::Written { ticket });
+        match waits {
+            true => assert_eq!(actions, [Action::Pass(ticket)]),
+            false => {
+                assert_eq!(records(&actions)[0].known, Known::Gone);
+                assert_eq!(actions[1], Action::Drop(ticket));
+                assert_eq!(bench.table.entries(), 0);
+            }
+        }
+    }
+}
+
+/// One key with each outcome, and the log of it.
+fn a_life() -> Vec<Record<Answer>> {
+    let mut bench = Bench::new(recorded());
+    let mut log = Vec::new();
+    for (ticket, key) in ["served", "refused", "failed", "out"].iter().enumerate() {
+        let ticket = Ticket(ticket as u64);
+        let arrived =
+            Event::Arrived { ticket, customer: Customer(1), key: key_of(key), fingerprint: looks(1) };
+        log.extend(records(&bench.handle(arrived)));
+        bench.handle(Event::Written { ticket });
+        let answer = answer(key);
+        log.extend(match *key {
+            "served" => records(&bench.handle(Event::Served { ticket, answer })),
+            "refused" => records(&bench.handle(Event::Refused { ticket, answer })),
+            "failed" => records(&bench.handle(Event::Failed { ticket, answer })),
+            _ => Vec::new(),
+        });
+    }
+    log
+}
+
+#[test]
+fn the_next_life_knows_each_key_from_the_log() {
+    let log = a_life();
+    let mut bench = restored(recorded(), 5_000.0, &log, true);
+    assert!(
+        matches!(bench.arrives_as(1, "served", 1).1, Action::Tell(_, Telling::Replay(a)) if a == answer("served"))
+    );
+    assert!(matches!(bench.arrives_as(1, "served", 2).1, Action::Tell(_, Telling::Mismatch)));
+    assert!(matches!(bench.arrives_as(1, "failed", 1).1, Action::Tell(_, Telling::Unknown)));
+    // It was out when the life ended, so it may have run.
+    assert!(matches!(bench.arrives_as(1, "out", 1).1, Action::Tell(_, Telling::Unknown)));
+    // It never ran, and is new work; so is any other key, at once.
+    let (customer, fingerprint) = (Customer(1), looks(1));
+    for (ticket, key) in [(50, "refused"), (51, "another")] {
+        let arrived = Event::Arrived { ticket: Ticket(ticket), customer, key: key_of(key), fingerprint };
+        assert_eq!(records(&bench.handle(arrived))[0].known, Known::Claimed);
+    }
+}
+
+#[test]
+fn a_restored_key_is_kept_for_its_retention_and_a_whole_one_where_clocks_cannot_be_compared() {
+    let log = a_life();
+    // Served at 0: kept until 10 s in the same boot. What was out is kept from the start on.
+    let mut bench = restored(recorded(), RETENTION - 1.0, &log, true);
+    assert_eq!(bench.table.entries(), 3);
+    bench.now = RETENTION + 1.0;
+    bench.handle(Event::Tick);
+    assert_eq!(bench.table.entries(), 1);
+    bench.now = 2.0 * RETENTION;
+    bench.handle(Event::Tick);
+    assert_eq!(bench.table.entries(), 0);
+    let other_boot = restored(recorded(), RETENTION * 1000.0, &log, false);
+    assert_eq!(other_boot.table.entries(), 3);
+    assert_eq!(other_boot.table.answer_bytes(), "served".len());
+    let same_boot = restored(recorded(), RETENTION * 1000.0, &log, true);
+    assert_eq!(same_boot.table.entries(), 1, "only what was out may still run");
+}
+
+proptest! {
+    /// What a sweep tells, in steps of any size with changes in between, restores the same as the table holds.
+    #[test]
+    fn a_sweep_in_steps_stands_for_the_whole_log(
+        outcomes in proptest::collection::vec((0..3u8, 0..4u64), 1..40),
+        later in proptest::collection::vec((0..3u8, 0..4u64), 0..10),
+        step in 1..7usize,
+    ) {
+        let mut bench = Bench::new(recorded());
+        let mut ticket = 0;
+        let mut play = |bench: &mut Bench, (outcome, customer): (u8, u64)| {
+            ticket += 1;
+            bench.now += 1.0;
+            let (ticket, key) = (Ticket(ticket), key_of(&format!("k{ticket}")));
+            let arrived = Event::Arrived { ticket, customer: Customer(customer), key, fingerprint: looks(1) };
+            let mut log = records(&bench.handle(arrived));
+            bench.handle(Event::Written { ticket });
+            let answer = answer("a");
+            log.extend(records(&bench.handle(match outcome {
+                0 => Event::Served { ticket, answer },
+                1 => Event::Refused { ticket, answer },
+                _ => Event::Failed { ticket, answer },
+            })));
+            log
+        };
+        for outcome in outcomes {
+            play(&mut bench, outcome);
+        }
+        let (mut log, mut later) = (Vec::new(), later.into_iter());
+        let mut place = Some(Sweep::default());
+        while let Some(from) = place {
+            let (records, next) = bench.table.sweep(from, step);
+            log.extend(records);
+            place = next;
+            if let Some(outcome) = later.next() {
+                log.extend(play(&mut bench, outcome));
+            }
+        }
+        for outcome in later {
+            log.extend(play(&mut bench, outcome));
+        }
+        let again = restored(recorded(), bench.now, &log, true);
+        prop_assert_eq!(again.table.entries(), bench.table.entries());
+        prop_assert_eq!(again.table.answer_bytes(), bench.table.answer_bytes());
+        prop_assert_eq!(again.table.sweep(Sweep::default(), 1000).0.len(), bench.table.entries());
+    }
+}
--- a/crates/emberpin-log/tests/recovery.rs
+++ b/crates/emberpin-log/tests/recovery.rs
@@ -214,7 +214,10 @@
 #[test]
 fn no_log_a_missing_segment_and_a_missing_mark_are_losses() {
     let lost = |memory: Memory| open(memory).expect("open").1.lost;
-    assert_eq!(lost(Memory::default()), Some(Lost::NoLog));
+    let mut empty = Memory::default();
+    assert_eq!(open(&mut empty).expect("open").1.lost, Some(Lost::NoLog));
+    // A death right after does not make it a log that was begun.
+    assert_eq!(lost(empty), Some(Lost::Before));
     let mut memory = written(3);
     memory.files.remove("mark");
     assert_eq!(lost(memory), Some(Lost::NoMark));
@@ -237,18 +240,25 @@
 }
 
 #[test]
-fn frames_of_another_segment_are_not_taken_for_this_ones() {
-    let mut memory = written(4);
-    // The tail of an earlier file of the same log, where a disk gave its blocks to this one.
-    let tail = memory.files[SECOND].bytes.clone();
+fn frames_of_another_file_are_not_taken_for_this_ones() {
+    let before = written(4);
+    let mut other = before.clone();
+    let (mut log, ..) = open(&mut other).expect("open");
+    log.write(&[record(5)], true).expect("written");
+    let length = log.storage_mut().files["0000000003.log"].bytes.len();
+    log.write(&[record(6)], true).expect("written");
+    drop(log);
+    // Another file of the same log and number, whose blocks the disk gave to this one: the numbers would fit.
+    let mut memory = before;
+    memory.create("elsewhere").expect("made");
     let (mut log, ..) = open(&mut memory).expect("open");
     log.write(&[record(5)], true).expect("written");
     drop(log);
-    let third = memory.files.get_mut("0000000003.log").expect("there");
-    let header = third.bytes.len();
-    third.bytes.extend_from_slice(&tail[header.min(tail.len() - 40)..]);
-    let (_, _, read) = open(memory).expect("open");
+    let tail = &other.files["0000000003.log"].bytes[length..];
+    memory.files.get_mut("0000000003.log").expect("there").bytes.extend_from_slice(tail);
+    let (_, recovery, read) = open(memory).expect("open");
     assert_eq!(read, (1..=5).map(record).collect::<Vec<_>>());
+    assert!(matches!(recovery.lost, Some(Lost::Damaged { .. })));
 }
 
 #[test]
--- a/crates/emberpin-log/tests/service.rs
+++ b/crates/emberpin-log/tests/service.rs
@@ -86,11 +86,11 @@
     let (tell, told) = channel();
     let service = Service::start(log, move |note| tell.send(note).expect("heard")).expect("a thread");
     let mut taken = 0u64;
-    while service.append(vec![0; LONGEST], Some(Ticket(taken))) != Err(Busy) {
+    while taken < 100 && service.append(vec![0; LONGEST], Some(Ticket(taken))) != Err(Busy) {
         taken += 1;
-        assert!(taken < 100, "bounded");
     }
     drop(go);
+    assert!(taken < 100, "bounded");
     let mut heard = 0;
     while heard < taken {
         match told.recv().expect("told") {
--- a/crates/emberpin-site/src/bin/wrong-limiter.rs
+++ b/crates/emberpin-site/src/bin/wrong-limiter.rs
@@ -177,7 +177,7 @@
             let answer = self.answer(&head, &body, number).await;
             let written = wire.stream.write_all(&answer).await;
             self.open.set(self.open.get() - 1);
-            if self.wrong == Wrong::AnswersTwice && number % EVERY == 0 {
+            if self.wrong == Wrong::AnswersTwice && number.is_multiple_of(EVERY) {
                 _ = wire.stream.write_all(&answer).await;
             }
             if written.is_err() || self.leaving.get() {
@@ -187,7 +187,7 @@
     }
 
     async fn answer(&self, head: &Head, body: &[u8], number: usize) -> Vec<u8> {
-        let ours = number % EVERY == 0;
+        let ours = number.is_multiple_of(EVERY);
         match self.wrong {
             Wrong::MakesAnswersUp if ours => return reply("200 OK", b"done"),
             Wrong::AnswersLate if ours => {
--- a/crates/emberpin-site/src/main.rs
+++ b/crates/emberpin-site/src/main.rs
@@ -53,6 +53,9 @@
     /// An operator file for the limiters; may be given several times
     #[arg(long = "with", value_name = "FILE")]
     with: Vec<PathBuf>,
+    /// Give every limiter a log on disk, begun before its first start, that goes with the run
+    #[arg(long)]
+    logs: bool,
 }
 
 fn main() -> ExitCode {
@@ -71,10 +74,10 @@
 fn play(line: &Line) -> Result<ExitCode, String> {
     let scenario = line.scenario()?;
     let mut program = match &line.limiter {
-        Some(path) => Program { path: path.clone(), arguments: Vec::new() },
+        Some(path) => Program { path: path.clone(), arguments: Vec::new(), logs: line.logs },
         None => {
             let path = std::env::current_exe().map_err(|e| format!("cannot find this program: {e}"))?;
-            Program { path, arguments: vec![AS_LIMITER.into()] }
+            Program { path, arguments: vec![AS_LIMITER.into()], logs: line.logs }
         }
     };
     for file in &line.with {
@@ -128,7 +131,8 @@
             self.scenario.as_ref().map_or(String::new(), |path| format!("--scenario {} ", path.display()));
         let with: String = self.with.iter().map(|path| format!("--with {} ", path.display())).collect();
         let (seed, length) = (scenario.seed, seconds(scenario.length));
-        format!("emberpin-site {file}{with}--seed {seed} --seconds {length}")
+        let logs = if self.logs { "--logs " } else { "" };
+        format!("emberpin-site {file}{with}{logs}--seed {seed} --seconds {length}")
     }
 }
 
--- a/crates/emberpin-site/src/process.rs
+++ b/crates/emberpin-site/src/process.rs
@@ -34,6 +34,8 @@
     pub path: PathBuf,
     /// Its arguments.
     pub arguments: Vec<OsString>,
+    /// Each limiter has a log on disk, begun before its first start, that goes with the run.
+    pub logs: bool,
 }
 
 /// What a limiter's processes used, over all their lives.
@@ -105,8 +107,10 @@
         std::fs::write(&file, config.to_string()).map_err(|e| context("its configuration", e))?;
         let log_file = std::fs::OpenOptions::new().create(true).append(true).open(&log);
         let log_file = log_file.map_err(|e| context("its log", e))?;
+        let with_log = self.with_log(&file)?;
         let mut child = Command::new(&self.program.path)
             .args(&self.program.arguments)
+            .args(with_log)
             .env("GW_CONFIG", &file)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -146,6 +150,32 @@
         Ok(())
     }
 
+    /// The arguments that give it a log; before its first start the log is begun, as an operator does it.
+    fn with_log(&self, config: &Path) -> Result<Vec<OsString>, String> {
+        if !self.program.logs {
+            return Ok(Vec::new());
+        }
+        let file = self.folder.join("log.toml");
+        let table = format!("[log]\nfolder = \"{}/log-{{name}}\"\n", self.folder.display());
+        std::fs::write(&file, table)
+            .map_err(|e| format!("limiter {}: its operator file: {e}", self.number))?;
+        let with = vec!["--with".into(), file.into_os_string()];
+        if self.usage.get().starts == 0 {
+            let begun = std::process::Command::new(&self.program.path)
+                .args(&self.program.arguments)
+                .args(&with)
+                .args(["log", "init"])
+                .env("GW_CONFIG", config)
+                .output();
+            let begun = begun.map_err(|e| format!("cannot start {}: {e}", self.program.path.display()))?;
+            if !begun.status.success() {
+                let said = String::from_utf8_lossy(&begun.stderr).trim().to_string();
+                return Err(format!("limiter {}: its log is not begun: {said}", self.number));
+            }
+        }
+        Ok(with)
+    }
+
     /// Notes the end of a process that nobody asked to end.
     async fn watch(self: Rc<Self>, mut child: Child, log: PathBuf) {
         _ = child.wait().await;
--- a/crates/emberpin-site/tests/idempotency.rs
+++ b/crates/emberpin-site/tests/idempotency.rs
@@ -35,8 +35,11 @@
     }
 
     fn play(&self, scenario: &Scenario) -> Outcome {
-        let mut program =
-            Program { path: env!("CARGO_BIN_EXE_emberpin-site").into(), arguments: vec!["limiter".into()] };
+        let mut program = Program {
+            path: env!("CARGO_BIN_EXE_emberpin-site").into(),
+            arguments: vec!["limiter".into()],
+            logs: false,
+        };
         if let Some(file) = &self.file {
             program.arguments.extend(["--with".into(), file.into()]);
         }
--- a/crates/emberpin-site/tests/site.rs
+++ b/crates/emberpin-site/tests/site.rs
@@ -17,8 +17,11 @@
 
 fn play(faults: &str, progress: impl Fn(Progress) + 'static) -> Outcome {
     let scenario = Scenario::parse("test", &format!("{SITE}{faults}")).expect("sound");
-    let program =
-        Program { path: env!("CARGO_BIN_EXE_emberpin-site").into(), arguments: vec!["limiter".into()] };
+    let program = Program {
+        path: env!("CARGO_BIN_EXE_emberpin-site").into(),
+        arguments: vec!["limiter".into()],
+        logs: false,
+    };
     run(&scenario, &program, progress).unwrap_or_else(|e| panic!("seed 7: {e}"))
 }
 
--- a/crates/emberpin/src/command.rs
+++ b/crates/emberpin/src/command.rs
@@ -1,11 +1,11 @@
 //! The command line: the platform's bare `emberpin`, operator files, and the check of both.
 
 use crate::config::{Config, PLATFORM_FILE};
-use crate::{limiter, operator};
+use crate::{limiter, memory, operator};
 use clap::{Parser, Subcommand};
 use operator::Operator;
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// The exit status of a command line or of files that cannot be used.
@@ -28,6 +28,25 @@
 enum Command {
     /// Read everything, print what is in force, start nothing; exit 0 if it is good, 2 if not
     Check,
+    /// The log that outlasts the limiter's lives
+    Log {
+        #[command(subcommand)]
+        what: LogCommand,
+    },
+}
+
+#[derive(Subcommand)]
+enum LogCommand {
+    /// Begin the log of an instance that never had one, so that its first start need not be quiet
+    Init,
+    /// Show what a log's file or folder holds, and check it; exit 0 if it is sound, 1 if not, 2 if it cannot be read
+    Inspect {
+        /// A segment, or a folder of them
+        path: PathBuf,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 /// The whole program: `arguments` begin with its own name. Returns when the limiter has ended.
@@ -42,6 +61,45 @@
     match line.command {
         None => run(&line.with),
         Some(Command::Check) => check(&line.with),
+        Some(Command::Log { what: LogCommand::Init }) => begin_log(&line.with),
+        Some(Command::Log { what: LogCommand::Inspect { path, json } }) => inspect_log(&path, json),
+    }
+}
+
+fn begin_log(with: &[PathBuf]) -> ExitCode {
+    let config = Operator::read(with).and_then(|operator| Config::from_env(&operator));
+    match config.and_then(|config| memory::begin(&config)) {
+        Ok(done) => {
+            println!("{done}");
+            ExitCode::SUCCESS
+        }
+        Err(problem) => {
+            complain(&problem);
+            ExitCode::from(UNUSABLE)
+        }
+    }
+}
+
+fn inspect_log(path: &Path, json: bool) -> ExitCode {
+    let report = match emberpin_log::inspect(path) {
+        Ok(report) => report,
+        Err(problem) => {
+            complain(&format!("cannot read {}: {problem}", path.display()));
+            return ExitCode::from(UNUSABLE);
+        }
+    };
+    match json.then(|| serde_json::to_string_pretty(&report)) {
+        Some(Ok(text)) => println!("{text}"),
+        Some(Err(problem)) => {
+            complain(&problem.to_string());
+            return ExitCode::from(UNUSABLE);
+        }
+        None => print!("{report}"),
+    }
+    if report.sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
     }
 }
 
--- a/crates/emberpin/src/config.rs
+++ b/crates/emberpin/src/config.rs
@@ -1,12 +1,13 @@
 //! The configuration that `GW_CONFIG` names, checked and in the program's own types.
 
 use crate::listing::Listing;
-use crate::operator::{Connections, Idempotency, Operator};
+use crate::operator::{Connections, Idempotency, Log, Operator};
 use dillpass::settings::{Conf, Names};
 use dillpass::Settings;
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Descriptors for what is neither a client's nor a server's: listeners, discovery, the runtime's own; some
@@ -17,6 +18,7 @@
 
 /// What one limiter is told at its start.
 pub struct Config {
+    pub(crate) name: String,
     pub(crate) listen: SocketAddr,
     pub(crate) discovery: SocketAddr,
     pub(crate) seed: u64,
@@ -37,10 +39,14 @@
     pub(crate) connections: Connections,
     /// The same; `None` where it is off.
     pub(crate) idempotency: Option<Idempotency>,
+    /// The same, with the instance's own folder.
+    pub(crate) log: Option<(Log, PathBuf)>,
 }
 
 #[derive(Deserialize)]
 struct File {
+    #[serde(default)]
+    name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
     seed: String,
@@ -96,7 +102,10 @@
         let client_sockets = (sockets as f64 * operator.connections.client_share) as usize;
         // Where the settings do not say, no request may hold more than the largest store.
         let largest = settings.plans.iter().map(|plan| plan.burst).fold(1.0, f64::max);
+        let log = operator.log.clone().map(|log| log.folder_of(&file.name).map(|folder| (log, folder)));
         Ok(Config {
+            log: log.transpose()?,
+            name: file.name,
             listen: file.listen,
             discovery: file.discovery,
             seed,
@@ -134,6 +143,10 @@
         writeln!(to, "connect timeout {} ms", self.connect_timeout.as_millis())?;
         writeln!(to, "idle connections to servers end after {} ms", self.idle_limit.as_millis())?;
         writeln!(to, "a request counts at most {} units", self.most_units)?;
-        writeln!(to, "known servers {}", self.known.targets.len())
+        writeln!(to, "known servers {}", self.known.targets.len())?;
+        match &self.log {
+            Some((_, folder)) => writeln!(to, "log of '{}' in {}", self.name, folder.display()),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/emberpin/src/idempotency.rs
+++ b/crates/emberpin/src/idempotency.rs
@@ -3,24 +3,30 @@
 //! `emberpin_idempotency`.
 
 use crate::clients::{plain, written};
-use crate::clock::Clock;
+use crate::config::Config;
+use crate::die;
+use crate::memory::{boot_clock, random, Memory, Recalled};
 use crate::messages::{Answer, MAX_BODY};
 use crate::operator::{self, Keys, Repeats};
 use bytes::Bytes;
 use dillpass::{CustomerId, GatewayId};
 use emberpin_idempotency::{
-    owner, Action, Customer, Event, Fingerprint, Form, Key, Limits, Secret, Table, Telling, Ticket, Weight,
+    owner, Action, Customer, Event, Fingerprint, Form, Key, Limits, Secret, Sweep, Table, Telling, Ticket,
+    Weight,
 };
+use emberpin_log::{Note, Ticket as RecordTicket};
 use http_body_util::Full;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Method, Response, StatusCode, Uri};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
-use std::rc::Rc;
-use tokio::sync::oneshot;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Marks an answer that was made for an earlier request of the same key.
 const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
@@ -37,14 +43,40 @@
     }
 }
 
+/// Entries that are written anew at a time, and the pause between: a sweep of a million takes some seconds, of which the
+/// stage's thread gives less than a tenth.
+const SWEEP_STEP: usize = 256;
+const SWEEP_PAUSE: Duration = Duration::from_millis(2);
+/// How often the log's size is looked at.
+const SIZE_LOOK: Duration = Duration::from_millis(250);
+/// The ticket of what is no request's.
+const NO_TICKET: u64 = u64::MAX;
+
+/// What is to be done with a request that arrived.
+enum Next {
+    /// It goes on.
+    Passes,
+    /// It goes on once its record counts.
+    Writes,
+    /// It waits, or was told its answer.
+    Nothing,
+}
+
+type First = Pin<Box<dyn Future<Output = Answer>>>;
+
 /// The stage.
 pub struct Idempotency {
     table: RefCell<Table<Answer>>,
     /// Whoever is to be told something.
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Telling<Answer>>>>,
+    /// First requests whose record is being written.
+    unsent: RefCell<HashMap<Ticket, First>>,
+    memory: Option<Memory>,
     secret: Secret,
+    /// Its bytes, to be written anew with all that is still wanted.
+    secret_bytes: [u8; 32],
+    quiet_until: f64,
     form: Form,
-    clock: Clock,
     next: Cell<u64>,
     me: u32,
     group: u32,
@@ -79,16 +111,29 @@
 }
 
 impl Idempotency {
-    /// The stage of limiter `me` of `group`, as the operator has it. What its keyed hash is made with lives as long
-    /// as the process, as the table does.
-    pub fn new(
-        settings: &operator::Idempotency,
-        clock: Clock,
-        seed: u64,
-        me: GatewayId,
-        group: u32,
-    ) -> Idempotency {
-        let millis = |time: std::time::Duration| time.as_secs_f64() * 1000.0;
+    /// The stage, as the operator has it. What its keyed hash is made with comes from the system's random source and
+    /// lives as long as the table: with the log, or with the process.
+    ///
+    /// # Errors
+    ///
+    /// One line: the log cannot be opened, or the system has no random bytes.
+    pub fn start(settings: &operator::Idempotency, config: &Config) -> Result<Rc<Idempotency>, String> {
+        let millis = |time: Duration| time.as_secs_f64() * 1000.0;
+        let (notes, noted) = mpsc::unbounded_channel();
+        let opened = match &config.log {
+            Some((log, folder)) => {
+                Some(Memory::open(config, log, folder, millis(settings.retention), notes)?)
+            }
+            None => None,
+        };
+        let now = boot_clock();
+        let (memory, recalled) = match opened {
+            Some((memory, recalled)) => (Some(memory), recalled),
+            None => {
+                let quiet_until = now + millis(settings.quiet());
+                (None, Recalled { secret: random()?, records: Vec::new(), quiet_until })
+            }
+        };
         let limits = Limits {
             entries: settings.entries,
             answer_bytes: settings.answer_bytes,
@@ -96,26 +141,35 @@
             waiters_per_customer: settings.waiters_per_customer,
             customer_share: settings.customer_share,
             retention: millis(settings.retention),
-            quiet: millis(settings.quiet()),
+            quiet: (recalled.quiet_until - now).max(0.0),
             wait: settings.repeats == Repeats::Wait,
+            recorded: memory.is_some(),
         };
-        let mut bytes = [0; 32];
-        bytes[..8].copy_from_slice(&seed.to_le_bytes());
-        bytes[8..16].copy_from_slice(&clock.now().to_le_bytes());
-        bytes[16..20].copy_from_slice(&std::process::id().to_le_bytes());
-        Idempotency {
-            table: RefCell::new(Table::new(limits, clock.now())),
+        let mut table = Table::new(limits, now);
+        for (record, same_clock) in recalled.records {
+            table.restore(record, same_clock);
+        }
+        table.restored();
+        let stage = Rc::new(Idempotency {
+            table: RefCell::new(table),
             waiting: RefCell::default(),
-            secret: Secret::new(bytes),
+            unsent: RefCell::default(),
+            memory,
+            secret: Secret::new(recalled.secret),
+            secret_bytes: recalled.secret,
+            quiet_until: recalled.quiet_until,
             form: match settings.keys {
                 Keys::Quoted => Form::Quoted,
                 Keys::QuotedOrBare => Form::QuotedOrBare,
             },
-            clock,
             next: Cell::new(0),
-            me: me.0,
-            group,
+            me: config.settings.me.0,
+            group: config.settings.group_size,
+        });
+        if stage.memory.is_some() {
+            spawn_local(keep(Rc::downgrade(&stage), noted));
         }
+        Ok(stage)
     }
 
     /// One keyed request, from its arrival to its answer. `first` asks the driver, if this is the first of its key:
@@ -141,12 +195,22 @@
         let (tell, told) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, tell);
         let owed = Owed { stage: self, ticket };
-        if self.handle(Event::Arrived { ticket, customer, key, fingerprint }) {
-            let stage = self.clone();
-            spawn_local(async move { stage.conclude(ticket, first.await) });
+        let stage = self.clone();
+        let first = async move {
+            die::here("send");
+            let answer = first.await;
+            die::here("answer");
+            stage.conclude(ticket, answer.clone());
+            answer
+        };
+        match self.handle(Event::Arrived { ticket, customer, key, fingerprint }) {
+            Next::Passes => _ = spawn_local(first),
+            Next::Writes => _ = self.unsent.borrow_mut().insert(ticket, Box::pin(first)),
+            Next::Nothing => {}
         }
         let telling = timeout_at(request.expires, told).await;
         drop(owed);
+        die::here("reply");
         match telling {
             Ok(Ok(telling)) => worded(telling),
             // Its patience is over, and only its: the first goes on.
@@ -164,17 +228,33 @@
             Answer::Refused { .. } => Event::Refused { ticket, answer },
             Answer::Failed => Event::Failed { ticket, answer },
         });
+        die::here("store");
     }
 
-    /// Feeds the table and carries out what it says; true if a first request is to go on.
-    fn handle(&self, event: Event<Answer>) -> bool {
+    /// Feeds the table and carries out what it says; what is to be done with the request that arrived.
+    fn handle(&self, event: Event<Answer>) -> Next {
         let mut actions = Vec::new();
-        self.table.borrow_mut().handle(self.clock.now(), event, &mut actions);
-        let mut passes = false;
+        self.table.borrow_mut().handle(boot_clock(), event, &mut actions);
+        let (mut then, mut unwritten) = (Next::Nothing, None);
         for action in actions {
             match action {
-                Action::Pass(_) => passes = true,
+                Action::Pass(ticket) => match self.unsent.borrow_mut().remove(&ticket) {
+                    Some(first) => _ = spawn_local(first),
+                    None => then = Next::Passes,
+                },
                 Action::Hold(_) => {}
+                Action::Drop(ticket) => _ = self.unsent.borrow_mut().remove(&ticket),
+                Action::Record(record, ticket) => {
+                    let Some(memory) = &self.memory else { continue };
+                    let taken = memory.key(record, ticket.map(|ticket| RecordTicket(ticket.0)));
+                    die::here("claim");
+                    match (ticket, taken) {
+                        (Some(_), true) => then = Next::Writes,
+                        (Some(ticket), false) => unwritten = Some(ticket),
+                        // An outcome that is not taken leaves the key as what may have run, in the next life.
+                        (None, _) => {}
+                    }
+                }
                 Action::Tell(ticket, telling) => {
                     if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
                         // One that has just gone away does not hear it.
@@ -183,7 +263,85 @@
                 }
             }
         }
-        passes
+        if let Some(ticket) = unwritten {
+            self.handle(Event::Unwritten { ticket });
+        }
+        then
+    }
+
+    fn noted(&self, note: Note) {
+        let of = |ticket: &RecordTicket| Ticket(ticket.0);
+        match note {
+            Note::Durable(tickets) => tickets.iter().for_each(|ticket| {
+                self.handle(Event::Written { ticket: of(ticket) });
+            }),
+            Note::Unwritten(tickets, problem) => {
+                eprintln!("emberpin: log: {} keyed requests not let on: {problem}", tickets.len());
+                tickets.iter().for_each(|ticket| {
+                    self.handle(Event::Unwritten { ticket: of(ticket) });
+                });
+            }
+            // The sweep that asked for it hears of it.
+            Note::Rotated(_) => {}
+        }
+    }
+}
+
+/// Carries out what the log tells, and writes all that is still wanted anew whenever it has grown enough, and once
+/// at the start. Ends with the stage.
+async fn keep(stage: Weak<Idempotency>, mut noted: mpsc::UnboundedReceiver<Note>) {
+    let (mut sweep, mut segment, mut then, mut rotating) = (Some(Sweep::default()), None, 0, false);
+    let mut pause = SWEEP_PAUSE;
+    loop {
+        tokio::select! {
+                    note = noted.recv() => {
+                        let (Some(note), Some(stage)) = (note, stage.upgrade()) else { return };
+                        if let Note::Rotated(result) = &note {
+                            rotating = false;
+                            match result {
+                                Ok(new) => (sweep, segment) = (Some(Sweep::default()), Some(*new)),
+                                // Looked at again after a while; nothing is lost by a log that is too long.
+                                Err(problem) => eprintln!("emberpin: log: cannot be turned over: {problem}"),
+                            }
+                        }
+                        stage.noted(note);
+                    }
+                    () = sleep(pause) => {
+                        let Some(stage) = stage.upgrade() else { return };
+                        let Some(memory) = &stage.memory else { return };
+                        match sweep {
+                            Some(from) => match stage.sweep(memory, from) {
+                                // Too much waits; the same again, soon.
+                                None => {}
+                                Some(Some(next)) => sweep = Some(next),
+                                Some(None) if memory.retire(segment.unwrap_or(memory.first_segment())) => {
+        (sweep, then) = (None, memory.bytes());
+        }
+        // Too much waits for that, too.
+        Some(None) => {}
+                            },
+                            None if !rotating && memory.wants_rotation(then) => rotating = memory.rotate(),
+                            None => {}
+                        }
+                        pause = if sweep.is_some() { SWEEP_PAUSE } else { SIZE_LOOK };
+                    }
+                }
+    }
+}
+
+impl Idempotency {
+    /// Writes some entries anew; `None` if they were not taken.
+    fn sweep(&self, memory: &Memory, from: Sweep) -> Option<Option<Sweep>> {
+        if from == Sweep::default() {
+            let quiet = self.quiet_until > boot_clock();
+            if !memory.secret(self.secret_bytes, Some(RecordTicket(NO_TICKET)))
+                || quiet && !memory.quiet(self.quiet_until)
+            {
+                return None;
+            }
+        }
+        let (records, next) = self.table.borrow().sweep(from, SWEEP_STEP);
+        records.into_iter().all(|record| memory.key(record, None)).then_some(next)
     }
 }
 
@@ -217,6 +375,10 @@
             let what = "no place for another Idempotency-Key; nothing was sent";
             problem(StatusCode::SERVICE_UNAVAILABLE, what, Some(retry_after))
         }
+        Telling::NotWritten => {
+            let what = "this Idempotency-Key cannot be written down now; nothing was sent";
+            problem(StatusCode::SERVICE_UNAVAILABLE, what, None)
+        }
         Telling::Quiet => {
             let what = "just started: whether this Idempotency-Key ran before is not known; it is not sent";
             problem(StatusCode::CONFLICT, what, None)
--- a/crates/emberpin/src/limiter.rs
+++ b/crates/emberpin/src/limiter.rs
@@ -17,7 +17,6 @@
 use crate::idempotency::Idempotency;
 use crate::operator::Operator;
 use crate::peers;
-use std::rc::Rc;
 use tokio::net::{TcpSocket, UdpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
@@ -72,10 +71,10 @@
     let refetch = discovery.refetch();
     spawn_local(reload(hung_up, discovery));
     let (longest, leaving) = (config.longest_deadline(), config.connections.leaving);
-    let idempotency = config.idempotency.as_ref().map(|settings| {
-        let (me, group) = (config.settings.me, config.settings.group_size);
-        Rc::new(Idempotency::new(settings, clock, config.seed, me, group))
-    });
+    let idempotency = match &config.idempotency {
+        Some(settings) => Some(Idempotency::start(settings, &config)?),
+        None => None,
+    };
     let front = Front::new(&config, idempotency, inputs.clone());
     let accepting = spawn_local(front.clone().accept(listener));
     let driver = spawn_local(Driver::new(config, clock, inputs, peers, refetch).run(received));
--- a/crates/emberpin/src/operator.rs
+++ b/crates/emberpin/src/operator.rs
@@ -15,8 +15,45 @@
     pub connections: Connections,
     /// Repeats of keyed requests are recognised; off without its table.
     pub idempotency: Option<Idempotency>,
+    /// What must outlast a life is kept on a disk; nothing is without its table.
+    pub log: Option<Log>,
 }
 
+/// Where what must outlast a life is kept: the table `[log]`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Log {
+    /// The folder; `{name}` in it stands for the instance's name.
+    #[serde(deserialize_with = "folder")]
+    pub folder: String,
+    /// What the log may hold beside twice what is still wanted, before that is written anew, in bytes.
+    #[serde(rename = "spare_mb", deserialize_with = "spare", default = "usual_spare")]
+    pub spare: usize,
+}
+
+impl Log {
+    /// The instance's own folder.
+    ///
+    /// # Errors
+    ///
+    /// The folder has `{name}` in it and the instance has none.
+    pub fn folder_of(&self, instance: &str) -> Result<PathBuf, String> {
+        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        let sound = !instance.is_empty() && !instance.starts_with('.') && instance.chars().all(plain);
+        match (self.folder.contains(NAME), sound) {
+            (true, false) => Err(format!(
+                "[log] folder = {:?} needs the instance's name, which is {instance:?}; expected letters, digits, '-', \
+                 '_' and '.'",
+                self.folder
+            )),
+            _ => Ok(self.folder.replace(NAME, instance).into()),
+        }
+    }
+}
+
+/// What stands for the instance's name in a folder.
+const NAME: &str = "{name}";
+
 /// How repeats of keyed requests are recognised: the table `[idempotency]`.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -129,6 +166,7 @@
 struct File {
     connections: Option<Connections>,
     idempotency: Option<Idempotency>,
+    log: Option<Log>,
 }
 
 impl Operator {
@@ -159,6 +197,10 @@
                 once("idempotency")?;
                 operator.idempotency = Some(idempotency);
             }
+            if let Some(log) = file.log {
+                once("log")?;
+                operator.log = Some(log);
+            }
         }
         Ok(operator)
     }
@@ -173,14 +215,26 @@
         writeln!(to, "idle_share = {idle_share} of the servers' idle limit")?;
         writeln!(to, "leaving_ms = {} ms", leaving.as_millis())?;
         match &self.idempotency {
-            Some(idempotency) => idempotency.fmt(to),
-            None => writeln!(to, "[idempotency] off"),
+            Some(idempotency) => idempotency.show(self.log.is_some(), to)?,
+            None => writeln!(to, "[idempotency] off")?,
+        }
+        match &self.log {
+            Some(log) => log.fmt(to),
+            None => writeln!(to, "[log] off: what must outlast a life is not kept"),
         }
     }
 }
 
-impl fmt::Display for Idempotency {
+impl fmt::Display for Log {
     fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(to, "[log]")?;
+        writeln!(to, "folder = {}", self.folder)?;
+        writeln!(to, "spare_mb = {} MiB beside twice what is still wanted", self.spare >> 20)
+    }
+}
+
+impl Idempotency {
+    fn show(&self, logged: bool, to: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (retention, quiet) = (self.retention.as_secs_f64(), self.quiet().as_secs_f64());
         writeln!(to, "[idempotency]")?;
         writeln!(to, "retention_s = {retention} s")?;
@@ -189,10 +243,13 @@
                 to,
                 "quiet_s = {quiet} s: SHORTER than retention_s, so what ran before a restart may run again"
             )?,
-            false => writeln!(
-                to,
-                "quiet_s = {quiet} s after a start, in which keyed work is told that it may have run"
-            )?,
+            false => {
+                let when = if logged { "a start that finds its log lost" } else { "a start" };
+                writeln!(
+                    to,
+                    "quiet_s = {quiet} s after {when}, in which keyed work is told that it may have run"
+                )?;
+            }
         }
         writeln!(to, "entries = {} keys", self.entries)?;
         writeln!(to, "answers_mb = {} MiB", self.answer_bytes >> 20)?;
@@ -279,6 +336,22 @@
     count(from, 0..=4096, "MiB").map(|mebibytes| mebibytes << 20)
 }
 
+fn folder<'de, D: Deserializer<'de>>(from: D) -> Result<String, D::Error> {
+    let folder = String::deserialize(from)?;
+    match folder.is_empty() {
+        true => Err(serde::de::Error::custom("found an empty text, expected a folder")),
+        false => Ok(folder),
+    }
+}
+
+fn usual_spare() -> usize {
+    8 << 20
+}
+
+fn spare<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
+    count(from, 1..=65_536, "MiB").map(|mebibytes| mebibytes << 20)
+}
+
 fn customer_share<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
     within(from, 0.0001..=1.0, "of keys and bytes")
 }
@@ -335,7 +408,7 @@
         let cases = [
             (
                 "\n[conections]\n",
-                "0.toml:2:2: unknown field `conections`, expected `connections` or `idempotency`",
+                "0.toml:2:2: unknown field `conections`, expected one of `connections`, `idempotency`, `log`",
             ),
             ("[connections]\nidle = 1", "0.toml:2:1: unknown field `idle`, expected one of `client_share`"),
             ("[connections]\n  client_share = 1.5", "0.toml:2:18: found 1.5, expected 0.1 to 0.9"),
@@ -351,6 +424,9 @@
             ),
             ("[idempotency]\nretention_s = 1", "0.toml:2:15: found 1, expected 2 to 86400 s"),
             ("[idempotency]\nentries = 0", "0.toml:2:11: found 0, expected 1 to 10000000 keys"),
+            ("[log]\nfolder = \"\"", "0.toml:2:10: found an empty text, expected a folder"),
+            ("[log]", "0.toml:1:1: missing field `folder`"),
+            ("[log]\nfolder = \"a\"\nspare_mb = 0", "0.toml:3:12: found 0, expected 1 to 65536 MiB"),
             ("[connections", "0.toml:1:13: "),
         ];
         for (text, expected) in cases {
@@ -365,10 +441,24 @@
         assert_eq!(idempotency("[idempotency]\nretention_s = 9").quiet(), Duration::from_secs(9));
         let shorter = idempotency("[idempotency]\nretention_s = 9\nquiet_s = 3");
         assert_eq!(shorter.quiet(), Duration::from_secs(3));
-        assert!(shorter.to_string().contains("may run again"));
+        let shown = |idempotency: Idempotency| {
+            Operator { idempotency: Some(idempotency), ..Operator::default() }.to_string()
+        };
+        assert!(shown(shorter).contains("may run again"));
         assert!(Operator::default().to_string().contains("[idempotency] off"));
     }
 
+    #[test]
+    fn a_folder_takes_the_instances_name_and_no_path_in_its_place() {
+        let log = read(&["[log]\nfolder = \"/var/lib/{name}/keys\""]).expect("good").log.expect("on");
+        assert_eq!(log.folder_of("n3"), Ok(PathBuf::from("/var/lib/n3/keys")));
+        for bad in ["", "..", "a/b", "å"] {
+            assert!(log.folder_of(bad).expect_err(bad).contains("needs the instance's name"));
+        }
+        let plain = read(&["[log]\nfolder = \"here\""]).expect("good").log.expect("on");
+        assert_eq!(plain.folder_of(""), Ok(PathBuf::from("here")));
+    }
+
     #[test]
     fn a_table_that_stands_twice_is_refused_with_both_places() {
         let problem = read(&["[connections]", "", "[connections]"]).expect_err("twice");
--- a/crates/emberpin/tests/common/sockets.rs
+++ b/crates/emberpin/tests/common/sockets.rs
@@ -66,6 +66,13 @@
         self.stream.write_all(text.as_bytes()).expect("answered");
     }
 
+    /// The same to a limiter that may have died meanwhile.
+    pub fn answer_if_there(&mut self, status: &str, headers: &str, body: &str) {
+        let length = body.len();
+        let text = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n{headers}\r\n{body}");
+        _ = self.stream.write_all(text.as_bytes());
+    }
+
     /// Waits until the other side has closed the connection.
     pub fn ends(mut self) {
         self.stream.set_read_timeout(Some(LONG)).expect("set");
@@ -250,6 +257,25 @@
         }
     }
 
+    /// Starts it, and waits until it is ready or has ended; true if it is ready.
+    pub fn try_run_as(&mut self, mut command: Command) -> bool {
+        self.child = Some(command.spawn().expect("starts"));
+        let begun = Instant::now();
+        while self.get("/health/ready").is_none_or(|answer| answer.status() != 200) {
+            if self.child().try_wait().expect("waited").is_some() {
+                return false;
+            }
+            assert!(begun.elapsed() < LONG, "neither ready nor gone");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        true
+    }
+
+    /// Whether its process is gone.
+    pub fn has_ended(&mut self) -> bool {
+        self.child().try_wait().expect("waited").is_some()
+    }
+
     fn child(&mut self) -> &mut Child {
         self.child.as_mut().expect("running")
     }
