--- a/crates/emberpin/tests/command.rs
+++ b/crates/emberpin/tests/command.rs
@@ -20,6 +20,10 @@
     assert_eq!((with.status.code(), without.status.code()), (Some(0), Some(0)));
     assert_eq!(text(&with.stdout), text(&without.stdout));
     assert!(text(&with.stdout).contains("leaving_ms = 700 ms"), "{}", text(&with.stdout));
+    let (keys, log) = (format!("{folder}/idempotency.toml"), format!("{folder}/log.toml"));
+    let all = emberpin(&["check", "--with", &keys, "--with", &log]);
+    assert_eq!(all.status.code(), Some(0), "{}", text(&all.stderr));
+    assert!(text(&all.stdout).contains("folder = /var/lib/emberpin/{name}"), "{}", text(&all.stdout));
 }
 
 #[test]
