Decide keys by a majority of their holders: claims of one key over several limiters

A firm at another limiter was sent away, and a limiter that is gone took its firms' keys with it. Each customer's keys are held by three limiters, found by hashing; a request goes on once two have granted its key, each with the record on disk. No leader, lease or shared clock. Repeats gather at the claimant and ask once. Split votes are decided by the lower claim; what is given up frees the key; outcomes are told late to who was away.

--- a/crates/emberpin-idempotency/src/lib.rs
+++ b/crates/emberpin-idempotency/src/lib.rs
@@ -9,6 +9,7 @@
 //! on client errors).
 #![forbid(unsafe_code)]
 
+pub mod claims;
 mod fingerprint;
 mod key;
 mod owner;
--- a/crates/emberpin-idempotency/src/owner.rs
+++ b/crates/emberpin-idempotency/src/owner.rs
@@ -13,7 +13,7 @@
 
 /// BLAKE3 of customer and limiter. Nobody gains by an owner of choice, so it needs no secret, and a limiter with
 /// another secret still comes to the same.
-fn weight(customer: Customer, member: u32) -> u64 {
+pub(crate) fn weight(customer: Customer, member: u32) -> u64 {
     let mut input = [0; 12];
     input[..8].copy_from_slice(&customer.0.to_le_bytes());
     input[8..].copy_from_slice(&member.to_le_bytes());
--- a/crates/emberpin-idempotency/src/table.rs
+++ b/crates/emberpin-idempotency/src/table.rs
@@ -91,6 +91,27 @@
         /// Which.
         ticket: Ticket,
     },
+    /// A first request was given up before anything of it was sent; the next that waits stands in its place.
+    Released {
+        /// Which.
+        ticket: Ticket,
+    },
+    /// What came of a first request will never be heard: it may have run.
+    Lost {
+        /// Which.
+        ticket: Ticket,
+    },
+    /// A key's request was served, whoever let it on.
+    Learned {
+        /// Whose it is.
+        customer: Customer,
+        /// Its key.
+        key: Key,
+        /// What it looks like.
+        fingerprint: Fingerprint,
+        /// With what.
+        answer: A,
+    },
     /// The record of a first request counts.
     Written {
         /// Which.
@@ -252,6 +273,11 @@
                 }
                 actions.push(action);
             }
+            Event::Released { ticket } => self.release(ticket, actions),
+            Event::Lost { ticket } => self.lose(ticket, actions),
+            Event::Learned { customer, key, fingerprint, answer } => {
+                self.learn(customer, key, fingerprint, answer, actions);
+            }
             Event::Written { ticket } => self.written(ticket, actions),
             Event::Unwritten { ticket } => self.unwritten(ticket, actions),
             Event::Served { ticket, answer } => self.conclude(ticket, answer, Outcome::Served, actions),
@@ -374,6 +400,116 @@
         self.forget(id);
     }
 
+    /// The request that holds a key that has no outcome yet.
+    pub fn first(&self, customer: Customer, key: &Key) -> Option<Ticket> {
+        match &self.entries.get(self.by_key.get(&(customer, key.clone()))?)?.state {
+            State::InFlight { first, .. } => *first,
+            State::Served { .. } | State::Unknown => None,
+        }
+    }
+
+    fn release(&mut self, ticket: Ticket, actions: &mut Vec<Action<A>>) {
+        let Some(id) = self.tickets.get(&ticket).copied() else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let State::InFlight { first, waiters, writing } = &mut entry.state else { return };
+        if *first != Some(ticket) {
+            return self.leave(ticket);
+        }
+        self.tickets.remove(&ticket);
+        if waiters.is_empty() {
+            if self.limits.recorded {
+                if let Some(entry) = self.entries.get(&id) {
+                    actions.push(Action::Record(self.record(entry, Known::Gone), None));
+                }
+            }
+            return self.forget(id);
+        }
+        let next = waiters.remove(0);
+        *first = Some(next);
+        let writing = *writing;
+        if let Some(holding) = self.customers.get_mut(&entry.customer) {
+            holding.waiters -= 1;
+        }
+        match self.entries.get(&id) {
+            Some(entry) if writing => {
+                actions.push(Action::Record(self.record(entry, Known::Claimed), Some(next)));
+            }
+            _ => actions.push(Action::Pass(next)),
+        }
+    }
+
+    fn lose(&mut self, ticket: Ticket, actions: &mut Vec<Action<A>>) {
+        let Some(id) = self.tickets.get(&ticket).copied() else { return };
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if !matches!(&entry.state, State::InFlight { first, .. } if *first == Some(ticket)) {
+            return self.leave(ticket);
+        }
+        let State::InFlight { waiters, .. } = std::mem::replace(&mut entry.state, State::Unknown) else {
+            return;
+        };
+        self.tickets.remove(&ticket);
+        self.settle(id, waiters, &Telling::Unknown, actions);
+        if let (true, Some(entry)) = (self.limits.recorded, self.entries.get(&id)) {
+            actions.push(Action::Record(self.record(entry, Known::Unknown), None));
+        }
+    }
+
+    /// An entry has an outcome from now on, and these that waited are told so.
+    fn settle(&mut self, id: EntryId, waiters: Vec<Ticket>, told: &Telling<A>, actions: &mut Vec<Action<A>>) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.expires = self.now + self.limits.retention;
+        let holding = self.customers.entry(entry.customer).or_default();
+        holding.waiters -= waiters.len();
+        holding.done.push_back(id);
+        self.done.push_back(id);
+        for waiter in waiters {
+            self.tickets.remove(&waiter);
+            actions.push(Action::Tell(waiter, told.clone()));
+        }
+    }
+
+    fn learn(
+        &mut self,
+        customer: Customer,
+        key: Key,
+        fingerprint: Fingerprint,
+        answer: A,
+        actions: &mut Vec<Action<A>>,
+    ) {
+        let known = self.by_key.get(&(customer, key.clone())).copied();
+        let id = match known.and_then(|id| self.entries.get_mut(&id).map(|entry| (id, entry))) {
+            Some((_, entry)) if entry.fingerprint != fingerprint => return,
+            Some((id, entry)) => match &mut entry.state {
+                State::Served { .. } => return,
+                // It has its place among the outcomes already.
+                State::Unknown => {
+                    entry.state = State::Served { answer: None };
+                    id
+                }
+                State::InFlight { first, waiters, .. } => {
+                    let (first, waiters) = (first.take(), std::mem::take(waiters));
+                    entry.state = State::Served { answer: None };
+                    if let Some(first) = first {
+                        self.tickets.remove(&first);
+                        actions.push(Action::Tell(first, Telling::Own(answer.clone())));
+                    }
+                    self.settle(id, waiters, &Telling::Replay(answer.clone()), actions);
+                    id
+                }
+            },
+            // More than the bound if need be: what has run is never forgotten.
+            None => {
+                let id = self.insert(customer, key, fingerprint, State::Served { answer: None }, 0.0);
+                self.settle(id, Vec::new(), &Telling::NotKept, actions);
+                id
+            }
+        };
+        if let (true, Some(entry)) = (self.limits.recorded, self.entries.get(&id)) {
+            actions.push(Action::Record(self.record(entry, Known::Served(Some(answer.clone()))), None));
+        }
+        self.keep(id, customer, answer);
+    }
+
     fn unwritten(&mut self, ticket: Ticket, actions: &mut Vec<Action<A>>) {
         let Some(id) = self.tickets.get(&ticket).copied() else { return };
         let Some(entry) = self.entries.get_mut(&id) else { return };
--- a/crates/emberpin-link/tests/network.rs
+++ b/crates/emberpin-link/tests/network.rs
@@ -451,6 +451,27 @@
     }
 }
 
+#[test]
+fn a_second_connection_ends_the_first_and_a_new_life_ends_all_that_led_to_the_old() {
+    let mut net = Net::new(2);
+    net.run(300.0);
+    let certified = || Some(vec!["n1".to_string()]);
+    let life = |number, nonce| match hello("n1") {
+        Message::Hello { versions, cluster, from, to, epoch, .. } => {
+            Message::Hello { versions, cluster, from, to, epoch, life: Life { number, nonce } }
+        }
+        other => other,
+    };
+    let same = stranger(&mut net, certified());
+    says(&mut net, same, &life(100, 1001));
+    assert_eq!(net.hosts[0].closed, [Closing::Replaced], "the one that it had opened before");
+    let new = stranger(&mut net, certified());
+    says(&mut net, new, &life(101, 5));
+    // That one, and what this side had opened to the old life.
+    assert_eq!(net.hosts[0].closed, [Closing::Replaced, Closing::Replaced, Closing::Replaced]);
+    assert!(!net.sees(0, 1).1, "nothing is told to the old life");
+}
+
 #[test]
 fn a_member_that_does_not_take_what_it_is_told_is_told_no_more_and_the_newest_gives_way() {
     let mut net = Net::new(2);
