--- a/crates/emberpin-idempotency/src/claims.rs
+++ b/crates/emberpin-idempotency/src/claims.rs
@@ -212,6 +212,8 @@
 /// What a claimant knows from one holder.
 #[derive(Clone, Debug, PartialEq)]
 enum Vote<A> {
+    /// Not asked yet: a majority may do without it.
+    Spare,
     Asked,
     Granted,
     Waits(Holding),
@@ -397,11 +399,7 @@
         }
         self.next += 1;
         let claim = Claim(self.next);
-        let holders = self.holders(customer);
-        let vote = |holder: &Member| if self.away.contains(holder) { Vote::None } else { Vote::Asked };
-        let votes: BTreeMap<Member, Vote<A>> = holders.iter().map(|holder| (*holder, vote(holder))).collect();
-        let asked: Vec<Member> =
-            votes.iter().filter(|(_, vote)| vote.is_asked()).map(|(holder, _)| *holder).collect();
+        let votes = self.holders(customer).into_iter().map(|holder| (holder, Vote::Spare)).collect();
         let (until, running) = (self.now + self.rules.ask_within, false);
         let (lead, lead_there, waiters) = (ticket, true, Vec::new());
         let expires = self.now + within;
@@ -410,13 +408,27 @@
         self.by_claim.insert(claim, name.clone());
         self.by_ticket.insert(ticket, name.clone());
         actions.push(Action::Hold(ticket));
-        for holder in asked {
-            let (customer, key) = name.clone();
-            self.say(holder, Said::Wants { claim, customer, key, fingerprint, within }, actions);
-        }
         self.weigh(&name, actions);
     }
 
+    /// Asks the next holder that was not asked yet, this limiter first and then in the customer's own order, so that
+    /// claims of one key meet; false if there is none.
+    fn ask_another(&mut self, name: &Name, actions: &mut Vec<Action<A>>) -> bool {
+        let (now, me) = (self.now, self.rules.me);
+        let mut order = self.holders(name.0);
+        order.sort_by_key(|holder| *holder != me);
+        let Some(ask) = self.asks.get_mut(name) else { return false };
+        let spare = |holder: &Member| matches!(ask.votes.get(holder), Some(Vote::Spare));
+        let next = order.into_iter().filter(|holder| !self.away.contains(holder)).find(spare);
+        let Some(holder) = next else { return false };
+        ask.votes.insert(holder, Vote::Asked);
+        ask.until = now + self.rules.ask_within;
+        let (claim, fingerprint, within) = (ask.claim, ask.fingerprint, (ask.expires - now).max(0.0));
+        let (customer, key) = name.clone();
+        self.say(holder, Said::Wants { claim, customer, key, fingerprint, within }, actions);
+        true
+    }
+
     /// Whether what the holders have said so far decides about a key.
     fn weigh(&mut self, name: &Name, actions: &mut Vec<Action<A>>) {
         let Some(ask) = self.asks.get_mut(name).filter(|ask| !ask.running) else { return };
@@ -438,6 +450,10 @@
         if granted + count(Vote::is_asked) >= majority {
             return;
         }
+        if self.ask_another(name, actions) {
+            return self.weigh(name, actions);
+        }
+        let Some(ask) = self.asks.get(name) else { return };
         let me = (self.rules.me, ask.claim);
         let others: Vec<Holding> = ask
             .votes
@@ -511,7 +527,7 @@
         }
         // Each holder that may have it in its table; one that is away is told later.
         for (holder, vote) in ask.votes {
-            if !matches!(vote, Vote::Told(_)) {
+            if !matches!(vote, Vote::Told(_) | Vote::Spare) {
                 self.say(holder, Said::Released(ask.claim), actions);
             }
         }
@@ -601,7 +617,7 @@
         let known = ask.and_then(|ask| ask.votes.get_mut(&from));
         match (known, name) {
             // What was given back, or counted as not there, has been released there already, behind the asking.
-            (Some(Vote::None | Vote::Back), _) => {}
+            (Some(Vote::None | Vote::Back | Vote::Spare), _) => {}
             (Some(known), Some(name)) => {
                 *known = vote;
                 self.weigh(&name, actions);
--- a/crates/emberpin-idempotency/tests/claims.rs
+++ b/crates/emberpin-idempotency/tests/claims.rs
@@ -88,6 +88,8 @@
     next: u64,
     /// Requests without an answer: at which limiter, for which key, until when.
     open: BTreeMap<(usize, Ticket), (u64, Millis)>,
+    /// The same of all that ever came.
+    asked: BTreeMap<(usize, Ticket), (u64, Millis)>,
     /// When a key's work may last have run.
     ran: BTreeMap<u64, Millis>,
     twice: Option<u64>,
@@ -108,6 +110,7 @@
             cut: BTreeSet::new(),
             next: 0,
             open: BTreeMap::new(),
+            asked: BTreeMap::new(),
             ran: BTreeMap::new(),
             twice: None,
             signed: 0,
@@ -176,10 +179,8 @@
     }
 
     fn pass(&mut self, at: usize, ticket: Ticket) {
-        let Some((key, until)) = self.open.get(&(at, ticket)).copied() else {
-            // Its client has left; a repeat here waits for it.
-            return self.run(at, ticket, self.next + 1000, f64::INFINITY);
-        };
+        // Its client may have left, where a repeat waits for it.
+        let (key, until) = self.asked[&(at, ticket)];
         self.run(at, ticket, key, until);
     }
 
@@ -203,6 +204,7 @@
         let ticket = Ticket(self.next);
         let until = self.now + PATIENCE;
         self.open.insert((at, ticket), (number, until));
+        self.asked.insert((at, ticket), (number, until));
         let fingerprint = Fingerprint::of(&Secret::new([1; 32]), "POST", "/", 1, &number.to_le_bytes());
         let (customer, key) = (Customer(number % 2), key(number));
         self.feed(at, Event::Arrived { ticket, customer, key, fingerprint, within: PATIENCE });
