Write the log anew under steady work too; set damaged segments aside in a test

Reading the change again: the log's host began its pause anew at each note of the log's thread, so a limiter that was never idle for 250 ms never turned its log over, and would have filled its disk. It waits for a point in time now; a test asks without a pause until the log is turned over. Its host's steps are a type of their own. Dialing a member checked its name twice; rustls does it. A test shows that a damaged segment is set aside.

--- a/crates/emberpin-log/tests/recovery.rs
+++ b/crates/emberpin-log/tests/recovery.rs
@@ -230,6 +230,23 @@
     assert!(matches!(Log::begin(written(1), &identity()), Err(Unusable::Begun)));
 }
 
+#[test]
+fn a_damaged_segment_is_set_aside_once_all_that_is_wanted_stands_behind_it() {
+    let mut memory = written(3);
+    let bytes = &mut memory.files.get_mut(SECOND).expect("there").bytes;
+    let last = bytes.len() - 1;
+    bytes[last] ^= 1;
+    let damaged = bytes.clone();
+    let (mut log, recovery, read) = open(&mut memory).expect("open");
+    assert!(matches!(recovery.lost, Some(Lost::Damaged { .. })));
+    assert_eq!(read, [record(1), record(2)], "what can be read is");
+    log.write(&read, true).expect("written");
+    log.retire(log.segment()).expect("let go");
+    drop(log);
+    assert_eq!(memory.files["damaged"].bytes, damaged);
+    assert!(!memory.files.contains_key(SECOND));
+}
+
 #[test]
 fn a_boot_that_is_not_this_one_is_told() {
     let mut boots = Vec::new();
--- a/crates/emberpin/src/idempotency.rs
+++ b/crates/emberpin/src/idempotency.rs
@@ -30,7 +30,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// Marks an answer that was made for an earlier request of the same key.
 const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
@@ -195,8 +195,8 @@
             me: config.settings.me.0,
             group: config.settings.group_size,
         });
-        if stage.memory.is_some() {
-            spawn_local(keep(Rc::downgrade(&stage), noted));
+        if let Some(memory) = &stage.memory {
+            spawn_local(keep(Rc::downgrade(&stage), noted, memory.first_segment()));
         }
         if stage.link.is_some() {
             spawn_local(listen(Rc::downgrade(&stage), heard, superseded));
@@ -367,45 +367,78 @@
     }
 }
 
+/// How far the log's host is with writing all that is still wanted anew.
+struct Renewal {
+    /// The next entries to be written, while a sweep is on.
+    sweep: Option<Sweep>,
+    /// The segment that the sweep writes to; all before it go with its end.
+    segment: u64,
+    /// Bytes that the log held after the last sweep.
+    then: u64,
+    /// Another segment was asked for.
+    rotating: bool,
+}
+
+impl Renewal {
+    fn noted(&mut self, note: &Note) {
+        let Note::Rotated(result) = note else { return };
+        self.rotating = false;
+        match result {
+            Ok(segment) => (self.sweep, self.segment) = (Some(Sweep::default()), *segment),
+            // Looked at again after a while; nothing is lost by a log that is too long.
+            Err(problem) => eprintln!("emberpin: log: cannot be turned over: {problem}"),
+        }
+    }
+
+    /// Does one step, and says when the next is due.
+    fn step(&mut self, stage: &Idempotency, memory: &Memory) -> Duration {
+        match self.sweep.map(|from| stage.sweep(memory, from)) {
+            // What is not taken now, as too much waits, is tried again soon.
+            Some(None) => {}
+            Some(Some(Some(next))) => self.sweep = Some(next),
+            Some(Some(None)) => {
+                if memory.retire(self.segment) {
+                    (self.sweep, self.then) = (None, memory.bytes());
+                }
+            }
+            None => {
+                if !self.rotating && memory.wants_rotation(self.then) {
+                    self.rotating = memory.rotate();
+                }
+            }
+        }
+        if self.sweep.is_some() {
+            SWEEP_PAUSE
+        } else {
+            SIZE_LOOK
+        }
+    }
+}
+
 /// Carries out what the log tells, and writes all that is still wanted anew whenever it has grown enough, and once
 /// at the start. Ends with the stage.
-async fn keep(stage: Weak<Idempotency>, mut noted: mpsc::UnboundedReceiver<Note>) {
-    let (mut sweep, mut segment, mut then, mut rotating) = (Some(Sweep::default()), None, 0, false);
-    let mut pause = SWEEP_PAUSE;
+async fn keep(stage: Weak<Idempotency>, mut noted: mpsc::UnboundedReceiver<Note>, first_segment: u64) {
+    let mut renewal =
+        Renewal { sweep: Some(Sweep::default()), segment: first_segment, then: 0, rotating: false };
+    // A point in time: a pause begun anew at each note would never end under load.
+    let mut due = Instant::now();
     loop {
-        tokio::select! {
-                    note = noted.recv() => {
-                        let (Some(note), Some(stage)) = (note, stage.upgrade()) else { return };
-                        if let Note::Rotated(result) = &note {
-                            rotating = false;
-                            match result {
-                                Ok(new) => (sweep, segment) = (Some(Sweep::default()), Some(*new)),
-                                // Looked at again after a while; nothing is lost by a log that is too long.
-                                Err(problem) => eprintln!("emberpin: log: cannot be turned over: {problem}"),
-                            }
-                        }
-                        stage.noted(note);
-                    }
-                    () = sleep(pause) => {
-                        let Some(stage) = stage.upgrade() else { return };
-                        let Some(memory) = &stage.memory else { return };
-                        match sweep {
-                            Some(from) => match stage.sweep(memory, from) {
-                                // Too much waits; the same again, soon.
-                                None => {}
-                                Some(Some(next)) => sweep = Some(next),
-                                Some(None) if memory.retire(segment.unwrap_or(memory.first_segment())) => {
-        (sweep, then) = (None, memory.bytes());
+        let note = tokio::select! {
+            note = noted.recv() => Some(note),
+            () = sleep_until(due) => None,
+        };
+        let Some(stage) = stage.upgrade() else { return };
+        match note {
+            Some(Some(note)) => {
+                renewal.noted(&note);
+                stage.noted(note);
+            }
+            Some(None) => return,
+            None => {
+                let Some(memory) = &stage.memory else { return };
+                due = Instant::now() + renewal.step(&stage, memory);
+            }
         }
-        // Too much waits for that, too.
-        Some(None) => {}
-                            },
-                            None if !rotating && memory.wants_rotation(then) => rotating = memory.rotate(),
-                            None => {}
-                        }
-                        pause = if sweep.is_some() { SWEEP_PAUSE } else { SIZE_LOOK };
-                    }
-                }
     }
 }
 
--- a/crates/emberpin/src/link.rs
+++ b/crates/emberpin/src/link.rs
@@ -42,7 +42,7 @@
 }
 
 enum Input {
-    Dialed { to: String, streams: Option<(Streams, Vec<String>)> },
+    Dialed { to: String, streams: Option<Streams> },
     Accepted { streams: Streams, certified: Option<Vec<String>> },
     Bytes { connection: ConnectionId, bytes: Vec<u8> },
     Closed { connection: ConnectionId },
@@ -152,11 +152,7 @@
     fn take(self: &Rc<Self>, input: Input) {
         match input {
             Input::Dialed { to, streams: None } => self.feed(Event::NotDialed { to }),
-            Input::Dialed { to, streams: Some((streams, certified)) } => {
-                // Whoever listens there must be the member, or it is as good as nobody.
-                if self.tls.is_some() && !certified.contains(&to) {
-                    return self.feed(Event::NotDialed { to });
-                }
+            Input::Dialed { to, streams: Some(streams) } => {
                 let connection = self.open(streams);
                 self.feed(Event::Dialed { connection, to });
             }
@@ -256,7 +252,7 @@
                 _ = stream.set_nodelay(true);
                 match tls {
                     Some(tls) => tls.dial(&to, stream).await,
-                    None => Some((split(stream), Vec::new())),
+                    None => Some(split(stream)),
                 }
             };
             let streams = timeout(within, dialing).await.ok().flatten();
--- a/crates/emberpin/src/tls.rs
+++ b/crates/emberpin/src/tls.rs
@@ -77,16 +77,11 @@
         Ok(Tls { client: Arc::new(client).into(), server: Arc::new(server).into() })
     }
 
-    /// Shakes hands with the member that was dialed; the names that its certificate is good for. `None` if it is not
-    /// who it should be.
-    pub async fn dial(&self, to: &str, stream: TcpStream) -> Option<(Streams, Vec<String>)> {
+    /// Shakes hands with the member that was dialed; `None` if its certificate is not good for its name.
+    pub async fn dial(&self, to: &str, stream: TcpStream) -> Option<Streams> {
         let name = ServerName::try_from(to.to_string()).ok()?;
         match self.client.connect(name, stream).await {
-            Ok(stream) => {
-                let certified = names(stream.get_ref().1.peer_certificates());
-                let (reader, writer) = tokio::io::split(stream);
-                Some(((Box::new(reader), Box::new(writer)), certified))
-            }
+            Ok(stream) => Some(split(stream)),
             Err(e) => {
                 eprintln!("emberpin: link: {to} is not taken: {e}");
                 None
@@ -94,13 +89,12 @@
         }
     }
 
-    /// Shakes hands with whoever opened a connection.
+    /// Shakes hands with whoever opened a connection; with the names that its certificate is good for.
     pub async fn take(&self, stream: TcpStream) -> Option<(Streams, Vec<String>)> {
         match self.server.accept(stream).await {
             Ok(stream) => {
                 let certified = names(stream.get_ref().1.peer_certificates());
-                let (reader, writer) = tokio::io::split(stream);
-                Some(((Box::new(reader), Box::new(writer)), certified))
+                Some((split(stream), certified))
             }
             Err(e) => {
                 eprintln!("emberpin: link: a connection is not taken: {e}");
@@ -110,6 +104,11 @@
     }
 }
 
+fn split(stream: impl AsyncRead + AsyncWrite + 'static) -> Streams {
+    let (reader, writer) = tokio::io::split(stream);
+    (Box::new(reader), Box::new(writer))
+}
+
 /// The DNS names that a verified certificate is good for.
 fn names(chain: Option<&[CertificateDer<'_>]>) -> Vec<String> {
     let Some((_, certificate)) = chain.and_then(|chain| X509Certificate::from_der(chain.first()?).ok())
--- a/crates/emberpin/tests/keys_log.rs
+++ b/crates/emberpin/tests/keys_log.rs
@@ -17,6 +17,8 @@
     files: Vec<PathBuf>,
     folder: PathBuf,
     next: u32,
+    /// What the server answers.
+    answer: String,
     /// Attempts that came whole to the server, by key.
     attempts: BTreeMap<String, u32>,
 }
@@ -28,10 +30,10 @@
         let keys = limiter.file("idempotency.toml", "[idempotency]\nretention_s = 60\n");
         let folder = keys.parent().expect("a folder").join("log-n0");
         let pattern = folder.with_file_name("log-{name}");
-        let table = format!("[log]\nfolder = \"{}\"\n", pattern.display());
+        let table = format!("[log]\nfolder = \"{}\"\nspare_mb = 1\n", pattern.display());
         let log = log.then(|| limiter.file("log.toml", &table));
         let files = std::iter::once(keys).chain(log).collect();
-        Site { limiter, server, files, folder, next: 0, attempts: BTreeMap::new() }
+        Site { limiter, server, files, folder, next: 0, answer: "signed".into(), attempts: BTreeMap::new() }
     }
 
     /// With a log that was begun as an operator does it.
@@ -72,7 +74,7 @@
             if let Some(mut arrived) = self.server.soon() {
                 let key = arrived.header("idempotency-key").expect("a key").to_string();
                 *self.attempts.entry(key).or_default() += 1;
-                arrived.answer_if_there("200 OK", "", "signed");
+                arrived.answer_if_there("200 OK", "", &self.answer);
             }
             client.set_nonblocking(true).expect("set");
             let there = match client.peek(&mut [0]) {
@@ -235,3 +237,24 @@
     assert!(String::from_utf8_lossy(&damaged.stdout).contains("damaged at byte"));
     assert_eq!(site.say(&["log", "inspect", "/nonexistent"]).status.code(), Some(2));
 }
+
+/// Work that never pauses must not keep the log from being written anew: it would fill the disk.
+#[test]
+fn a_log_under_steady_work_is_turned_over_and_lets_go_of_what_is_old() {
+    let mut site = Site::begun();
+    site.answer = "x".repeat(60_000);
+    site.start();
+    // The segment of this start is the second; it goes once a third stands for it.
+    let (second, third) = (site.folder.join("0000000002.log"), site.folder.join("0000000003.log"));
+    let mut asked = 0;
+    while !third.exists() || second.exists() {
+        assert!(asked < 5000, "never turned over");
+        assert_eq!(site.status(&format!("key-{asked}")), 200);
+        asked += 1;
+    }
+    // What was let go of stands in the new one.
+    site.limiter.kill();
+    site.start();
+    assert!([200, 409].contains(&site.status("key-0")));
+    assert_eq!(site.attempts["key-0"], 1);
+}
