Hold quotas over limiters that hear nothing of each other

Change: a gateway that has heard no peer for 1.5 s fills each store with its part of the rate; what it held back pays for what peers tell in the second after the silence. A life's first moments are no silence; where keepers advise, their last advice stands.

--- a/crates/dillpass/src/brain.rs
+++ b/crates/dillpass/src/brain.rs
@@ -38,6 +38,8 @@
 const ALL_TOLD: Millis = 500.0;
 /// No message from any peer for so long makes a gateway count alone.
 const SILENT: Millis = 1_500.0;
+/// So long after a silence peers have told what they let in meanwhile.
+const CATCH_UP: Millis = 1_000.0;
 /// Lives that began within this time of each other are one common start, once so many peers (or all)
 /// were heard and none is older.
 const COMMON_START: Millis = 2_000.0;
@@ -138,6 +140,8 @@
     /// Mean aim of what was answered, and when a peer was last heard.
     aim: Millis,
     heard: Millis,
+    /// When peers were heard again after a silence.
+    joined: Millis,
     retries: f64,
     logged: BTreeMap<&'static str, Millis>,
 }
@@ -166,6 +170,7 @@
             load: Load::default(),
             aim: settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min),
             heard: f64::NEG_INFINITY,
+            joined: f64::NEG_INFINITY,
             retries: RETRY_BURST,
             logged: BTreeMap::new(),
             settings,
@@ -361,6 +366,7 @@
             .filter(|(_, at)| now - at < ADVICE_LIFE || self.alone(now))
             .map_or(1.0, |a| a.0);
         let roll = self.rng.rand_float();
+        let alone = self.alone(now) && now - self.born > SILENT;
         let customer = self.customers.get_mut(&id)?;
         let plan = &self.settings.plans[customer.plan];
         let set = f64::from(customer.set.1);
@@ -369,7 +375,14 @@
         customer.tell = 2;
         self.news.insert(id);
         if plan.rate > 0.0 {
-            let level = customer.quota.fill(now, plan.rate, plan.burst);
+            // Guards the quota while no peer is heard: what the set's others let in is unknown then, so
+            // each lets in its part of the rate. Harm: a customer that comes through one gateway only
+            // gets no more than that part. Not where a keeper advises, whose last advice stands.
+            let apart = alone && !customer.kept();
+            let rate = if apart { plan.rate / set } else { plan.rate };
+            let span = (now - customer.quota.at).max(0.0).min(if apart { now - self.heard } else { 0.0 });
+            customer.withheld += (plan.rate - rate) * span / 1000.0;
+            let level = customer.quota.fill(now, rate, plan.burst);
             customer.ask(now, units);
             let keeps = customer.kept() && customer.keeper;
             let chance = if keeps { customer.chance(now, plan) } else { advice };
@@ -763,8 +776,10 @@
         let young = now - self.born < PEAK_TIME;
         self.load.carry = if young { carry } else { carry.min(self.load.carry + rise.max(0.0)) };
         self.gossip(now, actions);
+        let caught_up = !self.alone(now) && now - self.joined > CATCH_UP;
         let plans = &self.settings.plans;
         self.customers.retain(|_, c| {
+            c.withheld *= f64::from(u8::from(!caught_up));
             let refill = plans[c.plan].burst * 1000.0 / plans[c.plan].rate.max(0.001);
             c.open > 0 || now - c.used < IDLE.max(2.0 * refill)
         });
@@ -867,6 +882,9 @@
         let gain = if self.alone(now) { 1.0 } else { 1.0 / most };
         self.load.peers_out += (message.out - self.load.peers_out) * gain;
         self.load.peers_rate += (message.rate - self.load.peers_rate) * gain;
+        if self.alone(now) {
+            self.joined = now;
+        }
         self.heard = now;
         self.see_start();
         for entry in message.entries {
@@ -903,8 +921,11 @@
         } else if !customer.keeper {
             return;
         }
+        // What peers let in while they were not heard comes in one sum, and was held back here meanwhile.
+        let held_back = fresh.min(customer.withheld);
+        customer.withheld -= held_back;
         customer.quota.fill(now, plan.rate, plan.burst);
-        customer.quota.take(fresh, -plan.burst);
+        customer.quota.take(fresh - held_back, -plan.burst);
         customer.ask(now, asked);
     }
 
--- a/crates/dillpass/src/state.rs
+++ b/crates/dillpass/src/state.rs
@@ -32,6 +32,8 @@
     pub keepers: Vec<u32>,
     pub keeper: bool,
     pub quota: Bucket,
+    /// Units held back from its store while no peer was heard: the part of the set's others.
+    pub withheld: f64,
     pub ceiling: Bucket,
     /// Own units let in (among many since last told), and asked for since last told.
     pub own: f64,
--- a/crates/dillpass/tests/module.rs
+++ b/crates/dillpass/tests/module.rs
@@ -121,14 +121,85 @@
 }
 
 #[test]
-fn without_peers_own_use_alone_counts_and_the_store_refills() {
+fn whoever_hears_no_peer_refills_stores_with_its_part_of_the_rate() {
     let mut bench = Bench::new(settings(), 12);
     let_in(&mut bench, 0, 5, 30);
+    bench.pass(3000.0);
+    let again = let_in(&mut bench, 0, 5, 30);
+    assert!((9..=11).contains(&again), "a third of 10 units a second refills, {again} let in");
+}
+
+/// Three gateways that hear nothing of each other, all asked for one customer without end.
+#[test]
+fn a_quota_holds_over_a_set_that_is_split_apart() {
+    let mut set: Vec<Bench> =
+        (0..3).map(|me| Bench::new(Settings { me: GatewayId(me), ..settings() }, 12)).collect();
+    for bench in &mut set {
+        let_in(bench, 0, 5, 100);
+    }
+    let mut sent_on = 0;
+    for _ in 0..100 {
+        for bench in &mut set {
+            bench.pass(100.0);
+            sent_on += let_in(bench, 0, 5, 100);
+        }
+    }
+    assert!((90..=105).contains(&sent_on), "10 units a second for 10 s, {sent_on} were sent on");
+}
+
+/// Peers may start a moment later: a life's first moments are no silence.
+#[test]
+fn a_gateway_that_has_just_started_refills_stores_at_the_rate() {
+    let mut bench = Bench::fresh(settings(), 12);
+    let_in(&mut bench, 0, 5, 30);
     bench.pass(1000.0);
     let again = let_in(&mut bench, 0, 5, 30);
     assert!((9..=11).contains(&again), "10 units a second refill, {again} let in");
 }
 
+/// What peers let in while they were not heard was held back here all the while: it is no debt.
+#[test]
+fn the_end_of_a_silence_brings_no_debt_for_what_was_held_back() {
+    let mut bench = Bench::new(settings(), 12);
+    let life = bench.now as u32;
+    peer(&mut bench, 1, counts(life, 5, 0.0));
+    bench.pass(2000.0);
+    let_in(&mut bench, 0, 5, 30);
+    for _ in 0..60 {
+        bench.pass(100.0);
+        let_in(&mut bench, 0, 5, 30);
+    }
+    // Two peers let in their parts of 6 s: 20 units each, of which 40 were held back here.
+    peer(&mut bench, 1, counts(life, 5, 20.0));
+    bench.pass(500.0);
+    assert!(let_in(&mut bench, 0, 5, 30) >= 4, "the rate goes on at once");
+    // What is told beyond what was held back is a debt as ever.
+    peer(&mut bench, 1, counts(life, 5, 70.0));
+    bench.pass(500.0);
+    assert_eq!(let_in(&mut bench, 0, 5, 30), 0);
+}
+
+/// What was held back pays for what is told soon after the silence, and for nothing later.
+#[test]
+fn what_was_held_back_is_forgotten_once_peers_have_told_all() {
+    let mut bench = Bench::new(settings(), 12);
+    let life = bench.now as u32;
+    peer(&mut bench, 1, counts(life, 5, 0.0));
+    bench.pass(2000.0);
+    for _ in 0..60 {
+        bench.pass(100.0);
+        let_in(&mut bench, 0, 5, 30);
+    }
+    for _ in 0..15 {
+        peer(&mut bench, 1, counts(life, 5, 0.0));
+        bench.pass(100.0);
+        let_in(&mut bench, 0, 5, 30);
+    }
+    peer(&mut bench, 1, counts(life, 5, 15.0));
+    bench.pass(1000.0);
+    assert_eq!(let_in(&mut bench, 0, 5, 30), 0, "15 units at once take more than a second's fill");
+}
+
 #[test]
 fn gossiped_units_are_taken_from_the_store() {
     let mut bench = Bench::new(settings(), 12);
