--- a/crates/emberpin/src/lifetimes.rs
+++ b/crates/emberpin/src/lifetimes.rs
@@ -61,19 +61,24 @@
     }
 
     /// A request went out on a connection that had been idle for so long (not at all, if new), and was lost with it
-    /// or answered.
-    pub fn learn(&mut self, now: Instant, idle: Duration, lost: bool) {
-        let Some(class) = Lifetimes::class(idle) else { return self.young.add(lost, YOUNG_REMEMBERED) };
+    /// or answered. Tells the age that is closed for that, and for how long.
+    pub fn learn(&mut self, now: Instant, idle: Duration, lost: bool) -> Option<(Duration, Duration)> {
+        let Some(class) = Lifetimes::class(idle) else {
+            self.young.add(lost, YOUNG_REMEMBERED);
+            return None;
+        };
         let age = &mut self.ages[class];
         age.share.add(lost, REMEMBERED);
         let usual = self.young.lost.clamp(LEAST_LOST, 1.0 - LEAST_LOST);
         let chance = DEVIATIONS * (usual * (1.0 - usual) / age.share.seen).sqrt();
-        if age.share.seen >= JUDGED && age.share.lost > usual + chance.max(MORE_LOST) {
-            age.pause = (age.pause * 2).clamp(CLOSED.0, CLOSED.1);
-            age.closed_until = Some(now + age.pause);
-            // Judged anew when it opens again, and with it what is older, which is not seen until then.
-            self.ages[class..].iter_mut().for_each(|age| age.share = Share::default());
+        if age.share.seen < JUDGED || age.share.lost <= usual + chance.max(MORE_LOST) {
+            return None;
         }
+        let pause = (age.pause * 2).clamp(CLOSED.0, CLOSED.1);
+        (age.pause, age.closed_until) = (pause, Some(now + pause));
+        // Judged anew when it opens again, and with it what is older, which is not seen until then.
+        self.ages[class..].iter_mut().for_each(|age| age.share = Share::default());
+        Some((YOUNG * (1 << class), pause))
     }
 
     /// Whether a connection that has been idle for so long is worth using: no age up to its own is closed.
--- a/crates/emberpin/src/servers.rs
+++ b/crates/emberpin/src/servers.rs
@@ -81,6 +81,15 @@
         since < self.idle_limit && self.lifetimes.borrow().lasts(now, since)
     }
 
+    /// A request went out on a connection that had been idle for so long, and was lost with it or answered.
+    fn learn(&self, idle: Duration, lost: bool) {
+        let closed = self.lifetimes.borrow_mut().learn(Instant::now(), idle, lost);
+        if let Some((age, pause)) = closed {
+            let (age, pause) = (age.as_millis(), pause.as_secs());
+            eprintln!("connections to servers that were idle for {age} ms or longer are lost: not used for {pause} s");
+        }
+    }
+
     /// The connection that was used last, unless it is too old.
     fn take(&self, key: u64) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
@@ -214,11 +223,7 @@
         let out = written.get() - before;
         let never_ran = out == 0 || out < body;
         if let Ok(Ok(_) | Err(Broken::Lost)) = result {
-            self.pool.lifetimes.borrow_mut().learn(
-                Instant::now(),
-                idle,
-                result.as_ref().is_ok_and(Result::is_err),
-            );
+            self.pool.learn(idle, result.as_ref().is_ok_and(Result::is_err));
         }
         match result {
             Ok(Ok((response, answer, conn))) => {
