Let the first answers replace what was assumed of them

Seen: on the stand-in site a successor at a reused port got none of 160 requests in its first 1.7 s (its test failed for it). Means began from an assumed quarter of the aim and followed slowly, so the servers that were used first looked quick, and one that came later, at 1, slow. Sizes, learned from their first answer on, had made it show.

Change: an average over a class takes its first answers as they come.

--- a/crates/dillpass/src/state.rs
+++ b/crates/dillpass/src/state.rs
@@ -172,13 +172,14 @@
 #[derive(Debug)]
 pub struct Latencies {
     pub all: Latency,
+    seen: f64,
     /// For each number of units: how many answers were seen, and what they took.
     sizes: [(f64, Latency); SIZES],
 }
 
 impl Latencies {
     pub fn new(first: Latency) -> Latencies {
-        Latencies { all: first, sizes: [(0.0, first); SIZES] }
+        Latencies { all: first, seen: 0.0, sizes: [(0.0, first); SIZES] }
     }
 
     fn size(units: f64) -> usize {
@@ -195,7 +196,8 @@
 
     /// Takes an answer in; the newest counts for this part.
     pub fn learn(&mut self, units: f64, elapsed: Millis, gain: f64) {
-        self.all.learn(elapsed, gain);
+        self.seen += 1.0;
+        self.all.learn(elapsed, gain.max(1.0 / self.seen));
         let (seen, own) = &mut self.sizes[Latencies::size(units)];
         *seen += 1.0;
         own.learn(elapsed, gain.max(1.0 / *seen));
