--- a/crates/emberpin-site/src/scenario.rs
+++ b/crates/emberpin-site/src/scenario.rs
@@ -52,6 +52,8 @@
     pub cold_from: f64,
     /// How long it takes to be warm, in seconds.
     pub warm_s: f64,
+    /// All servers have just started when the load begins.
+    pub cold: bool,
     /// A change of the list reaches a limiter between the first and the second of these, in milliseconds.
     pub notice_ms: [f64; 2],
     /// Load reports and the meter are refreshed this often, in milliseconds.
@@ -75,6 +77,7 @@
             idle_s: 15.0,
             cold_from: 0.35,
             warm_s: 8.0,
+            cold: false,
             notice_ms: [300.0, 1500.0],
             report_ms: 250.0,
             connect_timeout_ms: 250.0,
--- a/crates/emberpin-site/src/site.rs
+++ b/crates/emberpin-site/src/site.rs
@@ -202,7 +202,7 @@
         let mut servers = Vec::new();
         for number in 0..site.servers {
             let server = Server::new(world.clone(), number).map_err(text("a server's port"))?;
-            server.start(false).await.map_err(text("a server"))?;
+            server.start(site.cold).await.map_err(text("a server"))?;
             servers.push(server);
         }
         let discovery = Discovery::start(world.clone()).await.map_err(text("discovery"))?;
