Sort the limiter's files into folders and undo the four circles between files

Need: 32 files lay flat in crates/emberpin/src, and four pairs imported each other: messages-servers-stream (an answer in pieces is now a trait beneath them), clients-idempotency (the wording of answers is answers.rs), record-table (what a record names lives with the record), figures-scenario (a limiter's settings are settings.rs above both).

Moves only; no behaviour changes.

--- a/crates/emberpin-cost/src/main.rs
+++ b/crates/emberpin-cost/src/main.rs
@@ -110,7 +110,7 @@
 fn main() -> ExitCode {
     let word = std::env::args().nth(1).unwrap_or_default();
     let done = match word.as_str() {
-        AS_LIMITER => return emberpin::command::main(std::env::args_os().skip(1)),
+        AS_LIMITER => return emberpin::operate::command::main(std::env::args_os().skip(1)),
         AS_BARE => bare::run(),
         AS_STACK => stack::run(),
         AS_ENTRY => instructions::entry(),
--- a/crates/emberpin-cost/src/settings.rs
+++ b/crates/emberpin-cost/src/settings.rs
@@ -1,7 +1,7 @@
 //! What the proxies are told, in the limiter's own file, so that one file serves all three.
 
-use emberpin_site::figures;
 use emberpin_site::scenario::Site;
+use emberpin_site::{figures, settings};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 
@@ -41,7 +41,7 @@
 /// The file for one limiter alone with these servers, and quotas that nobody reaches.
 pub fn file(listen: SocketAddr, discovery: SocketAddr, servers: &[SocketAddr]) -> Value {
     let site = Site { limiters: 1, servers: servers.len(), ..Site::default() };
-    let mut settings = figures::settings(&site, 0);
+    let mut settings = settings::settings(&site, 0);
     for plan in settings["plans"].as_array_mut().into_iter().flatten() {
         plan["per-second"] = json!(PLENTY);
         plan["store-size"] = json!(PLENTY);
--- a/crates/emberpin-idempotency/src/claims.rs
+++ b/crates/emberpin-idempotency/src/claims.rs
@@ -11,8 +11,8 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::key::Key;
-use crate::record::Record;
-use crate::table::{self, Customer, Limits, Millis, Table, Telling, Ticket, Weight};
+use crate::record::{Customer, Millis, Record};
+use crate::table::{self, Limits, Table, Telling, Ticket, Weight};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/emberpin-idempotency/src/keeper.rs
+++ b/crates/emberpin-idempotency/src/keeper.rs
@@ -1,7 +1,8 @@
 //! The keys of one limiter, alone or together with others, behind one set of events and actions.
 
 use crate::claims::{Action, Claims, Event, Told};
-use crate::table::{self, Millis, Table, Weight};
+use crate::record::Millis;
+use crate::table::{self, Table, Weight};
 
 /// Who decides about keys here.
 #[derive(Clone)]
--- a/crates/emberpin-idempotency/src/lib.rs
+++ b/crates/emberpin-idempotency/src/lib.rs
@@ -21,5 +21,5 @@
 pub use keeper::Keeper;
 pub use key::{Form, Key, Malformed, LONGEST};
 pub use owner::owner;
-pub use record::{Known, Record};
-pub use table::{Action, Customer, Event, Limits, Millis, Sweep, Table, Telling, Ticket, Weight};
+pub use record::{Customer, Known, Millis, Record};
+pub use table::{Action, Event, Limits, Sweep, Table, Telling, Ticket, Weight};
--- a/crates/emberpin-idempotency/src/owner.rs
+++ b/crates/emberpin-idempotency/src/owner.rs
@@ -2,7 +2,7 @@
 //! Every limiter weighs the members of the customer's set by a hash of both, and the heaviest owns its keys. All come
 //! to the same owner, and when a set changes, only what belonged to the limiter that left moves.
 
-use crate::table::Customer;
+use crate::record::Customer;
 
 /// The number of the owner among the limiters of a customer's set: `size` of them in a row from `first`, counted
 /// round in a group of `group`. `None` for a set of nobody.
--- a/crates/emberpin-idempotency/src/record.rs
+++ b/crates/emberpin-idempotency/src/record.rs
@@ -2,9 +2,15 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::key::Key;
-use crate::table::{Customer, Millis};
 use serde::{Deserialize, Serialize};
 
+/// Milliseconds of the host's steady clock; only differences have a meaning.
+pub type Millis = f64;
+
+/// A customer, equal at every limiter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Customer(pub u64);
+
 /// All that is known of one key; a later record of a key stands in place of an earlier one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record<A> {
--- a/crates/emberpin-idempotency/src/table.rs
+++ b/crates/emberpin-idempotency/src/table.rs
@@ -7,17 +7,9 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::key::Key;
-use crate::record::{Known, Record};
-use serde::{Deserialize, Serialize};
+use crate::record::{Customer, Known, Millis, Record};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Milliseconds of the host's steady clock; only differences have a meaning.
-pub type Millis = f64;
-
-/// A customer, equal at every limiter.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Customer(pub u64);
-
 /// One request as the host names it; never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
--- a/crates/emberpin-site/src/figures.rs
+++ b/crates/emberpin-site/src/figures.rs
@@ -1,9 +1,6 @@
-//! The classes, plans and rules of the stand-in site: what the users' letter says of theirs, and the settings
-//! in which a limiter is told them.
+//! The classes, plans and rules of the stand-in site: what the users' letter says of theirs.
 
-use crate::scenario::Site;
 use crate::trace::{Micros, SECOND};
-use serde_json::{json, Value};
 
 /// What running a request twice would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,51 +104,3 @@
 pub fn hall_name(hall: usize) -> String {
     format!("hall-{}", (b'a' + (hall % 26) as u8) as char)
 }
-
-/// The settings of one limiter, as its platform file words them.
-pub fn settings(site: &Site, number: usize) -> Value {
-    let class = |class: &Class| {
-        json!({
-            "name": class.name, "aim-ms": class.aim as f64 / 1000.0, "deadline-ms": class.deadline as f64 / 1000.0,
-            "worth": class.worth, "late-worth": 0.1,
-            "semantics": match class.repeat {
-                Repeat::Safe => "safe",
-                Repeat::Keyed => "keyed",
-                Repeat::Unsafe => "unsafe",
-            },
-            "group": "zone", "dedup-window-ms": WINDOW as f64 / 1000.0,
-        })
-    };
-    let plan = |plan: &Plan| {
-        let (cap_rate, hard_burst) = plan.ceiling.unwrap_or((0.0, 0.0));
-        json!({
-            "name": plan.name, "per-second": plan.rate, "store-size": plan.burst, "at-once": 0.0,
-            "cap-rate": cap_rate, "hard-burst": hard_burst, "price": plan.price,
-            "over-worth": if plan.price < 1.0 { 0.3 } else { 0.0 },
-            "overrun-cost": if plan.price < 1.0 { 0.0 } else { 0.5 },
-        })
-    };
-    let halls: Vec<String> = (0..site.halls).map(hall_name).collect();
-    json!({
-        "my-number": number, "group-size": site.limiters, "zone": halls[number % site.halls],
-        "failure-domains": halls, "kinds": ["std-2c"],
-        "profiles": CLASSES.iter().map(class).collect::<Vec<_>>(),
-        "plans": PLANS.iter().map(plan).collect::<Vec<_>>(),
-        "bounds": {
-            "try-limit": 5, "second-copies": false, "retry-after": true,
-            "max-retry-after-ms": MAX_RETRY_AFTER as f64 / 1000.0, "may-tell": true, "probes": true, "cancel": true,
-            "connect-timeout-ms": site.connect_timeout_ms, "idle-close-ms": site.idle_s * 1000.0,
-        },
-        "family-info": {
-            "mail-per-s": 40.0, "max-units": 6.0, "settles": false, "meter-ms": METER_PERIOD as f64 / 1000.0,
-            "shared-counter": false,
-        },
-        "rules": {
-            "cold-from": site.cold_from, "warm-after-ms": site.warm_s * 1000.0, "fall-multiple": FALL_MULTIPLE,
-            "overload-for-ms": FALL_TIME as f64 / 1000.0, "drain-grace-ms": DRAIN_GRACE as f64 / 1000.0,
-        },
-        "prices": {"cross-zone": 0.005, "peer": 0.02},
-        "report": {"source": "piggyback", "names": ["mean_ms", "depth"]},
-        "membership-mode": "push",
-    })
-}
--- a/crates/emberpin-site/src/lib.rs
+++ b/crates/emberpin-site/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod scenario;
 pub mod schedule;
 pub mod servers;
+pub mod settings;
 pub mod site;
 pub mod trace;
--- a/crates/emberpin-site/src/main.rs
+++ b/crates/emberpin-site/src/main.rs
@@ -63,7 +63,7 @@
 
 fn main() -> ExitCode {
     if std::env::args_os().nth(1).is_some_and(|word| word == AS_LIMITER) {
-        return emberpin::command::main(std::env::args_os().skip(1));
+        return emberpin::operate::command::main(std::env::args_os().skip(1));
     }
     match play(&Line::parse()) {
         Ok(status) => status,
--- a/crates/emberpin-site/src/process.rs
+++ b/crates/emberpin-site/src/process.rs
@@ -1,8 +1,8 @@
 //! Limiters as processes of their own: started, watched, killed, measured. A limiter is met on sockets only.
 
-use crate::figures;
 use crate::http::Wire;
 use crate::scenario::Site;
+use crate::settings;
 use crate::trace::{ProcessEnd, Recorder, What};
 use nix::sys::signal::{kill, Signal};
 use nix::time::clock_getcpuclockid;
@@ -275,7 +275,7 @@
             "name": format!("n{}", self.number), "listen": self.address, "discovery": discovery,
             "seed": format!("{seed:016x}"), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "peer_listen": peer_listen, "peers": peers, "peers_all": all, "known": known,
-            "settings": figures::settings(site, self.number),
+            "settings": settings::settings(site, self.number),
         })
     }
 }
--- a/crates/emberpin/src/handover.rs
+++ b/crates/emberpin/src/between/handover.rs
@@ -1,9 +1,9 @@
 //! The host of an upgrade: the meeting point in `$TMPDIR`, the connection between the two processes of this limiter, and
 //! what is carried over it. Who does what when is decided in `emberpin_upgrade`.
 
-use crate::listing::Target;
-use crate::peers::Peers;
-use crate::room::{Held, Room};
+use crate::between::peers::Peers;
+use crate::front::room::{Held, Room};
+use crate::upstream::listing::Target;
 use dillpass::{Handover, Millis, Spent};
 use emberpin_upgrade::frame::{self, Note, HEAD, HELLO};
 use emberpin_upgrade::process::{Action, Event, Process};
--- a/crates/emberpin/src/peers.rs
+++ b/crates/emberpin/src/between/peers.rs
@@ -1,7 +1,7 @@
 //! Messages between limiters: one UDP socket, and who stands behind which address.
 
-use crate::config::Config;
 use crate::messages::Input;
+use crate::operate::config::Config;
 use dillpass::{gossip, GatewayId};
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/emberpin/src/admission.rs
+++ b/crates/emberpin/src/front/admission.rs
@@ -1,6 +1,6 @@
 //! Which requests are well formed: checked on the head alone, before anything is kept for one.
 
-use crate::config::Config;
+use crate::operate::config::Config;
 use dillpass::settings::{stable_hash, Names};
 use dillpass::{ClassId, CustomerId, Effect, GatewayId, PlanId};
 use hyper::body::Body;
--- /dev/null
+++ b/crates/emberpin/src/front/answers.rs
@@ -0,0 +1,35 @@
+//! How answers are worded for clients, beneath all who give one.
+
+use crate::front::stream::Content;
+use crate::messages::Answer;
+use hyper::header::{self, HeaderValue};
+use hyper::{Response, StatusCode};
+
+/// The answer as its client gets it.
+pub fn written(answer: Answer) -> Response<Content> {
+    match answer {
+        Answer::Served(served) => {
+            let mut response = Response::new(Content::Whole(Some(served.body)));
+            if let Some(kind) = served.content_type {
+                response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            }
+            response
+        }
+        Answer::Refused { retry_after } => {
+            let mut response = plain(StatusCode::TOO_MANY_REQUESTS);
+            let seconds = format!("{:.3}", retry_after / 1000.0);
+            if let (Ok(value), true) = (HeaderValue::try_from(seconds), retry_after > 0.0) {
+                response.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+            response
+        }
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY),
+    }
+}
+
+/// An answer of this status with nothing in it.
+pub fn plain(status: StatusCode) -> Response<Content> {
+    let mut response = Response::new(Content::Whole(None));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/emberpin/src/clients.rs
+++ b/crates/emberpin/src/front/clients.rs
@@ -1,14 +1,14 @@
 //! The client side: takes requests off connections, asks the driver, writes the one answer.
 
-use crate::admission::{self, Admission, Admitted};
-use crate::config::Config;
-use crate::connections::{Connection, Connections, Place, Watched};
-use crate::figures::{Active, Ending, Figures};
-use crate::idempotency::{Idempotency, Keyed};
+use crate::front::admission::{self, Admission, Admitted};
+use crate::front::answers::{plain, written};
+use crate::front::connections::{Connection, Connections, Place, Watched};
+use crate::front::room::Room;
+use crate::front::stream::{Content, Passed, Passing, Upload};
 use crate::messages::{Answer, Call, Input, Outgoing, Reply, Upstreamed, MAX_BODY};
-use crate::room::Room;
-use crate::servers::Passing;
-use crate::stream::{Content, Passed, Upload};
+use crate::operate::config::Config;
+use crate::operate::figures::{Active, Ending, Figures};
+use crate::stages::idempotency::{Idempotency, Keyed};
 use bytes::Bytes;
 use dillpass::RequestId;
 use http_body_util::BodyExt;
@@ -454,28 +454,6 @@
     reply
 }
 
-/// The answer as its client gets it.
-pub fn written(answer: Answer) -> Response<Content> {
-    match answer {
-        Answer::Served(served) => {
-            let mut response = Response::new(Content::Whole(Some(served.body)));
-            if let Some(kind) = served.content_type {
-                response.headers_mut().insert(header::CONTENT_TYPE, kind);
-            }
-            response
-        }
-        Answer::Refused { retry_after } => {
-            let mut response = plain(StatusCode::TOO_MANY_REQUESTS);
-            let seconds = format!("{:.3}", retry_after / 1000.0);
-            if let (Ok(value), true) = (HeaderValue::try_from(seconds), retry_after > 0.0) {
-                response.headers_mut().insert(header::RETRY_AFTER, value);
-            }
-            response
-        }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY),
-    }
-}
-
 /// Removes what concerns this connection only, as listed or as the client names it.
 pub fn strip(headers: &mut HeaderMap) {
     let named = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
@@ -484,10 +462,3 @@
     let decisive = |name: &&HeaderName| !matches!(name.as_str(), "req-id" | "idempotency-key" | "host");
     named.iter().filter(decisive).chain(&HOP_BY_HOP).for_each(|name| drop(headers.remove(name)));
 }
-
-/// An answer of this status with nothing in it.
-pub fn plain(status: StatusCode) -> Response<Content> {
-    let mut response = Response::new(Content::Whole(None));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/emberpin/src/connections.rs
+++ b/crates/emberpin/src/front/connections.rs
@@ -1,7 +1,7 @@
 //! The connections that clients hold: how many, what each waits for and since when, and which must go.
 
-use crate::framing::Framing;
-use crate::room::Room;
+use crate::front::framing::Framing;
+use crate::front::room::Room;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
--- /dev/null
+++ b/crates/emberpin/src/front/mod.rs
@@ -0,0 +1,10 @@
+//! Clients and their connections, up to the point where a request is sound.
+
+pub(crate) mod admission;
+pub(crate) mod answers;
+pub(crate) mod clients;
+pub(crate) mod connections;
+pub(crate) mod framing;
+pub(crate) mod passed;
+pub(crate) mod room;
+pub(crate) mod stream;
--- a/crates/emberpin/src/stream.rs
+++ b/crates/emberpin/src/front/stream.rs
@@ -1,11 +1,11 @@
 //! Bodies that are too long to be held: passed on in pieces, each taken only when the other side has taken the one
 //! before.
 
-use crate::connections::Connection;
-use crate::figures::{Active, Ending};
-use crate::servers::Passing;
+use crate::front::connections::Connection;
+use crate::operate::figures::{Active, Ending};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::pin::Pin;
@@ -129,6 +129,21 @@
     Passing(Box<Passed>),
 }
 
+/// An answer that is passed on in pieces: nothing is read from its server before its client has taken what came.
+pub struct Passing {
+    pub content_type: Option<HeaderValue>,
+    pub pieces: Box<dyn Pieces>,
+}
+
+/// Where the pieces of an answer come from.
+pub trait Pieces {
+    /// How many bytes are still to come, where that is told.
+    fn left(&self) -> Option<u64>;
+
+    /// The next piece.
+    fn poll_next(&mut self, context: &mut Context) -> Poll<Option<Result<Bytes, Cut>>>;
+}
+
 /// An answer on its way, and who must hear of its end.
 pub struct Passed {
     pub passing: Passing,
@@ -154,7 +169,7 @@
                 bytes.take().filter(|bytes| !bytes.is_empty()).map(|bytes| Ok(Frame::data(bytes))),
             ),
             Content::Passing(passed) => {
-                let next = passed.passing.poll_next(context);
+                let next = passed.passing.pieces.poll_next(context);
                 match &next {
                     Poll::Ready(None) => passed.active.ends(Ending::Ok),
                     Poll::Ready(Some(Err(Cut))) => {
@@ -180,7 +195,7 @@
             Content::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Content::Passing(passed) => match passed.passing.left() {
+            Content::Passing(passed) => match passed.passing.pieces.left() {
                 Some(left) => SizeHint::with_exact(left),
                 None => SizeHint::default(),
             },
--- a/crates/emberpin/src/limiter.rs
+++ b/crates/emberpin/src/limiter.rs
@@ -9,21 +9,21 @@
 //! All inputs reach the driver through one bounded channel, on one thread. A stage in brackets is composed here, at
 //! the start, if the operator switches it on.
 
-use crate::backoff::Backoff;
-use crate::clients::Front;
-use crate::clock::Clock;
-use crate::config::Config;
-use crate::discovery::Discovery;
-use crate::door;
-use crate::driver::{Callers, Driver, Parts};
-use crate::figures::Figures;
-use crate::handover::{self, Upgrade};
-use crate::idempotency::Idempotency;
-use crate::operator::Operator;
-use crate::passed;
-use crate::peers::Peers;
-use crate::room::{Held, Room};
-use crate::servers::Pool;
+use crate::between::handover::{self, Upgrade};
+use crate::between::peers::Peers;
+use crate::front::clients::Front;
+use crate::front::passed;
+use crate::front::room::{Held, Room};
+use crate::operate::clock::Clock;
+use crate::operate::config::Config;
+use crate::operate::door;
+use crate::operate::figures::Figures;
+use crate::operate::operator::Operator;
+use crate::stages::idempotency::Idempotency;
+use crate::upstream::backoff::Backoff;
+use crate::upstream::discovery::Discovery;
+use crate::upstream::driver::{Callers, Driver, Parts};
+use crate::upstream::servers::Pool;
 use emberpin_upgrade::process::Process;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -1,9 +1,8 @@
 //! What the limiter's parts tell each other: requests, answers, attempts and news, beneath them all so that
 //! none of them needs another for its types.
 
-use crate::listing::Listing;
-use crate::servers::Passing;
-use crate::stream::Upload;
+use crate::front::stream::{Passing, Upload};
+use crate::upstream::listing::Listing;
 use bytes::Bytes;
 use dillpass::{ClassId, CustomerId, GatewayId, Millis, Outcome, PlanId, Report, RequestId, ServerId};
 use hyper::header::{HeaderMap, HeaderValue};
--- a/crates/emberpin/src/command.rs
+++ b/crates/emberpin/src/operate/command.rs
@@ -1,7 +1,10 @@
 //! The command line: the platform's bare `emberpin`, operator files, and the check of both.
 
-use crate::config::{Config, PLATFORM_FILE};
-use crate::{limiter, memory, operator, tls};
+use crate::between::tls;
+use crate::limiter;
+use crate::operate::config::{Config, PLATFORM_FILE};
+use crate::operate::operator;
+use crate::stages::memory;
 use clap::{Parser, Subcommand};
 use operator::Operator;
 use std::ffi::OsString;
--- a/crates/emberpin/src/config.rs
+++ b/crates/emberpin/src/operate/config.rs
@@ -1,8 +1,8 @@
 //! The configuration that `GW_CONFIG` names, checked and in the program's own types.
 
-use crate::door;
-use crate::listing::Listing;
-use crate::operator::{Connections, Idempotency, Link, Log, Operator};
+use crate::operate::door;
+use crate::operate::operator::{Connections, Idempotency, Link, Log, Operator};
+use crate::upstream::listing::Listing;
 use dillpass::settings::{Conf, Names};
 use dillpass::Settings;
 use serde::Deserialize;
--- a/crates/emberpin/src/door.rs
+++ b/crates/emberpin/src/operate/door.rs
@@ -4,7 +4,7 @@
 //! It decides nothing. Figures are read where they are counted; calls about servers go to the driver, and a call that
 //! the driver does not confirm in time is a no, never a late yes.
 
-use crate::figures::Figures;
+use crate::operate::figures::Figures;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
--- a/crates/emberpin/src/entry.rs
+++ b/crates/emberpin/src/operate/entry.rs
@@ -1,12 +1,13 @@
 //! A request's way without sockets, for counting its instructions: admission, decision and answer as the limiter
 //! runs them, with servers that answer everything at once.
 
-use crate::admission::Admission;
-use crate::clients::{strip, written};
-use crate::config::Config;
-use crate::listing::Entry as Listed;
+use crate::front::admission::Admission;
+use crate::front::answers::written;
+use crate::front::clients::strip;
 use crate::messages::{Answer, Served};
-use crate::operator::Operator;
+use crate::operate::config::Config;
+use crate::operate::operator::Operator;
+use crate::upstream::listing::Entry as Listed;
 use bytes::Bytes;
 use dillpass::{Action, Attempt, Event, Gateway, Membership, Millis, Outcome, Report, RequestId};
 use http_body_util::Full;
--- a/crates/emberpin/src/idempotency.rs
+++ b/crates/emberpin/src/stages/idempotency.rs
@@ -2,15 +2,15 @@
 //! who waits, lets first requests on, and words what the others are told. What is told to whom is decided in
 //! `emberpin_idempotency`.
 
-use crate::clients::{plain, written};
-use crate::config::Config;
-use crate::die;
-use crate::link::{Link, News};
-use crate::memory::{boot_clock, random, Memory, Recalled};
+use crate::between::link::{Link, News};
+use crate::between::tls;
+use crate::front::answers::{plain, written};
+use crate::front::stream::Content;
 use crate::messages::{Answer, MAX_BODY};
-use crate::operator::{self, Keys, Repeats};
-use crate::stream::Content;
-use crate::tls;
+use crate::operate::config::Config;
+use crate::operate::die;
+use crate::operate::operator::{self, Keys, Repeats};
+use crate::stages::memory::{boot_clock, random, Memory, Recalled};
 use bytes::Bytes;
 use dillpass::{CustomerId, GatewayId};
 use emberpin_idempotency::claims::{Action, Claims, Event, Member, Rules, Told};
--- a/crates/emberpin/src/memory.rs
+++ b/crates/emberpin/src/stages/memory.rs
@@ -1,10 +1,10 @@
 //! What the idempotency stage keeps on disk: the log's host. It words records as bytes, reads them again at a start,
 //! and writes all that is still wanted anew before old segments go.
 
-use crate::config::Config;
-use crate::die;
 use crate::messages::Answer;
-use crate::operator::Log as Settings;
+use crate::operate::config::Config;
+use crate::operate::die;
+use crate::operate::operator::Log as Settings;
 use emberpin_idempotency::{Millis, Record};
 use emberpin_log::{
     boot_id, Files, Identity, Log, Note, Record as Written, Recovery, Service, Ticket, Unusable,
--- /dev/null
+++ b/crates/emberpin/src/stages/mod.rs
@@ -0,0 +1,4 @@
+//! What may hold a request or answer it between the door and the decisions; each off unless set.
+
+pub(crate) mod idempotency;
+pub(crate) mod memory;
--- a/crates/emberpin/src/discovery.rs
+++ b/crates/emberpin/src/upstream/discovery.rs
@@ -1,8 +1,8 @@
 //! Discovery: the list of servers, its watch, and how to get back in step when that breaks.
 
-use crate::backoff::Backoff;
-use crate::listing::Listing;
 use crate::messages::Input;
+use crate::upstream::backoff::Backoff;
+use crate::upstream::listing::Listing;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
--- a/crates/emberpin/src/driver.rs
+++ b/crates/emberpin/src/upstream/driver.rs
@@ -1,16 +1,16 @@
 //! The only owner of the decision module: feeds it what happened and carries out what it says. Keeps
 //! its timers and the table of requests and attempts. No decision is taken here.
 
-use crate::clock::Clock;
-use crate::config::Config;
-use crate::door::{Order, Unknown};
-use crate::figures::Figures;
-use crate::handover::{Given, Pairing, Shared};
-use crate::listing::{server_id, Entry, Listing};
+use crate::between::handover::{Given, Pairing, Shared};
+use crate::between::peers::Peers;
 use crate::messages::{Answer, Call, Ended, Input, Outgoing, Reply};
-use crate::peers::Peers;
-use crate::roster::Roster;
-use crate::servers::{Pool, Upstream};
+use crate::operate::clock::Clock;
+use crate::operate::config::Config;
+use crate::operate::door::{Order, Unknown};
+use crate::operate::figures::Figures;
+use crate::upstream::listing::{server_id, Entry, Listing};
+use crate::upstream::roster::Roster;
+use crate::upstream::servers::{Pool, Upstream};
 use dillpass::settings::Names;
 use dillpass::*;
 use std::cmp::Reverse;
--- /dev/null
+++ b/crates/emberpin/src/upstream/mod.rs
@@ -0,0 +1,9 @@
+//! The decisions' owner, the list of servers, and the way to them.
+
+pub(crate) mod backoff;
+pub(crate) mod discovery;
+pub(crate) mod driver;
+pub(crate) mod lifetimes;
+pub(crate) mod listing;
+pub(crate) mod roster;
+pub(crate) mod servers;
--- a/crates/emberpin/src/servers.rs
+++ b/crates/emberpin/src/upstream/servers.rs
@@ -1,12 +1,12 @@
 //! The server side: attempts, probes, and one bounded pool of connections for each server.
 
-use crate::config::Config;
-use crate::figures::Figures;
-use crate::lifetimes::Lifetimes;
+use crate::front::room::Room;
+use crate::front::stream::{Cut, Passing, Pieces, Upload};
 use crate::messages::{Answer, Ended, Outgoing, Reply, Served, Upstreamed, MAX_BODY};
-use crate::room::Room;
-use crate::roster::Place;
-use crate::stream::{Cut, Upload};
+use crate::operate::config::Config;
+use crate::operate::figures::Figures;
+use crate::upstream::lifetimes::Lifetimes;
+use crate::upstream::roster::Place;
 use bytes::Bytes;
 use dillpass::settings::report_field;
 use dillpass::{Outcome, Report};
@@ -330,7 +330,7 @@
                         Exchanged::Whole(response, bytes)
                     }
                     Conversed::Begun(begun) => {
-                        Exchanged::Passing(response, Passing::new(*begun, self.clone()))
+                        Exchanged::Passing(response, Relayed::new(*begun, self.clone()))
                     }
                 };
                 (outcome, Some(body))
@@ -491,7 +491,7 @@
 
 enum Exchanged {
     Whole(Response<()>, Bytes),
-    Passing(Response<()>, Passing),
+    Passing(Response<()>, Relayed),
 }
 
 fn joined(mut pieces: VecDeque<Bytes>, size: usize) -> Bytes {
@@ -503,29 +503,28 @@
     all.into()
 }
 
-/// An answer that is passed on in pieces: nothing is read from its server before its client has taken what came.
-pub struct Passing {
-    pub content_type: Option<HeaderValue>,
+/// The pieces of an answer, read from its server as its client takes them.
+struct Relayed {
     begun: Option<Begun>,
     upstream: Rc<Upstream>,
     left: Option<u64>,
     stalled: Pin<Box<Sleep>>,
 }
 
-impl Passing {
-    fn new(begun: Begun, upstream: Rc<Upstream>) -> Passing {
+impl Relayed {
+    fn new(begun: Begun, upstream: Rc<Upstream>) -> Relayed {
         let left = begun.length;
         let stalled = Box::pin(sleep_until(Instant::now() + STALL));
-        Passing { content_type: None, begun: Some(begun), upstream, left, stalled }
+        Relayed { begun: Some(begun), upstream, left, stalled }
     }
+}
 
-    /// How many bytes are still to come, where that is told.
-    pub fn left(&self) -> Option<u64> {
+impl Pieces for Relayed {
+    fn left(&self) -> Option<u64> {
         self.left
     }
 
-    /// The next piece.
-    pub fn poll_next(&mut self, context: &mut Context) -> Poll<Option<Result<Bytes, Cut>>> {
+    fn poll_next(&mut self, context: &mut Context) -> Poll<Option<Result<Bytes, Cut>>> {
         let Some(begun) = &mut self.begun else { return Poll::Ready(None) };
         let next = match begun.held.pop_front() {
             Some(piece) => Poll::Ready(Some(Ok(piece))),
@@ -625,7 +624,7 @@
     let content_type = response.headers().get(CONTENT_TYPE).cloned();
     let served = (outcome == Outcome::Ok).then(|| match body {
         Ok(body) => Reply::Answer(Answer::Served(Served { content_type, body })),
-        Err(passing) => Reply::Passing(Passing { content_type, ..passing }),
+        Err(passing) => Reply::Passing(Passing { content_type, pieces: Box::new(passing) }),
     });
     Ended { outcome, elapsed, report, metered: used.map(|percent| percent / 100.0), served }
 }
