Let the stand-in site start 400 limiters in one instant before a weak list service

Need: a cold start of hundreds of limiters could not be played: 16 limiters and 100 servers at most, all ready before anything was asked, a list service without limits.

The site starts up to 400 limiters and 300 servers. It says before a run what it needs of descriptors and memory, and refuses with the figure. The peers' network takes one socket for each limiter and not for each pair. The list service has a power that waiting calls share (processor sharing), fails what waits too long, may be cold, dead, or tell empty, half or old lists; limiters may start together, without a known list, be paused (SIGSTOP, seen in proc) and be killed many at once. `cold-start` measures starts: calls, who holds the list when, connections, nearest to falling, service by second.

--- /dev/null
+++ b/crates/emberpin-site/src/bin/cold-start.rs
@@ -0,0 +1,194 @@
+//! Measures starts of many limiters at once: for each size, some seeds, and a table with the spread.
+#![forbid(unsafe_code)]
+
+use clap::Parser;
+use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use comfy_table::Table;
+use emberpin_site::needs::Needs;
+use emberpin_site::process::Program;
+use emberpin_site::report::stories;
+use emberpin_site::scenario::Scenario;
+use emberpin_site::site::run;
+use emberpin_site::starts::Starts;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Start many limiters at once, and count what that asks of the list service and of servers.
+///
+/// Exit status: 0 every rule held, 1 one broke, 2 it could not be played.
+#[derive(Parser)]
+#[command(name = "cold-start", version, max_term_width = 100)]
+struct Line {
+    /// How many limiters; one row each
+    #[arg(long, value_delimiter = ',', default_value = "3,30,100,300")]
+    limiters: Vec<usize>,
+    /// How many servers
+    #[arg(long, default_value_t = 20)]
+    servers: usize,
+    /// Runs of each size
+    #[arg(long, default_value_t = 5)]
+    seeds: u64,
+    /// Calls a second that the list service answers; a quarter of the limiters' number without it
+    #[arg(long)]
+    power: Option<f64>,
+    /// Seconds of load
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    /// Requests a second for each limiter
+    #[arg(long, default_value_t = 1.0)]
+    rate: f64,
+    /// Give limiters the list at their start, as they last had it
+    #[arg(long)]
+    known: bool,
+    /// Servers are warm
+    #[arg(long)]
+    warm: bool,
+    /// Further tables of the scenario, as in its file: faults, settings
+    #[arg(long, value_name = "FILE")]
+    more: Option<PathBuf>,
+    /// Another build of the limiter
+    #[arg(long, value_name = "PATH")]
+    limiter: Option<PathBuf>,
+    /// An operator file for the limiters; may be given several times
+    #[arg(long = "with", value_name = "FILE")]
+    with: Vec<PathBuf>,
+    /// Write every run's figures as JSON lines
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    if std::env::args_os().nth(1).is_some_and(|word| word == "limiter") {
+        return emberpin::operate::command::main(std::env::args_os().skip(1));
+    }
+    match measure(&Line::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(problem) => {
+            eprintln!("cold-start: {}", problem.replace('\n', " "));
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn measure(line: &Line) -> Result<bool, String> {
+    let mut table = Table::new();
+    table.load_preset(UTF8_HORIZONTAL_ONLY).set_header([
+        "limiters",
+        "calls / N",
+        "failed / N",
+        "most calls 0.1 s, 1 s",
+        "list: half, 99 %, all (s)",
+        "ready: half, all (s)",
+        "connects a s, most",
+        "of what fells",
+        "served 1st s",
+        "3rd",
+        "6th",
+        "from 10th on",
+        "CPU ms each",
+        "MiB each",
+    ]);
+    let more = match &line.more {
+        Some(path) => {
+            std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?
+        }
+        None => String::new(),
+    };
+    let mut sound = true;
+    let mut written = String::new();
+    for limiters in &line.limiters {
+        let mut runs = Vec::new();
+        for seed in 1..=line.seeds {
+            let scenario = line.scenario(*limiters, seed, &more)?;
+            if seed == 1 {
+                eprintln!("{limiters} limiters: a run {}", Needs::of(&scenario.site, false));
+            }
+            let outcome = run(&scenario, &line.program()?, |_| ())?;
+            if outcome.judgement.is_broken() {
+                sound = false;
+                eprintln!("{limiters} limiters, seed {seed}:{}", stories(&outcome.judgement));
+            }
+            let starts = Starts::of(&outcome);
+            eprintln!("{limiters} limiters, seed {seed}: {starts:?}");
+            written += &serde_json::to_string(&(limiters, seed, &starts)).map_err(|e| e.to_string())?;
+            written.push('\n');
+            runs.push(starts);
+        }
+        table.add_row(row(*limiters, &runs));
+    }
+    println!("{table}");
+    if let Some(path) = &line.json {
+        std::fs::write(path, written).map_err(|e| format!("cannot write {}: {e}", path.display()))?;
+    }
+    Ok(sound)
+}
+
+impl Line {
+    fn scenario(&self, limiters: usize, seed: u64, more: &str) -> Result<Scenario, String> {
+        let power = self.power.unwrap_or(limiters as f64 / 4.0);
+        let text = format!(
+            "name = \"cold-start\"\nabout = \"A start of many limiters.\"\nseed = {seed}\nseconds = {}\n\
+             [site]\nlimiters = {limiters}\nservers = {}\ntogether = true\ncold = {}\nknown = {}\nlist_power = {power}\n\
+             [load]\nrate = {}\nusage = 0.3\nretries = 0\nimpatient = 0.0\nwork = {}\n{more}",
+            self.seconds,
+            self.servers,
+            !self.warm,
+            self.known,
+            self.rate * limiters as f64,
+            // Servers could do all of it while cold.
+            0.5,
+        );
+        Scenario::parse("cold-start", &text)
+    }
+
+    fn program(&self) -> Result<Program, String> {
+        let (path, mut arguments) = match &self.limiter {
+            Some(path) => (path.clone(), Vec::new()),
+            None => {
+                let own = std::env::current_exe().map_err(|e| format!("cannot find this program: {e}"))?;
+                (own, vec!["limiter".into()])
+            }
+        };
+        for file in &self.with {
+            arguments.extend(["--with".into(), file.into()]);
+        }
+        Ok(Program { path, arguments, logs: false, links: false })
+    }
+}
+
+/// Mean over the runs, with the least and the most.
+fn row(limiters: usize, runs: &[Starts]) -> Vec<String> {
+    let n = limiters as f64;
+    let spread = |of: &dyn Fn(&Starts) -> f64, digits: usize| {
+        let values: Vec<f64> = runs.iter().map(of).collect();
+        let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
+        let (least, most) = (
+            values.iter().copied().fold(f64::INFINITY, f64::min),
+            values.iter().copied().fold(0.0, f64::max),
+        );
+        match values.iter().all(|value| value.is_finite()) {
+            true => format!("{mean:.digits$} ({least:.digits$}–{most:.digits$})"),
+            false => {
+                format!("never in {} of {}", values.iter().filter(|v| !v.is_finite()).count(), values.len())
+            }
+        }
+    };
+    let when = |time: Option<f64>| time.unwrap_or(f64::INFINITY);
+    vec![
+        limiters.to_string(),
+        spread(&|s| s.calls as f64 / n, 2),
+        spread(&|s| s.failed as f64 / n, 2),
+        format!("{}, {}", spread(&|s| s.most_calls[0] as f64, 0), spread(&|s| s.most_calls[1] as f64, 0)),
+        [0, 1, 2].map(|k| spread(&|s| when(s.listed[k]), 1)).join(", "),
+        [0, 1].map(|k| spread(&|s| when(s.ready[k]), 1)).join(", "),
+        spread(&|s| s.most_connections as f64, 0),
+        spread(&|s| s.nearest_to_falling, 2),
+        spread(&|s| s.served(0, 1), 2),
+        spread(&|s| s.served(2, 3), 2),
+        spread(&|s| s.served(5, 6), 2),
+        spread(&|s| s.served(10, usize::MAX), 3),
+        spread(&|s| s.cpu_ms / n, 0),
+        spread(&|s| s.memory_mib / n, 1),
+    ]
+}
--- a/crates/emberpin-site/src/discovery.rs
+++ b/crates/emberpin-site/src/discovery.rs
@@ -1,8 +1,10 @@
-//! The stand-in discovery: an agent beside each limiter that answers at once with what it has been sent, is
-//! late as the scenario says, and silent while discovery is down.
+//! The stand-in discovery: an agent beside each limiter that answers with what it has been sent, late as the
+//! scenario says, within the power of the one service behind all of them; silent, dead or untrue when told so.
 
 use crate::figures::hall_name;
 use crate::http::Wire;
+use crate::power::Power;
+use crate::scenario::Untrue;
 use crate::servers::{Server, World};
 use crate::trace::{Life, Standing, What};
 use rand::{Rng, SeedableRng};
@@ -38,6 +40,8 @@
     last_due: Cell<Instant>,
     /// By id: the entry, and the version that it came with.
     listed: RefCell<BTreeMap<String, (u64, Entry)>>,
+    /// All that it named at first.
+    first: RefCell<Vec<Entry>>,
     news: Notify,
 }
 
@@ -46,6 +50,9 @@
     world: Rc<World>,
     agents: Vec<Rc<Agent>>,
     silent: watch::Sender<bool>,
+    dead: watch::Sender<bool>,
+    untrue: Cell<Option<Untrue>>,
+    power: Rc<Power>,
     rng: RefCell<ChaCha8Rng>,
 }
 
@@ -65,13 +72,18 @@
                 rev: Cell::new(1),
                 last_due: Cell::new(Instant::now()),
                 listed: RefCell::default(),
+                first: RefCell::default(),
                 news: Notify::new(),
             }));
             listeners.push(listener);
         }
         let rng = ChaCha8Rng::seed_from_u64(world.scenario.seed ^ 0xd15c);
         let silent = watch::Sender::new(false);
-        let discovery = Rc::new(Discovery { world, agents, silent, rng: RefCell::new(rng) });
+        let site = &world.scenario.site;
+        let power = Power::new(site.list_power, site.list_patience_s, site.list_warm_s);
+        let (dead, untrue) = (watch::Sender::new(false), Cell::new(None));
+        let rng = RefCell::new(rng);
+        let discovery = Rc::new(Discovery { world, agents, silent, dead, untrue, power, rng });
         for (limiter, listener) in listeners.into_iter().enumerate() {
             spawn_local(discovery.clone().accept(limiter, listener));
         }
@@ -88,6 +100,21 @@
         self.silent.send_replace(silent);
     }
 
+    /// Is dead from now on, or back.
+    pub fn set_dead(&self, dead: bool) {
+        self.dead.send_replace(dead);
+    }
+
+    /// Tells whole lists that are not so, or true ones again.
+    pub fn set_untrue(&self, how: Option<Untrue>) {
+        self.untrue.set(how);
+    }
+
+    /// The service starts now: its power grows from here.
+    pub fn begin(&self) {
+        self.power.begin();
+    }
+
     /// A server's standing has changed; each agent is sent it late.
     pub fn announce(self: &Rc<Self>, server: &Server, standing: Standing) {
         let Some(process) = server.process() else { return };
@@ -123,6 +150,7 @@
         let Some(process) = server.process() else { return };
         for (limiter, agent) in self.agents.iter().enumerate() {
             let entry = self.entry(server, limiter, process.life, process.boot_ms, Standing::Ready);
+            agent.first.borrow_mut().push(entry.clone());
             agent.take(server.uid(), entry);
         }
     }
@@ -145,9 +173,29 @@
     /// The whole list as a limiter last had it, for its start.
     pub fn known(&self, limiter: usize) -> Value {
         let agent = &self.agents[limiter];
+        if !self.world.scenario.site.known {
+            return json!({"rev": 0, "all": true, "targets": []});
+        }
         self.tell(limiter, agent.rev.get(), agent.whole())
     }
 
+    /// What a call is answered with: what has changed after a version, or the whole list, as true as it is now.
+    fn answer(&self, limiter: usize, since: Option<u64>) -> Option<(u64, (bool, Vec<Entry>))> {
+        let agent = &self.agents[limiter];
+        let rev = agent.rev.get();
+        let (_, whole) = agent.whole();
+        match (self.untrue.get(), since) {
+            (Some(Untrue::Empty), _) => Some((rev, (true, Vec::new()))),
+            (Some(Untrue::Half), _) => Some((rev, (true, whole.into_iter().step_by(2).collect()))),
+            (Some(Untrue::Older), _) => Some((1, (true, agent.first.borrow().clone()))),
+            (None, None) => Some((rev, (true, whole))),
+            // A version that was never told is no ground for changes.
+            (None, Some(known)) if known > rev => Some((rev, (true, whole))),
+            (None, Some(known)) if known < rev => Some((rev, (false, agent.changed_after(known)))),
+            (None, Some(_)) => None,
+        }
+    }
+
     /// The line for some entries, which counts as told from now on.
     fn tell(&self, limiter: usize, rev: u64, (all, entries): (bool, Vec<Entry>)) -> Value {
         for entry in &entries {
@@ -166,32 +214,63 @@
         }
     }
 
-    /// One connection of a limiter: lists, or one watch until it ends.
+    /// One connection of a limiter, until it ends or the service dies.
     async fn serve(&self, limiter: usize, mut wire: Wire) {
+        let recorder = &self.world.recorder;
+        let mut dead = self.dead.subscribe();
+        // A call that comes to a dead service counts as one that failed.
+        let asking = Cell::new(*dead.borrow());
+        if asking.get() {
+            recorder.note(What::ListAsked { limiter });
+        }
+        let sound = tokio::select! {
+            biased;
+            _ = dead.wait_for(|dead| *dead) => false,
+            sound = self.converse(limiter, &mut wire, &asking) => sound,
+        };
+        if !sound {
+            if asking.get() {
+                recorder.note(What::ListAnswered { limiter, well: false });
+            }
+            wire.reset();
+        }
+    }
+
+    /// Lists, or one watch until it ends; whether no call failed.
+    async fn converse(&self, limiter: usize, wire: &mut Wire, asking: &Cell<bool>) -> bool {
         let agent = &self.agents[limiter];
         let mut silent = self.silent.subscribe();
         while let Ok((head, _)) = wire.read(false).await {
-            _ = silent.wait_for(|silent| !silent).await;
+            self.world.recorder.note(What::ListAsked { limiter });
+            asking.set(true);
             let (path, query) = head.path.split_once('?').unwrap_or((&head.path, ""));
             if path != "/registry/instances" {
                 _ = wire.stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await;
                 continue;
             }
+            if !self.power.answer().await {
+                return false;
+            }
+            _ = silent.wait_for(|silent| !silent).await;
             let value = |name: &str| {
                 query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name)
             };
+            self.world.recorder.note(What::ListAnswered { limiter, well: true });
+            asking.set(false);
             if value("follow").is_none() {
-                let body = self.tell(limiter, agent.rev.get(), agent.whole()).to_string();
+                let (rev, news) = self.answer(limiter, None).unwrap_or((agent.rev.get(), agent.whole()));
+                let body = self.tell(limiter, rev, news).to_string();
                 let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
                 if wire.stream.write_all(text.as_bytes()).await.is_err() {
-                    return;
+                    return true;
                 }
                 continue;
             }
             let since = value("since").and_then(|(_, rev)| rev.parse().ok());
-            self.follow(limiter, &mut wire, since).await;
-            return;
+            self.follow(limiter, wire, since).await;
+            return true;
         }
+        true
     }
 
     /// A watch: what has changed after a version, or the whole list, then each change as it comes.
@@ -202,25 +281,20 @@
         if wire.stream.write_all(head).await.is_err() {
             return;
         }
-        let mut known = since;
+        let mut line = self.answer(limiter, since);
+        let mut known = since.unwrap_or(0);
         loop {
             let news = agent.news.notified();
-            let rev = agent.rev.get();
-            let line = match known {
-                None => Some(agent.whole()),
-                Some(known) if known < rev => Some((false, agent.changed_after(known))),
-                Some(_) => None,
-            };
-            if let Some(line) = line {
-                known = Some(rev);
-                let line = self.tell(limiter, rev, line).to_string();
+            if let Some((rev, told)) = line.take() {
+                known = rev;
+                let line = self.tell(limiter, rev, told).to_string();
                 if write_line(wire, &line).await.is_err() {
                     return;
                 }
             }
             tokio::select! {
                 () = wire.ended() => return,
-                () = news => {}
+                () = news => line = (agent.rev.get() > known).then(|| (agent.rev.get(), (false, agent.changed_after(known)))),
                 () = tokio::time::sleep(HEARTBEAT) => {
                     if !*silent.borrow_and_update() && write_line(wire, "").await.is_err() {
                         return;
--- a/crates/emberpin-site/src/main.rs
+++ b/crates/emberpin-site/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 use clap::Parser;
+use emberpin_site::needs::Needs;
 use emberpin_site::page;
 use emberpin_site::process::Program;
 use emberpin_site::report::{stories, Summary};
@@ -89,6 +90,7 @@
         program.arguments.extend(["--with".into(), file.into()]);
     }
     println!("{}: {}", scenario.name, scenario.about);
+    println!("it {}", Needs::of(&scenario.site, program.links));
     let shown = Shown::new(scenario.length);
     let outcome = site::run(&scenario, &program, move |progress| shown.show(progress))?;
     let summary = Summary::of(&outcome);
--- /dev/null
+++ b/crates/emberpin-site/src/needs.rs
@@ -0,0 +1,88 @@
+//! What a run takes of the machine, told before it starts: descriptors of this process, and memory.
+
+use crate::scenario::Site;
+use nix::sys::resource::{getrlimit, setrlimit, Resource};
+use std::fmt;
+
+/// What one limiter's process takes, in MiB: twice what one was seen to have.
+const EACH_MIB: u64 = 14;
+/// What the stand-ins take beside.
+const BASE_MIB: u64 = 256;
+const BASE_DESCRIPTORS: u64 = 256;
+/// Connections of clients to one limiter.
+const FRONT: u64 = 8;
+
+/// Figures of one run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Needs {
+    /// Descriptors of the process that plays the stand-ins.
+    pub descriptors: u64,
+    /// Memory of all processes, in MiB.
+    pub memory_mib: u64,
+}
+
+impl Needs {
+    /// What a site needs; a server listens at an address for each limiter, and links stand between all pairs.
+    pub fn of(site: &Site, links: bool) -> Needs {
+        let (limiters, servers) = (site.limiters as u64, site.servers as u64);
+        let pairs = if links { 3 * limiters * limiters } else { 0 };
+        Needs {
+            descriptors: BASE_DESCRIPTORS + 2 * limiters * servers + limiters * (4 + FRONT) + pairs,
+            memory_mib: BASE_MIB + EACH_MIB * limiters,
+        }
+    }
+
+    /// Takes what the machine gives: the limit on descriptors is raised as far as it may be.
+    ///
+    /// # Errors
+    ///
+    /// One line with the figure that is not there, and what would do.
+    pub fn check(&self) -> Result<(), String> {
+        let limit = |e| format!("the limit on descriptors: {e}");
+        let (soft, hard) = getrlimit(Resource::RLIMIT_NOFILE).map_err(limit)?;
+        if soft < self.descriptors {
+            if hard < self.descriptors {
+                return Err(format!(
+                    "this site needs {} descriptors, and this machine gives {hard}: take fewer limiters or servers",
+                    self.descriptors
+                ));
+            }
+            setrlimit(Resource::RLIMIT_NOFILE, self.descriptors, hard).map_err(limit)?;
+        }
+        match available_mib() {
+            Some(there) if there < self.memory_mib => Err(format!(
+                "this site needs {} MiB of memory, and {there} are available: take fewer limiters",
+                self.memory_mib
+            )),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl fmt::Display for Needs {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(to, "needs {} descriptors and {} MiB of memory", self.descriptors, self.memory_mib)
+    }
+}
+
+/// Memory that is available (proc(5), `MemAvailable`).
+fn available_mib() -> Option<u64> {
+    let text = std::fs::read_to_string("/proc/meminfo").ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("MemAvailable:"))?;
+    line.split_whitespace().next()?.parse::<u64>().ok().map(|kib| kib / 1024)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_not_there_is_refused_with_its_figure() {
+        let needs = Needs { descriptors: u64::MAX / 2, memory_mib: 1 };
+        assert!(needs.check().is_err_and(|e| e.contains(&needs.descriptors.to_string())));
+        let needs = Needs { descriptors: 1, memory_mib: 1 << 40 };
+        assert!(needs.check().is_err_and(|e| e.contains("MiB of memory")));
+        let site = Site { limiters: 300, servers: 20, ..Site::default() };
+        assert!(Needs::of(&site, false).descriptors < 20_000, "{}", Needs::of(&site, false));
+    }
+}
--- a/crates/emberpin-site/src/peers.rs
+++ b/crates/emberpin-site/src/peers.rs
@@ -1,13 +1,14 @@
 //! The network between limiters: every datagram goes through a socket of this stand-in, which loses, delays
 //! and reorders it, or splits the limiters into groups that do not hear each other.
 //!
-//! `seen[a][b]` is the socket at whose address limiter `a` sees limiter `b`: what `a` sends there goes on to
-//! `b` from `seen[b][a]`, as `b` knows its peers by their addresses.
+//! `seen[b]` is the socket at whose address every limiter sees limiter `b`: what comes there is told apart by the
+//! address it comes from, and goes on to `b` from the sender's socket, as `b` knows its peers by their addresses.
 
 use crate::servers::World;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,11 +31,13 @@
 
 /// The network between limiters.
 pub struct PeerNet {
-    seen: Vec<Vec<UdpSocket>>,
+    seen: Vec<UdpSocket>,
     /// A datagram that comes here goes to all others.
-    all: Vec<UdpSocket>,
+    all: UdpSocket,
     /// Where the limiters listen.
     listen: Vec<SocketAddr>,
+    /// Who sends from there.
+    known: HashMap<SocketAddr, usize>,
     trouble: RefCell<Trouble>,
     rng: RefCell<ChaCha8Rng>,
 }
@@ -47,27 +50,21 @@
     /// No free port.
     pub async fn start(world: &World) -> std::io::Result<Rc<PeerNet>> {
         let (host, limiters, seed) = (world.host, world.scenario.site.limiters, world.scenario.seed);
-        let (mut seen, mut all, mut listen) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut seen, mut listen) = (Vec::new(), Vec::new());
         for _ in 0..limiters {
-            let mut row = Vec::new();
-            for _ in 0..limiters {
-                row.push(UdpSocket::bind((host, 0)).await?);
-            }
-            seen.push(row);
-            all.push(UdpSocket::bind((host, 0)).await?);
+            seen.push(UdpSocket::bind((host, 0)).await?);
             listen.push(world.address()?);
         }
+        let all = UdpSocket::bind((host, 0)).await?;
         let rng = RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x9ee5));
-        let net = Rc::new(PeerNet { seen, all, listen, trouble: RefCell::default(), rng });
-        for from in 0..limiters {
-            for to in (0..limiters).filter(|to| *to != from) {
-                let net = net.clone();
-                spawn_local(async move { net.clone().relay(&net.seen[from][to], from, vec![to]).await });
-            }
+        let known = listen.iter().enumerate().map(|(limiter, address)| (*address, limiter)).collect();
+        let net = Rc::new(PeerNet { seen, all, listen, known, trouble: RefCell::default(), rng });
+        for to in 0..limiters {
             let net = net.clone();
-            let others = (0..limiters).filter(|to| *to != from).collect();
-            spawn_local(async move { net.clone().relay(&net.all[from], from, others).await });
+            spawn_local(async move { net.clone().relay(&net.seen[to], Some(to)).await });
         }
+        let everyone = net.clone();
+        spawn_local(async move { everyone.clone().relay(&everyone.all, None).await });
         Ok(net)
     }
 
@@ -77,8 +74,8 @@
     ///
     /// A socket that has no address.
     pub fn addresses(&self, of: usize) -> std::io::Result<(SocketAddr, Vec<SocketAddr>, SocketAddr)> {
-        let seen: std::io::Result<Vec<_>> = self.seen[of].iter().map(UdpSocket::local_addr).collect();
-        Ok((self.listen[of], seen?, self.all[of].local_addr()?))
+        let seen: std::io::Result<Vec<_>> = self.seen.iter().map(UdpSocket::local_addr).collect();
+        Ok((self.listen[of], seen?, self.all.local_addr()?))
     }
 
     /// Splits the limiters into this group and the rest, or heals the split.
@@ -92,13 +89,16 @@
         (trouble.loss, trouble.delay) = (loss, delay);
     }
 
-    async fn relay(self: Rc<Self>, at: &UdpSocket, from: usize, to: Vec<usize>) {
+    /// Passes on what comes to one limiter's address, or to that of all.
+    async fn relay(self: Rc<Self>, at: &UdpSocket, to: Option<usize>) {
         let mut buffer = [0; LONGEST];
         loop {
             // An error here is that of an earlier datagram to a limiter that is down.
-            let Ok((length, _)) = at.recv_from(&mut buffer).await else { continue };
-            for to in &to {
-                self.clone().pass(from, *to, buffer[..length].to_vec());
+            let Ok((length, sender)) = at.recv_from(&mut buffer).await else { continue };
+            let Some(from) = self.known.get(&sender).copied() else { continue };
+            let all = 0..self.listen.len();
+            for to in all.filter(|other| to.map_or(*other != from, |to| *other == to)) {
+                self.clone().pass(from, to, buffer[..length].to_vec());
             }
         }
     }
@@ -115,12 +115,12 @@
             return;
         }
         if late.is_zero() {
-            _ = self.seen[to][from].try_send_to(&bytes, self.listen[to]);
+            _ = self.seen[from].try_send_to(&bytes, self.listen[to]);
             return;
         }
         spawn_local(async move {
             tokio::time::sleep(late).await;
-            _ = self.seen[to][from].try_send_to(&bytes, self.listen[to]);
+            _ = self.seen[from].try_send_to(&bytes, self.listen[to]);
         });
     }
 }
--- a/crates/emberpin-site/src/process.rs
+++ b/crates/emberpin-site/src/process.rs
@@ -240,6 +240,17 @@
         self.before.set(usage.cpu_ms);
     }
 
+    /// SIGSTOP, or SIGCONT.
+    pub fn pause(&self, on: bool) {
+        self.signal(if on { Signal::SIGSTOP } else { Signal::SIGCONT });
+    }
+
+    /// Whether its process stands still by a signal (proc(5), the state `T`).
+    pub fn is_paused(&self) -> bool {
+        let stat = self.pid.get().and_then(|pid| std::fs::read_to_string(format!("/proc/{pid}/stat")).ok());
+        stat.is_some_and(|stat| stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T')))
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(pid) = self.pid.get() {
             _ = kill(Pid::from_raw(pid as i32), signal);
--- a/crates/emberpin-site/src/referee.rs
+++ b/crates/emberpin-site/src/referee.rs
@@ -328,6 +328,9 @@
             What::Unreached { .. }
             | What::ServerDown { .. }
             | What::Terminated { .. }
+            | What::ListAsked { .. }
+            | What::ListAnswered { .. }
+            | What::Connected { .. }
             | What::Fault { .. } => {}
         }
     }
@@ -725,6 +728,13 @@
             What::Told { limiter, life, standing } => {
                 write!(to, "limiter {limiter} is told that life {} is {standing:?}", life.0)
             }
+            What::ListAsked { limiter } => write!(to, "limiter {limiter} asks the list service"),
+            What::ListAnswered { limiter, well } => {
+                write!(to, "the list service {} limiter {limiter}", if *well { "answers" } else { "fails" })
+            }
+            What::Connected { life, limiter } => {
+                write!(to, "limiter {limiter} connects to server life {}", life.0)
+            }
             What::LimiterUp { limiter } => write!(to, "limiter {limiter} ready"),
             What::Terminated { limiter } => write!(to, "SIGTERM to limiter {limiter}"),
             What::LimiterDown { limiter, how } => write!(to, "limiter {limiter} ended: {how:?}"),
--- a/crates/emberpin-site/src/scenario.rs
+++ b/crates/emberpin-site/src/scenario.rs
@@ -54,6 +54,16 @@
     pub warm_s: f64,
     /// All servers have just started when the load begins.
     pub cold: bool,
+    /// All limiters start in the instant in which the load begins, and not before it.
+    pub together: bool,
+    /// Limiters are given the list of servers at their start, as they last had it.
+    pub known: bool,
+    /// Calls a second that the list service answers; calls that wait share it. 0 for as many as come.
+    pub list_power: f64,
+    /// A call that waits there for so long fails, and has cost as much as one that was answered, in seconds.
+    pub list_patience_s: f64,
+    /// The list service itself has just started: from a quarter of its power it grows to all in so long, in seconds.
+    pub list_warm_s: f64,
     /// A change of the list reaches a limiter between the first and the second of these, in milliseconds.
     pub notice_ms: [f64; 2],
     /// Load reports and the meter are refreshed this often, in milliseconds.
@@ -78,6 +88,11 @@
             cold_from: 0.35,
             warm_s: 8.0,
             cold: false,
+            together: false,
+            known: true,
+            list_power: 0.0,
+            list_patience_s: 2.0,
+            list_warm_s: 0.0,
             notice_ms: [300.0, 1500.0],
             report_ms: 250.0,
             connect_timeout_ms: 250.0,
@@ -187,6 +202,18 @@
     Mute,
 }
 
+/// A list that is not so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Untrue {
+    /// No server at all.
+    Empty,
+    /// Every other server.
+    Half,
+    /// An earlier version, with all that it named then.
+    Older,
+}
+
 /// What goes wrong.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
@@ -301,6 +328,32 @@
         /// How long.
         length: Micros,
     },
+    /// The list service is dead: watches break, and calls are reset.
+    DiscoveryDead {
+        /// How long.
+        length: Micros,
+    },
+    /// The list service tells whole lists that are not so.
+    DiscoveryTells {
+        /// What it tells.
+        how: Untrue,
+        /// How long.
+        length: Micros,
+    },
+    /// SIGSTOP; SIGCONT follows.
+    LimiterPaused {
+        /// Which.
+        limiter: usize,
+        /// How long.
+        length: Micros,
+    },
+    /// kill -9 to the first limiters of a share at one instant; they start again.
+    LimitersKilled {
+        /// How many.
+        count: usize,
+        /// After how long.
+        back: Micros,
+    },
     /// Customers move to others of their limiters at one stroke.
     FirmsHop {
         /// What share of them.
@@ -362,7 +415,7 @@
     share: Option<f64>,
     times: Option<f64>,
     delay_ms: Option<f64>,
-    how: Option<Spoil>,
+    how: Option<String>,
     way: Option<Way>,
     group: Option<Vec<usize>>,
 }
@@ -387,6 +440,10 @@
     PeersSplit,
     PeersPoor,
     DiscoverySilent,
+    DiscoveryDead,
+    DiscoveryTells,
+    LimiterPaused,
+    LimitersKilled,
     FirmsHop,
     FirmHammers,
     Rush,
@@ -395,8 +452,8 @@
 /// Longest run, and most of anything else that a scenario may ask for: it is bounded whatever it says.
 const MOST_SECONDS: f64 = 7200.0;
 const LEAST_SECONDS: f64 = 0.1;
-const MOST_LIMITERS: usize = 16;
-const MOST_SERVERS: usize = 100;
+const MOST_LIMITERS: usize = 400;
+const MOST_SERVERS: usize = 300;
 const MOST_FAULTS: usize = 10_000;
 const MOST_RATE: f64 = 20_000.0;
 
@@ -492,6 +549,9 @@
         number("warm_s", self.warm_s, 0.0, 3600.0)?;
         number("report_ms", self.report_ms, 1.0, 60_000.0)?;
         number("connect_timeout_ms", self.connect_timeout_ms, 1.0, 60_000.0)?;
+        number("list_power", self.list_power, 0.0, 1e9)?;
+        number("list_patience_s", self.list_patience_s, 0.01, 60.0)?;
+        number("list_warm_s", self.list_warm_s, 0.0, 3600.0)?;
         number("error_rate", self.error_rate, 0.0, 1.0)
     }
 }
@@ -593,6 +653,16 @@
         })
     }
 
+    /// One of the words that this fault knows.
+    fn how<T: for<'a> Deserialize<'a>>(&mut self) -> Result<T, String> {
+        let word = needed("how", self.raw.how.take())?;
+        let found = format!("found how = \"{word}\"");
+        T::deserialize(toml::Value::String(word)).map_err(|e| {
+            let wanted = e.message().split_once("expected").map_or("", |(_, wanted)| wanted).trim();
+            format!("{found}, expected {wanted}")
+        })
+    }
+
     fn group(&mut self) -> Result<Vec<usize>, String> {
         let group = needed("group", self.raw.group.take())?;
         for limiter in &group {
@@ -675,7 +745,7 @@
             Kind::ServerStalled => one(Fault::ServerStalled { server: of.server()?, length: of.length()? }),
             Kind::ServerSpoils => one(Fault::ServerSpoils {
                 server: of.server()?,
-                how: needed("how", of.raw.how.take())?,
+                how: of.how()?,
                 share: of.share()?,
                 length: of.length()?,
             }),
@@ -699,6 +769,13 @@
                 one(Fault::PeersPoor { loss: of.share()?, delay: of.delay()?, length: of.length()? })
             }
             Kind::DiscoverySilent => one(Fault::DiscoverySilent { length: of.length()? }),
+            Kind::DiscoveryDead => one(Fault::DiscoveryDead { length: of.length()? }),
+            Kind::DiscoveryTells => one(Fault::DiscoveryTells { how: of.how()?, length: of.length()? }),
+            Kind::LimiterPaused => one(Fault::LimiterPaused { limiter: of.limiter()?, length: of.length()? }),
+            Kind::LimitersKilled => {
+                let count = (of.share()? * site.limiters as f64).round() as usize;
+                one(Fault::LimitersKilled { count, back: of.back()? })
+            }
             Kind::FirmsHop => one(Fault::FirmsHop { share: of.share()? }),
             Kind::FirmHammers => {
                 one(Fault::FirmHammers { plan: of.plan()?, times: of.times()?, length: of.length()? })
@@ -719,7 +796,7 @@
     #[test]
     fn errors_name_the_place_what_was_found_and_what_was_expected() {
         let cases = [
-            ("[site]\nlimiters = 0", "t.toml:5:1: found limiters = 0, expected 1 to 16"),
+            ("[site]\nlimiters = 0", "t.toml:5:1: found limiters = 0, expected 1 to 400"),
             ("[site]\nserver = 3", "t.toml:6:1: unknown field `server`, expected one of"),
             ("[load]\nsubmit = 1.5", "t.toml:5:1: found submit = 1.5, expected 0 to 1"),
             ("[load]\npatience = [0.9, 0.1]", "t.toml:5:1: found patience = [0.9, 0.1], expected the second"),
--- a/crates/emberpin-site/src/servers.rs
+++ b/crates/emberpin-site/src/servers.rs
@@ -351,7 +351,7 @@
         if self.warm_after == 0 {
             return 1.0;
         }
-        let part = (now - self.up) as f64 / self.warm_after as f64;
+        let part = now.saturating_sub(self.up) as f64 / self.warm_after as f64;
         let from = self.world.scenario.site.cold_from;
         from + (1.0 - from) * part.min(1.0)
     }
@@ -384,6 +384,7 @@
 
     async fn connection(self: Rc<Self>, limiter: usize, place: u32, mut wire: Wire) {
         self.connections.set(self.connections.get() + 1);
+        self.world.recorder.note(What::Connected { life: self.life, limiter });
         let mut dead = self.dead.subscribe();
         // The attempt that is out on this connection.
         let out = Cell::new(None);
--- a/crates/emberpin-site/src/site.rs
+++ b/crates/emberpin-site/src/site.rs
@@ -4,6 +4,7 @@
 use crate::clients::Clients;
 use crate::discovery::Discovery;
 use crate::links::LinkNet;
+use crate::needs::Needs;
 use crate::peers::PeerNet;
 use crate::process::{Limiter, Program, Usage};
 use crate::referee::{judge, Judgement, Terms};
@@ -139,6 +140,20 @@
     let world = &stage.world;
 
     world.recorder.begin();
+    stage.discovery.begin();
+    if scenario.site.together {
+        stand_up(&stage.servers, &stage.discovery, scenario.site.cold).await?;
+    }
+    if scenario.site.together {
+        for number in 0..scenario.site.limiters {
+            stage.clients.down(number);
+            let stage = stage.clone();
+            spawn_local(async move {
+                let _busy = stage.busy[number].lock().await;
+                stage.restart(number).await;
+            });
+        }
+    }
     let began = Instant::from_std(world.recorder.began());
     let end = began + Duration::from_micros(scenario.length);
     let until = end + RUN_OUT;
@@ -183,6 +198,15 @@
     Ok(Outcome { scenario, events, judgement, usage, samples, cut_short })
 }
 
+/// Starts all servers, and lists them.
+async fn stand_up(servers: &[Rc<Server>], discovery: &Discovery, cold: bool) -> Result<(), String> {
+    for server in servers {
+        server.start(cold).await.map_err(|e| format!("server {}: {e}", server.number))?;
+        discovery.list(server);
+    }
+    Ok(())
+}
+
 impl Stage {
     /// Stands everything up; nothing is asked yet.
     async fn set(
@@ -195,6 +219,7 @@
             let what = what.to_string();
             move |e: std::io::Error| format!("{what}: {e}")
         };
+        Needs::of(&scenario.site, program.links).check()?;
         let schedule = Schedule::draw(&scenario);
         let (site, seed) = (scenario.site.clone(), scenario.seed);
         let recorder = Recorder::start();
@@ -202,11 +227,12 @@
         let mut servers = Vec::new();
         for number in 0..site.servers {
             let server = Server::new(world.clone(), number).map_err(text("a server's port"))?;
-            server.start(site.cold).await.map_err(text("a server"))?;
             servers.push(server);
         }
         let discovery = Discovery::start(world.clone()).await.map_err(text("discovery"))?;
-        servers.iter().for_each(|server| discovery.list(server));
+        if !site.together {
+            stand_up(&servers, &discovery, site.cold).await?;
+        }
         let peers = PeerNet::start(&world).await.map_err(text("the peers' network"))?;
         let links = match program.links {
             true => Some(
@@ -239,7 +265,8 @@
             problem: RefCell::default(),
             over: Cell::new(false),
         });
-        let starting: Vec<_> = (0..site.limiters)
+        let at_first = if site.together { 0 } else { site.limiters };
+        let starting: Vec<_> = (0..at_first)
             .map(|number| {
                 let stage = stage.clone();
                 spawn_local(async move { stage.start_limiter(number).await })
@@ -438,6 +465,43 @@
                 sleep(span(length)).await;
                 self.discovery.set_silent(false);
             }
+            Fault::DiscoveryDead { length } => {
+                self.discovery.set_dead(true);
+                sleep(span(length)).await;
+                self.discovery.set_dead(false);
+            }
+            Fault::DiscoveryTells { how, length } => {
+                self.discovery.set_untrue(Some(*how));
+                sleep(span(length)).await;
+                self.discovery.set_untrue(None);
+            }
+            Fault::LimiterPaused { limiter, length } => {
+                let limiter = &self.limiters[*limiter];
+                limiter.pause(true);
+                sleep(TICK).await;
+                if !limiter.is_paused() {
+                    self.note(format!("limiter {} does not stand still", limiter.number));
+                }
+                sleep(span(length)).await;
+                limiter.pause(false);
+            }
+            Fault::LimitersKilled { count, back } => {
+                let killing: Vec<_> = (0..*count)
+                    .map(|number| {
+                        let (stage, back) = (self.clone(), span(back));
+                        spawn_local(async move {
+                            let _busy = stage.busy[number].lock().await;
+                            stage.clients.down(number);
+                            stage.limiters[number].kill().await;
+                            sleep(back).await;
+                            stage.restart(number).await;
+                        })
+                    })
+                    .collect();
+                for killed in killing {
+                    _ = killed.await;
+                }
+            }
             // Drawn into the schedule already; here they only last.
             Fault::FirmHammers { length, .. } | Fault::Rush { length, .. } => sleep(span(length)).await,
             Fault::FirmsHop { .. } => return,
@@ -506,6 +570,14 @@
         Fault::PeersSplit { group, .. } => format!("limiters {group:?} split from the rest"),
         Fault::PeersPoor { loss, .. } => format!("{:.0} % of the peers' messages lost", loss * 100.0),
         Fault::DiscoverySilent { .. } => "discovery silent".into(),
+        Fault::DiscoveryDead { .. } => "the list service dead".into(),
+        Fault::DiscoveryTells { how, .. } => format!("the list service tells an untrue list: {how:?}"),
+        Fault::LimiterPaused { limiter, length } => {
+            format!("limiter {limiter} paused for {:.1} s", seconds(*length))
+        }
+        Fault::LimitersKilled { count, back } => {
+            format!("{count} limiters killed, back after {:.1} s", seconds(*back))
+        }
         Fault::FirmsHop { share } => format!("{:.0} % of the firms move", share * 100.0),
         Fault::FirmHammers { plan, times, .. } => {
             format!("a firm of plan {} asks {times} times its quota", crate::figures::PLANS[*plan].name)
--- a/crates/emberpin-site/src/trace.rs
+++ b/crates/emberpin-site/src/trace.rs
@@ -198,6 +198,25 @@
         /// What.
         standing: Standing,
     },
+    /// A limiter asked the list service.
+    ListAsked {
+        /// Which.
+        limiter: usize,
+    },
+    /// A call of the list service was answered, or failed there for want of power or of life.
+    ListAnswered {
+        /// Of which limiter.
+        limiter: usize,
+        /// It was answered.
+        well: bool,
+    },
+    /// A new connection came to a server.
+    Connected {
+        /// To which life.
+        life: Life,
+        /// From which limiter.
+        limiter: usize,
+    },
     /// A limiter's process is ready for clients.
     LimiterUp {
         /// Which.
