Let cold servers go by what warm ones bear again wherever that was ever seen

Seen: the module's test of one cold server wanted by 120 gateways that hear nothing of each other is red since servers that are all cold do one usual request after the other: 17 requests within a second where 12.9 fell it. At fault: `cold_limit` in brain.rs took the larger of what warm servers were seen to bear and one request after the other; the first is smaller wherever little is asked for, and it is what the rule measures by.

The guess stands in only while nothing was ever seen of a warm server. Measured: that test is green again; the start with servers that are all cold still serves from its first second (test over processes).

--- a/crates/dillpass/src/brain.rs
+++ b/crates/dillpass/src/brain.rs
@@ -602,7 +602,7 @@
         // Guards a fleet that is all cold, of whose like nothing was ever seen: what runs at all does one
         // usual request after the other, and answers tell how long one takes.
         let alone = server.info.size.min(1.0) * 1000.0 / self.usual();
-        let carry = (self.load.carry * server.info.size).max(alone);
+        let carry = if self.load.carry > 0.0 { self.load.carry * server.info.size } else { alone };
         let rate = rules.fall_multiple * self.warmth(now, &server.info) * carry;
         let limit = rate.max(0.0) * rules.fall_time / 1000.0;
         let picked = (COLD_GATEWAYS * limit).max(COLD_FEW.min(limit / COLD_FEW)).max(1.0).floor();
