Space the first calls for the list of limiters that start at once

Seen: 300 limiters start in one instant, the list service answers 75 calls a second and fails what waits 2 s: 486 calls, 300 failed, half hold the list after 17.9 s, 99 % never; 40 % served from the tenth second. 3 limiters at 0.75 a second never get it. Ruled out: the limiters' own start (all ready after 0.4 s), the network (loopback). At fault: `follow` in discovery.rs made the first call of each life at once, and `backoff.rs` let few limiters come back sooner than the service answers a single call.

`emberpin-start` now decides when to call, without clock or draws of its own. The first call has a slot of its own in a round: a tenth of a second a limiter, 4 s at most, or as `[start] list_calls_per_s` says. Slots go by number, in steps that spread any run of numbers. Peers heard before it whose lives are old shorten the wait, so that one that comes back among hundreds asks soon; a lone one asks at once. A call that took long to fail widens the pauses, a refused connection polls at the round's pace, and `Retry-After` of a 503 is obeyed.

--- a/crates/emberpin/src/limiter.rs
+++ b/crates/emberpin/src/limiter.rs
@@ -20,7 +20,7 @@
 use crate::operate::figures::Figures;
 use crate::operate::operator::Operator;
 use crate::stages::idempotency::Idempotency;
-use crate::upstream::backoff::Backoff;
+use crate::upstream::asking::Asking;
 use crate::upstream::discovery::Discovery;
 use crate::upstream::driver::{Callers, Driver, Parts};
 use crate::upstream::servers::Pool;
@@ -96,8 +96,8 @@
     let room = Rc::new(Room::new(older.as_ref().map(|_| half)));
     let upgrade = Upgrade::start(process, meeting, older, peers.clone(), prompts, room.clone());
     let rev = given.as_ref().map_or(config.known.rev, |given| given.rev);
-    let backoff = Backoff::new(config.settings.group_size, config.seed);
-    let discovery = Discovery::start(config.discovery, rev, backoff, inputs.clone());
+    let asking = Asking::new(&config, clock.now(), given.is_some());
+    let discovery = Discovery::start(config.discovery, rev, asking.clone(), inputs.clone());
     let refetch = discovery.refetch();
     spawn_local(reload(hung_up, discovery, figures.clone()));
     let (longest, leaving) = (config.longest_deadline(), config.connections.leaving);
@@ -106,7 +106,7 @@
     let pool = Pool::new(&config, figures.clone(), room);
     spawn_local(pool.clone().share());
     let callers = Callers { orders, pairings };
-    let driver = Driver::new(config, Parts { clock, inputs, peers, refetch, figures, pool }, given);
+    let driver = Driver::new(config, Parts { clock, inputs, peers, asking, refetch, figures, pool }, given);
     let driver = spawn_local(driver.run(received, callers));
     ready.store(true, Ordering::Release);
 
--- a/crates/emberpin/src/operate/config.rs
+++ b/crates/emberpin/src/operate/config.rs
@@ -49,6 +49,8 @@
     pub(crate) most_units: f64,
     pub(crate) connect_timeout: Duration,
     pub(crate) idle_limit: Duration,
+    /// Calls a second that the list service answers, if the operator has said.
+    pub(crate) list_power: Option<f64>,
     /// As the operator has them.
     pub(crate) connections: Connections,
     /// The same; `None` where it is off.
@@ -156,6 +158,7 @@
             connect_timeout: millis(file.settings.connect_timeout(), 250.0)?,
             idle_limit: millis(file.settings.idle_close(), 15_000.0)?
                 .mul_f64(operator.connections.idle_share),
+            list_power: operator.start.as_ref().and_then(|start| start.list_calls_per_s),
             connections: operator.connections.clone(),
             idempotency: operator.idempotency.clone(),
             most_units: file.settings.most_units().unwrap_or(largest),
--- a/crates/emberpin/src/operate/mod.rs
+++ b/crates/emberpin/src/operate/mod.rs
@@ -8,3 +8,4 @@
 pub mod entry;
 pub(crate) mod figures;
 pub mod operator;
+pub mod start;
--- a/crates/emberpin/src/operate/operator.rs
+++ b/crates/emberpin/src/operate/operator.rs
@@ -1,6 +1,7 @@
 //! Operator files: TOML, one table for each subsystem, unknown keys refused. What no file sets is as the
 //! platform has it.
 
+use crate::operate::start::Start;
 use serde::{Deserialize, Deserializer};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -20,6 +21,8 @@
     pub log: Option<Log>,
     /// The limiters talk to each other beyond their datagrams; they do not without its table.
     pub link: Option<Link>,
+    /// How limiters start; as the platform has it without its table.
+    pub start: Option<Start>,
 }
 
 /// How limiters talk to each other: the table `[link]`, the same for all of them.
@@ -242,6 +245,7 @@
     idempotency: Option<Idempotency>,
     log: Option<Log>,
     link: Option<Link>,
+    start: Option<Start>,
 }
 
 impl Operator {
@@ -281,6 +285,10 @@
                 link.check().map_err(|problem| format!("{shown}: {problem}"))?;
                 operator.link = Some(link);
             }
+            if let Some(start) = file.start {
+                once("start")?;
+                operator.start = Some(start);
+            }
         }
         Ok(operator)
     }
@@ -303,8 +311,12 @@
             None => writeln!(to, "[log] off: what must outlast a life is not kept")?,
         }
         match &self.link {
-            Some(link) => link.fmt(to),
-            None => writeln!(to, "[link] off: limiters have their datagrams only"),
+            Some(link) => link.fmt(to)?,
+            None => writeln!(to, "[link] off: limiters have their datagrams only")?,
+        }
+        match &self.start {
+            Some(start) => start.fmt(to),
+            None => writeln!(to, "[start] off: ready at once, whole lists bind, none is kept on a disk"),
         }
     }
 }
@@ -388,7 +400,7 @@
 }
 
 /// A number within its bounds, or an error that names both.
-fn within<'de, D: Deserializer<'de>>(
+pub fn within<'de, D: Deserializer<'de>>(
     from: D,
     bounds: RangeInclusive<f64>,
     unit: &str,
--- /dev/null
+++ b/crates/emberpin/src/upstream/asking.rs
@@ -0,0 +1,76 @@
+//! When this limiter calls the list service: the decisions of `emberpin_start::calls` with a clock, a random source and
+//! the messages of peers.
+
+use crate::operate::config::Config;
+use dillpass::{gossip, GatewayId};
+use emberpin_start::calls::{Calls, Ended, Place};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, Instant};
+
+/// Lives that began within this time of each other, in milliseconds, are one common start.
+const TOGETHER: f64 = 2_000.0;
+
+/// The calls of this life.
+pub struct Asking {
+    calls: RefCell<Calls>,
+    random: RefCell<oorandom::Rand64>,
+    began: Instant,
+    /// The same on the clock that all limiters share, in milliseconds.
+    life: f64,
+    asked: Cell<bool>,
+    heard: Notify,
+}
+
+impl Asking {
+    /// For a life that starts now, at so many milliseconds of the clock that all limiters share; one that goes on for
+    /// another process asks at once.
+    pub fn new(config: &Config, now: f64, goes_on: bool) -> Rc<Asking> {
+        let mut random = oorandom::Rand64::new(u128::from(config.seed));
+        let place = Place { number: config.settings.me.0, size: config.settings.group_size };
+        let calls = Calls::new(place, config.list_power, random.rand_float());
+        Rc::new(Asking {
+            calls: RefCell::new(calls),
+            random: RefCell::new(random),
+            began: Instant::now(),
+            life: now,
+            asked: Cell::new(goes_on),
+            heard: Notify::new(),
+        })
+    }
+
+    /// Waits until the first call is due.
+    pub async fn first(&self) {
+        while !self.asked.get() {
+            let due = self.began + self.calls.borrow().first();
+            tokio::select! {
+                () = sleep_until(due) => self.asked.set(true),
+                () = self.heard.notified() => {}
+            }
+        }
+    }
+
+    /// A message of a peer came.
+    pub fn heard(&self, from: GatewayId, bytes: &[u8]) {
+        if self.asked.get() {
+            return;
+        }
+        let Some(message) = gossip::read(bytes) else { return };
+        let life = gossip::whole_life(message.life, self.life) as f64;
+        self.calls.borrow_mut().heard(from.0, life + TOGETHER >= self.life);
+        self.heard.notify_one();
+    }
+
+    /// The pause after a call that ended so.
+    pub fn pause(&self, ended: Ended) -> Duration {
+        let draw = self.random.borrow_mut().rand_float();
+        self.calls.borrow_mut().pause(ended, draw)
+    }
+
+    /// The service is another one from now on.
+    pub fn moved(&self) {
+        self.calls.borrow_mut().moved();
+    }
+}
--- a/crates/emberpin/src/upstream/discovery.rs
+++ b/crates/emberpin/src/upstream/discovery.rs
@@ -1,11 +1,13 @@
 //! Discovery: the list of servers, its watch, and how to get back in step when that breaks.
 
 use crate::messages::Input;
-use crate::upstream::backoff::Backoff;
+use crate::upstream::asking::Asking;
 use crate::upstream::listing::Listing;
 use bytes::Bytes;
+use emberpin_start::calls::Ended;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
+use hyper::header::RETRY_AFTER;
 use hyper_util::rt::TokioIo;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -15,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 const PATH: &str = "/registry/instances";
 /// Longest line; a watch that sends more is broken.
@@ -31,9 +33,14 @@
 
 impl Discovery {
     /// Watches for good, at first from the version held.
-    pub fn start(address: SocketAddr, rev: u64, backoff: Backoff, inputs: mpsc::Sender<Input>) -> Discovery {
+    pub fn start(
+        address: SocketAddr,
+        rev: u64,
+        asking: Rc<Asking>,
+        inputs: mpsc::Sender<Input>,
+    ) -> Discovery {
         let discovery = Discovery { address: watch::Sender::new(address), refetch: Rc::default() };
-        spawn_local(follow(discovery.address.subscribe(), discovery.refetch.clone(), rev, backoff, inputs));
+        spawn_local(follow(discovery.address.subscribe(), discovery.refetch.clone(), rev, asking, inputs));
         discovery
     }
 
@@ -52,20 +59,26 @@
     mut address: watch::Receiver<SocketAddr>,
     refetch: Rc<Notify>,
     rev: u64,
-    mut backoff: Backoff,
+    asking: Rc<Asking>,
     inputs: mpsc::Sender<Input>,
 ) {
     let mut since = Some(rev);
+    asking.first().await;
     loop {
         let at = *address.borrow_and_update();
         let watching = async {
-            let mut told = false;
+            let (began, mut watched) = (Instant::now(), Watched::default());
             tokio::select! {
-                () = hold(at, &mut since, &mut told, &inputs) => {}
+                () = hold(at, &mut since, &mut watched, &inputs) => {}
                 () = refetch.notified() => since = None,
             }
             // A watch that told something was sound: only fruitless ones are spaced out.
-            tokio::time::sleep(backoff.pause(told)).await;
+            let ended = match watched {
+                Watched { told: true, .. } => Ended::Told,
+                Watched { busy: Some(wait), .. } => Ended::Busy { wait },
+                Watched { .. } => Ended::Failed { after: began.elapsed() },
+            };
+            tokio::time::sleep(asking.pause(ended)).await;
         };
         tokio::select! {
             () = watching => {}
@@ -75,14 +88,28 @@
                 }
                 // Versions of one place mean nothing at another: the whole list is taken there.
                 since = None;
-                backoff.reset();
+                asking.moved();
             }
         }
     }
 }
 
+/// What came of one watch.
+#[derive(Default)]
+struct Watched {
+    /// It told something.
+    told: bool,
+    /// It was refused, to be asked again so long from now.
+    busy: Option<Duration>,
+}
+
 /// One watch, until it breaks or falls silent.
-async fn hold(address: SocketAddr, since: &mut Option<u64>, told: &mut bool, inputs: &mpsc::Sender<Input>) {
+async fn hold(
+    address: SocketAddr,
+    since: &mut Option<u64>,
+    watched: &mut Watched,
+    inputs: &mpsc::Sender<Input>,
+) {
     let path = match since {
         Some(rev) => format!("{PATH}?follow=1&since={rev}"),
         None => format!("{PATH}?follow=1"),
@@ -94,6 +121,9 @@
     let reading = async {
         let Some(Ok(response)) = patient(sender.send_request(request)).await else { return };
         if response.status() != hyper::StatusCode::OK {
+            let wait = response.headers().get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+            // In seconds; a date (RFC 9110, 10.2.3, allows both) counts as not said.
+            watched.busy = wait.and_then(|wait| wait.trim().parse().ok()).map(Duration::from_secs);
             return;
         }
         let mut body = response.into_body();
@@ -108,7 +138,7 @@
                 }
                 // A garbled line may have held a drain: what it said is asked for again.
                 let Ok(listing) = serde_json::from_slice::<Listing>(&line) else { return };
-                (*since, *told) = (Some(listing.rev), true);
+                (*since, watched.told) = (Some(listing.rev), true);
                 if inputs.send(Input::Listing(listing)).await.is_err() {
                     return;
                 }
--- a/crates/emberpin/src/upstream/driver.rs
+++ b/crates/emberpin/src/upstream/driver.rs
@@ -8,6 +8,7 @@
 use crate::operate::config::Config;
 use crate::operate::door::{Order, Unknown};
 use crate::operate::figures::Figures;
+use crate::upstream::asking::Asking;
 use crate::upstream::listing::{server_id, Entry, Listing};
 use crate::upstream::roster::Roster;
 use crate::upstream::servers::{Pool, Upstream};
@@ -52,6 +53,7 @@
     pending: VecDeque<Event>,
     inputs: mpsc::Sender<Input>,
     peers: Option<Rc<Peers>>,
+    asking: Rc<Asking>,
     refetch: Rc<Notify>,
     /// The version of the list.
     rev: u64,
@@ -64,6 +66,7 @@
     pub clock: Clock,
     pub inputs: mpsc::Sender<Input>,
     pub peers: Option<Rc<Peers>>,
+    pub asking: Rc<Asking>,
     pub refetch: Rc<Notify>,
     pub figures: Arc<Figures>,
     pub pool: Rc<Pool>,
@@ -80,7 +83,7 @@
 impl Driver {
     /// Knows what the process before this one gave, if it did.
     pub fn new(config: Config, parts: Parts, given: Option<Given>) -> Driver {
-        let Parts { clock, inputs, peers, refetch, figures, pool } = parts;
+        let Parts { clock, inputs, peers, asking, refetch, figures, pool } = parts;
         spawn_local(pool.clone().retire());
         let mut roster = Roster::default();
         let (gateway, known) = match given {
@@ -113,6 +116,7 @@
             pending: VecDeque::new(),
             inputs,
             peers,
+            asking,
             refetch,
         };
         driver.list(Listing { whole: true, ..known });
@@ -236,7 +240,10 @@
                 report: ended.report,
             }),
             Input::Listing(listing) => self.list(listing),
-            Input::Peer { from, bytes } => self.feed(Event::Peer { from, bytes }),
+            Input::Peer { from, bytes } => {
+                self.asking.heard(from, &bytes);
+                self.feed(Event::Peer { from, bytes });
+            }
         }
     }
 
--- a/crates/emberpin/src/upstream/mod.rs
+++ b/crates/emberpin/src/upstream/mod.rs
@@ -1,6 +1,6 @@
 //! The decisions' owner, the list of servers, and the way to them.
 
-pub(crate) mod backoff;
+pub(crate) mod asking;
 pub(crate) mod discovery;
 pub(crate) mod driver;
 pub(crate) mod lifetimes;
