Ask for the list at once where servers are known and no `[start]` is set

At fault: `Asking::new` spaced the first call of every life; the list that a limiter is given at its start may be old, and on the platform a drain binds from when its agent would have told it.

The first call is spaced where nothing is known yet, so that nothing can be sent to a drained server, and where the operator switches `[start]` on.

--- a/crates/emberpin-start/src/calls.rs
+++ b/crates/emberpin-start/src/calls.rs
@@ -73,7 +73,12 @@
 }
 
 impl Calls {
-    /// For a life that starts now. `power` is what the service answers, in calls a second, where the operator has said
+    /// For a life whose first call does not wait: what it knows may be out of date, and what it would be told binds.
+    pub fn at_once(place: Place) -> Calls {
+        Calls { slot: Duration::ZERO, ..Calls::new(place, None, 0.0) }
+    }
+
+    /// For a life that starts now and may wait for its first call. `power` is what the service answers, in calls a second, where the operator has said
     /// it; `draw` lies in [0, 1).
     pub fn new(place: Place, power: Option<f64>, draw: f64) -> Calls {
         let size = place.size.max(1);
--- a/crates/emberpin-start/tests/calls.rs
+++ b/crates/emberpin-start/tests/calls.rs
@@ -180,6 +180,15 @@
     assert!(many.first() > Duration::from_secs_f64(2.5) && many.first() < Duration::from_secs(3));
 }
 
+#[test]
+fn one_that_may_not_wait_asks_at_once_and_spaces_later_calls() {
+    let mut calls = Calls::at_once(Place { number: 77, size: 300 });
+    assert_eq!(calls.first(), Duration::ZERO);
+    calls.heard(3, true);
+    assert_eq!(calls.first(), Duration::ZERO);
+    assert!(calls.pause(Ended::Told, 0.9) > Duration::from_secs(10));
+}
+
 #[test]
 fn a_lone_limiter_asks_at_once() {
     for power in [None, Some(0.1)] {
--- a/crates/emberpin/src/operate/config.rs
+++ b/crates/emberpin/src/operate/config.rs
@@ -2,6 +2,7 @@
 
 use crate::operate::door;
 use crate::operate::operator::{Connections, Idempotency, Link, Log, Operator};
+use crate::operate::start::Start;
 use crate::upstream::listing::Listing;
 use dillpass::settings::{Conf, Names};
 use dillpass::Settings;
@@ -49,8 +50,8 @@
     pub(crate) most_units: f64,
     pub(crate) connect_timeout: Duration,
     pub(crate) idle_limit: Duration,
-    /// Calls a second that the list service answers, if the operator has said.
-    pub(crate) list_power: Option<f64>,
+    /// How limiters start, if the operator has said.
+    pub(crate) start: Option<Start>,
     /// As the operator has them.
     pub(crate) connections: Connections,
     /// The same; `None` where it is off.
@@ -158,7 +159,7 @@
             connect_timeout: millis(file.settings.connect_timeout(), 250.0)?,
             idle_limit: millis(file.settings.idle_close(), 15_000.0)?
                 .mul_f64(operator.connections.idle_share),
-            list_power: operator.start.as_ref().and_then(|start| start.list_calls_per_s),
+            start: operator.start.clone(),
             connections: operator.connections.clone(),
             idempotency: operator.idempotency.clone(),
             most_units: file.settings.most_units().unwrap_or(largest),
--- a/crates/emberpin/src/upstream/asking.rs
+++ b/crates/emberpin/src/upstream/asking.rs
@@ -30,7 +30,13 @@
     pub fn new(config: &Config, now: f64, goes_on: bool) -> Rc<Asking> {
         let mut random = oorandom::Rand64::new(u128::from(config.seed));
         let place = Place { number: config.settings.me.0, size: config.settings.group_size };
-        let calls = Calls::new(place, config.list_power, random.rand_float());
+        // On the platform a change binds from when it would have been told: one that knows servers asks at once.
+        let may_wait = config.start.is_some() || config.known.targets.is_empty();
+        let power = config.start.as_ref().and_then(|start| start.list_calls_per_s);
+        let calls = match may_wait {
+            true => Calls::new(place, power, random.rand_float()),
+            false => Calls::at_once(place),
+        };
         Rc::new(Asking {
             calls: RefCell::new(calls),
             random: RefCell::new(random),
