--- a/crates/emberpin-site/src/scenario.rs
+++ b/crates/emberpin-site/src/scenario.rs
@@ -58,6 +58,8 @@
     pub together: bool,
     /// Limiters are given the list of servers at their start, as they last had it.
     pub known: bool,
+    /// How many limiters there are by their settings; 0 for as many as there are.
+    pub told_limiters: usize,
     /// Calls a second that the list service answers; calls that wait share it. 0 for as many as come.
     pub list_power: f64,
     /// A call that waits there for so long fails, and has cost as much as one that was answered, in seconds.
@@ -90,6 +92,7 @@
             cold: false,
             together: false,
             known: true,
+            told_limiters: 0,
             list_power: 0.0,
             list_patience_s: 2.0,
             list_warm_s: 0.0,
--- a/crates/emberpin-site/src/settings.rs
+++ b/crates/emberpin-site/src/settings.rs
@@ -31,8 +31,9 @@
         })
     };
     let halls: Vec<String> = (0..site.halls).map(hall_name).collect();
+    let size = if site.told_limiters == 0 { site.limiters } else { site.told_limiters };
     json!({
-        "my-number": number, "group-size": site.limiters, "zone": halls[number % site.halls],
+        "my-number": number, "group-size": size, "zone": halls[number % site.halls],
         "failure-domains": halls, "kinds": ["std-2c"],
         "profiles": CLASSES.iter().map(class).collect::<Vec<_>>(),
         "plans": PLANS.iter().map(plan).collect::<Vec<_>>(),
--- a/crates/emberpin/src/front/clients.rs
+++ b/crates/emberpin/src/front/clients.rs
@@ -62,6 +62,8 @@
 
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
+    /// Not ready yet, but answers what comes.
+    Starting,
     Serving,
     /// Not ready any more, but answers what still comes.
     Leaving,
@@ -121,7 +123,8 @@
             inputs,
             next: Cell::new(0),
             open: RefCell::default(),
-            phase: watch::Sender::new(Phase::Serving),
+            // As the platform has it: ready at once.
+            phase: watch::Sender::new(if config.start.is_some() { Phase::Starting } else { Phase::Serving }),
             connections: Rc::new(Connections::new(config.client_sockets, room)),
             uploads: Arc::new(Semaphore::new(config.passing)),
             downloads: Arc::new(Semaphore::new(config.passing)),
@@ -129,6 +132,15 @@
         })
     }
 
+    /// Ready from now on, if it was not leaving.
+    pub fn open(&self) {
+        self.phase.send_if_modified(|phase| {
+            let starts = *phase == Phase::Starting;
+            *phase = if starts { Phase::Serving } else { *phase };
+            starts
+        });
+    }
+
     /// Readiness goes off; everything else goes on, on connections that close after their answer.
     pub fn leave(&self) {
         self.phase.send_replace(Phase::Leaving);
@@ -224,7 +236,7 @@
         let spoilt = connection.is_doubtful()
             || matches!(response.status(), StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT);
         let crowded = connection.is_first_request() && self.connections.are_crowded();
-        if spoilt || crowded || *self.phase.borrow() != Phase::Serving {
+        if spoilt || crowded || matches!(*self.phase.borrow(), Phase::Leaving | Phase::Closing) {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/emberpin/src/limiter.rs
+++ b/crates/emberpin/src/limiter.rs
@@ -21,8 +21,10 @@
 use crate::operate::operator::Operator;
 use crate::stages::idempotency::Idempotency;
 use crate::upstream::asking::Asking;
+use crate::upstream::believed::Believed;
 use crate::upstream::discovery::Discovery;
 use crate::upstream::driver::{Callers, Driver, Parts};
+use crate::upstream::kept::Kept;
 use crate::upstream::servers::Pool;
 use emberpin_upgrade::process::Process;
 use std::net::SocketAddr;
@@ -54,7 +56,7 @@
 /// # Errors
 ///
 /// One line that says what could not be had: a signal, a socket, a part that ended before its time.
-async fn run(config: Config) -> Result<(), String> {
+async fn run(mut config: Config) -> Result<(), String> {
     let caught = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
     let (mut terminated, hung_up) = (caught(SignalKind::terminate())?, caught(SignalKind::hangup())?);
     let (inputs, received) = mpsc::channel(INPUTS);
@@ -95,22 +97,42 @@
     let half = Held { clients: config.client_sockets / 2, servers: config.server_sockets / 2 };
     let room = Rc::new(Room::new(older.as_ref().map(|_| half)));
     let upgrade = Upgrade::start(process, meeting, older, peers.clone(), prompts, room.clone());
+    let kept = Kept::start(&config)?;
+    if let (Some(kept), Some(start), None) = (&kept, &config.start, &given) {
+        let left = kept.read(start.disk, start.snapshot_age).await;
+        if let Some(left) = left.filter(|left| left.rev > config.known.rev) {
+            config.known = left;
+        }
+    }
     let rev = given.as_ref().map_or(config.known.rev, |given| given.rev);
     let asking = Asking::new(&config, clock.now(), given.is_some());
     let discovery = Discovery::start(config.discovery, rev, asking.clone(), inputs.clone());
     let refetch = discovery.refetch();
-    spawn_local(reload(hung_up, discovery, figures.clone()));
+    let believed = Believed::start(&config, kept, refetch.clone());
+    spawn_local(reload(hung_up, discovery, believed.clone(), figures.clone()));
     let (longest, leaving) = (config.longest_deadline(), config.connections.leaving);
     let front = Front::new(&config, idempotency, inputs.clone(), figures.clone(), room.clone());
     let accepting = spawn_local(front.clone().accept(listener, shared));
     let pool = Pool::new(&config, figures.clone(), room);
     spawn_local(pool.clone().share());
     let callers = Callers { orders, pairings };
-    let driver = Driver::new(config, Parts { clock, inputs, peers, asking, refetch, figures, pool }, given);
+    let driver = Driver::new(
+        config,
+        Parts { clock, inputs, peers, asking, believed: believed.clone(), refetch, figures, pool },
+        given,
+    );
     let driver = spawn_local(driver.run(received, callers));
-    ready.store(true, Ordering::Release);
+    let opening = async {
+        if let Some(believed) = believed {
+            believed.ready().await;
+        }
+        front.open();
+        ready.store(true, Ordering::Release);
+        std::future::pending::<()>().await;
+    };
 
     tokio::select! {
+        () = opening => {}
         _ = terminated.recv() => {}
         _ = superseded.recv() => return Err("another life of this instance has its name".into()),
         ended = driver => return Err(format!("the driver ended: {ended:?}")),
@@ -141,7 +163,12 @@
 
 /// Reads the configuration again at each SIGHUP, for as long as the process lives: while it leaves, too. Of
 /// a changed file only the address of discovery is taken over; one that can't be read changes nothing.
-async fn reload(mut hung_up: Signal, discovery: Discovery, figures: Arc<Figures>) {
+async fn reload(
+    mut hung_up: Signal,
+    discovery: Discovery,
+    believed: Option<Rc<Believed>>,
+    figures: Arc<Figures>,
+) {
     // What operators set holds for the process's life.
     let operator = Operator::default();
     while hung_up.recv().await.is_some() {
@@ -149,6 +176,9 @@
             Ok(config) => {
                 eprintln!("emberpin: configuration read again, discovery at {}", config.discovery);
                 discovery.move_to(config.discovery);
+                if let Some(believed) = &believed {
+                    believed.believe();
+                }
                 figures.config_applied.inc();
             }
             Err(problem) => {
--- a/crates/emberpin/src/operate/config.rs
+++ b/crates/emberpin/src/operate/config.rs
@@ -52,6 +52,8 @@
     pub(crate) idle_limit: Duration,
     /// How limiters start, if the operator has said.
     pub(crate) start: Option<Start>,
+    /// The folder of this instance's snapshot of the list.
+    pub(crate) snapshot: Option<PathBuf>,
     /// As the operator has them.
     pub(crate) connections: Connections,
     /// The same; `None` where it is off.
@@ -144,7 +146,10 @@
             own.map(|own| (link, own))
                 .ok_or_else(|| format!("[link] has no member named {:?}, as this instance is", file.name))
         });
+        let snapshot =
+            operator.start.as_ref().map(|start| start.folder_of(&file.name)).transpose()?.flatten();
         Ok(Config {
+            snapshot,
             log: log.transpose()?,
             link: link.transpose()?,
             name: file.name,
--- a/crates/emberpin/src/operate/operator.rs
+++ b/crates/emberpin/src/operate/operator.rs
@@ -115,22 +115,30 @@
     ///
     /// The folder has `{name}` in it and the instance has none.
     pub fn folder_of(&self, instance: &str) -> Result<PathBuf, String> {
-        let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-        let sound = !instance.is_empty() && !instance.starts_with('.') && instance.chars().all(plain);
-        match (self.folder.contains(NAME), sound) {
-            (true, false) => Err(format!(
-                "[log] folder = {:?} needs the instance's name, which is {instance:?}; expected letters, digits, '-', \
-                 '_' and '.'",
-                self.folder
-            )),
-            _ => Ok(self.folder.replace(NAME, instance).into()),
-        }
+        own_folder("[log] folder", &self.folder, instance)
     }
 }
 
 /// What stands for the instance's name in a folder.
 const NAME: &str = "{name}";
 
+/// A folder of an instance's own, as the setting `what` words it.
+///
+/// # Errors
+///
+/// The folder has `{name}` in it and the instance has none.
+pub fn own_folder(what: &str, folder: &str, instance: &str) -> Result<PathBuf, String> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    let sound = !instance.is_empty() && !instance.starts_with('.') && instance.chars().all(plain);
+    match (folder.contains(NAME), sound) {
+        (true, false) => Err(format!(
+            "{what} = {folder:?} needs the instance's name, which is {instance:?}; expected letters, digits, '-', '_' \
+             and '.'"
+        )),
+        _ => Ok(folder.replace(NAME, instance).into()),
+    }
+}
+
 /// How repeats of keyed requests are recognised: the table `[idempotency]`.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- /dev/null
+++ b/crates/emberpin/src/upstream/believed.rs
@@ -0,0 +1,98 @@
+//! Which lists hold where the operator has set `[start]`, and when the limiter is ready: the decisions of
+//! `emberpin_start` with a clock, a random source and a disk.
+
+use crate::operate::config::Config;
+use crate::upstream::kept::Kept;
+use crate::upstream::listing::Target;
+use emberpin_start::ready::Ready;
+use emberpin_start::trust::{Limits, List, Trust, Verdict};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tokio::sync::{watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// The doubts, the snapshot and the readiness of one limiter.
+pub struct Believed {
+    began: Instant,
+    trust: RefCell<Trust>,
+    ready: RefCell<Ready>,
+    /// When it is ready whatever is known.
+    limit: Instant,
+    is_ready: watch::Sender<bool>,
+    kept: Option<Kept>,
+    random: RefCell<oorandom::Rand64>,
+    refetch: Rc<Notify>,
+    /// The whole list will be asked for again.
+    asks_again: Cell<bool>,
+}
+
+impl Believed {
+    /// Nothing is doubted yet; `None` where `[start]` is off.
+    pub fn start(config: &Config, kept: Option<Kept>, refetch: Rc<Notify>) -> Option<Rc<Believed>> {
+        let start = config.start.as_ref()?;
+        let began = Instant::now();
+        Some(Rc::new(Believed {
+            began,
+            trust: RefCell::new(Trust::new(Limits { keep_share: start.keep_share, keep: start.keep })),
+            ready: RefCell::new(Ready::new(start.ready_within)),
+            limit: began + start.ready_within,
+            is_ready: watch::Sender::new(false),
+            kept,
+            random: RefCell::new(oorandom::Rand64::new(u128::from(config.seed) ^ 0x6265)),
+            refetch,
+            asks_again: Cell::new(false),
+        }))
+    }
+
+    /// Returns once clients may come.
+    pub async fn ready(&self) {
+        let mut ready = self.is_ready.subscribe();
+        tokio::select! {
+            _ = ready.wait_for(|ready| *ready) => {}
+            () = sleep_until(self.limit) => {
+                self.ready.borrow_mut().see(self.began.elapsed(), 0);
+            }
+        }
+    }
+
+    /// What becomes of what was told; one that is doubted is asked for again.
+    pub fn judge(self: &Rc<Self>, held: List, told: List, whole: bool) -> Verdict {
+        let verdict = self.trust.borrow_mut().judge(self.began.elapsed(), held, told, whole);
+        if verdict != Verdict::Take {
+            eprintln!(
+                "emberpin: a list of version {} with {} servers is doubted, version {} with {} is held; SIGHUP has it \
+                 believed",
+                told.rev, told.servers, held.rev, held.servers
+            );
+        }
+        let draw = self.random.borrow_mut().rand_float();
+        let again = self.trust.borrow().again(draw);
+        if let (Some(pause), false) = (again, self.asks_again.replace(again.is_some())) {
+            let believed = self.clone();
+            spawn_local(async move {
+                sleep(pause).await;
+                believed.asks_again.set(false);
+                believed.refetch.notify_one();
+            });
+        }
+        verdict
+    }
+
+    /// The list is this from now on, and so many of its servers may be sent to.
+    pub fn hold(&self, rev: u64, targets: &[Target], servers: usize) {
+        let ready = self.ready.borrow_mut().see(self.began.elapsed(), servers);
+        self.is_ready.send_if_modified(|was| !std::mem::replace(was, ready) && ready);
+        if let (Some(kept), false) = (&self.kept, targets.is_empty()) {
+            kept.keep(rev, targets);
+        }
+    }
+
+    /// The operator's word: what the list service tells holds.
+    pub fn believe(&self) {
+        if self.trust.borrow_mut().believe() {
+            eprintln!("emberpin: the next whole list is believed");
+            self.refetch.notify_one();
+        }
+    }
+}
--- a/crates/emberpin/src/upstream/discovery.rs
+++ b/crates/emberpin/src/upstream/discovery.rs
@@ -63,13 +63,14 @@
     inputs: mpsc::Sender<Input>,
 ) {
     let mut since = Some(rev);
+    let mut place = 0;
     asking.first().await;
     loop {
         let at = *address.borrow_and_update();
         let watching = async {
             let (began, mut watched) = (Instant::now(), Watched::default());
             tokio::select! {
-                () = hold(at, &mut since, &mut watched, &inputs) => {}
+                () = hold((at, place), &mut since, &mut watched, &inputs) => {}
                 () = refetch.notified() => since = None,
             }
             // A watch that told something was sound: only fruitless ones are spaced out.
@@ -87,7 +88,7 @@
                     return;
                 }
                 // Versions of one place mean nothing at another: the whole list is taken there.
-                since = None;
+                (since, place) = (None, place + 1);
                 asking.moved();
             }
         }
@@ -105,7 +106,7 @@
 
 /// One watch, until it breaks or falls silent.
 async fn hold(
-    address: SocketAddr,
+    (address, place): (SocketAddr, u32),
     since: &mut Option<u64>,
     watched: &mut Watched,
     inputs: &mpsc::Sender<Input>,
@@ -138,6 +139,7 @@
                 }
                 // A garbled line may have held a drain: what it said is asked for again.
                 let Ok(listing) = serde_json::from_slice::<Listing>(&line) else { return };
+                let listing = Listing { place, ..listing };
                 (*since, watched.told) = (Some(listing.rev), true);
                 if inputs.send(Input::Listing(listing)).await.is_err() {
                     return;
--- a/crates/emberpin/src/upstream/driver.rs
+++ b/crates/emberpin/src/upstream/driver.rs
@@ -9,11 +9,13 @@
 use crate::operate::door::{Order, Unknown};
 use crate::operate::figures::Figures;
 use crate::upstream::asking::Asking;
-use crate::upstream::listing::{server_id, Entry, Listing};
+use crate::upstream::believed::Believed;
+use crate::upstream::listing::{server_id, Entry, Listing, State};
 use crate::upstream::roster::Roster;
 use crate::upstream::servers::{Pool, Upstream};
 use dillpass::settings::Names;
 use dillpass::*;
+use emberpin_start::trust::{List, Verdict};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::rc::Rc;
@@ -55,8 +57,11 @@
     peers: Option<Rc<Peers>>,
     asking: Rc<Asking>,
     refetch: Rc<Notify>,
-    /// The version of the list.
+    /// Where `[start]` is on: which lists hold.
+    believed: Option<Rc<Believed>>,
+    /// The version of the list, and which list service it is from.
     rev: u64,
+    place: u32,
     /// The other process of this limiter, during an upgrade.
     other: Option<mpsc::Sender<Shared>>,
 }
@@ -67,6 +72,7 @@
     pub inputs: mpsc::Sender<Input>,
     pub peers: Option<Rc<Peers>>,
     pub asking: Rc<Asking>,
+    pub believed: Option<Rc<Believed>>,
     pub refetch: Rc<Notify>,
     pub figures: Arc<Figures>,
     pub pool: Rc<Pool>,
@@ -83,7 +89,7 @@
 impl Driver {
     /// Knows what the process before this one gave, if it did.
     pub fn new(config: Config, parts: Parts, given: Option<Given>) -> Driver {
-        let Parts { clock, inputs, peers, asking, refetch, figures, pool } = parts;
+        let Parts { clock, inputs, peers, asking, believed, refetch, figures, pool } = parts;
         spawn_local(pool.clone().retire());
         let mut roster = Roster::default();
         let (gateway, known) = match given {
@@ -98,13 +104,14 @@
                     if whole { "all" } else { "the list and what is out by hand, as the settings differ" };
                 eprintln!("emberpin: taken over from the process before: {what}");
                 let targets = targets.into_iter().map(Entry::Target).collect();
-                (gateway, Listing { rev: given.rev, whole: true, targets })
+                (gateway, Listing { rev: given.rev, whole: true, targets, place: 0 })
             }
         };
         let mut driver = Driver {
             pool,
             gateway,
             rev: known.rev,
+            place: 0,
             other: None,
             clock,
             names: config.names,
@@ -117,6 +124,7 @@
             inputs,
             peers,
             asking,
+            believed,
             refetch,
         };
         driver.list(Listing { whole: true, ..known });
@@ -239,7 +247,7 @@
                 elapsed: ended.elapsed,
                 report: ended.report,
             }),
-            Input::Listing(listing) => self.list(listing),
+            Input::Listing(listing) => self.told(listing),
             Input::Peer { from, bytes } => {
                 self.asking.heard(from, &bytes);
                 self.feed(Event::Peer { from, bytes });
@@ -405,9 +413,23 @@
         self.release(request);
     }
 
+    /// Discovery has told something: where lists may be doubted, it holds as far as it is believed.
+    fn told(&mut self, listing: Listing) {
+        let Some(believed) = self.believed.clone() else { return self.list(listing) };
+        let here = |entry: &&Entry| matches!(entry, Entry::Target(target) if target.state != State::Gone);
+        let servers = listing.targets.iter().filter(here).count();
+        let told = List { place: listing.place, rev: listing.rev, servers };
+        let held = List { place: self.place, rev: self.rev, servers: self.roster.count() };
+        match believed.judge(held, told, listing.whole) {
+            Verdict::Take => self.list(listing),
+            Verdict::Keep => self.list(Listing { whole: false, ..listing }),
+            Verdict::Ignore => {}
+        }
+    }
+
     /// Applies the list to the servers here first, so that what is being sent sees a drain at once.
     fn list(&mut self, listing: Listing) {
-        self.rev = listing.rev;
+        (self.rev, self.place) = (listing.rev, listing.place);
         let mut named = BTreeSet::new();
         let mut lines = Vec::new();
         for entry in &listing.targets {
@@ -429,6 +451,9 @@
             true => Membership::Full(lines),
             false => Membership::Changes(lines),
         }));
+        if let Some(believed) = &self.believed {
+            believed.hold(self.rev, &self.roster.all().0, self.upstreams.len());
+        }
     }
 
     /// Opens or shuts the way to a server, by the list and by hand; a new life or address of it starts without
--- a/crates/emberpin/src/upstream/listing.rs
+++ b/crates/emberpin/src/upstream/listing.rs
@@ -13,6 +13,9 @@
     #[serde(rename = "all")]
     pub whole: bool,
     pub targets: Vec<Entry>,
+    /// Which list service it is from: they are counted from the start.
+    #[serde(skip)]
+    pub place: u32,
 }
 
 /// An entry that cannot be read must not take the others of its line with it.
--- a/crates/emberpin/src/upstream/mod.rs
+++ b/crates/emberpin/src/upstream/mod.rs
@@ -1,8 +1,10 @@
 //! The decisions' owner, the list of servers, and the way to them.
 
 pub(crate) mod asking;
+pub(crate) mod believed;
 pub(crate) mod discovery;
 pub(crate) mod driver;
+pub(crate) mod kept;
 pub(crate) mod lifetimes;
 pub(crate) mod listing;
 pub(crate) mod roster;
--- a/crates/emberpin/src/upstream/roster.rs
+++ b/crates/emberpin/src/upstream/roster.rs
@@ -55,6 +55,11 @@
         self.listed.retain(|id, _| named(id));
     }
 
+    /// How many servers the list names now.
+    pub fn count(&self) -> usize {
+        self.listed.len()
+    }
+
     /// What the list names now, and every name that it ever named.
     pub fn all(&self) -> (Vec<Target>, Vec<String>) {
         let names = self.order.iter().filter_map(|id| self.names.get(id).cloned());
