--- a/crates/emberpin-start/src/calls.rs
+++ b/crates/emberpin-start/src/calls.rs
@@ -78,8 +78,8 @@
         Calls { slot: Duration::ZERO, ..Calls::new(place, None, 0.0) }
     }
 
-    /// For a life that starts now and may wait for its first call. `power` is what the service answers, in calls a second, where the operator has said
-    /// it; `draw` lies in [0, 1).
+    /// For a life that starts now and may wait for its first call. `power` is what the service answers, in calls a
+    /// second, where the operator has said it; `draw` lies in [0, 1).
     pub fn new(place: Place, power: Option<f64>, draw: f64) -> Calls {
         let size = place.size.max(1);
         let round = match power {
--- a/crates/emberpin/src/upstream/believed.rs
+++ b/crates/emberpin/src/upstream/believed.rs
@@ -79,12 +79,20 @@
         verdict
     }
 
-    /// The list is this from now on, and so many of its servers may be sent to.
-    pub fn hold(&self, rev: u64, targets: &[Target], servers: usize) {
+    /// So many servers of the list may be sent to.
+    pub fn see(&self, servers: usize) {
         let ready = self.ready.borrow_mut().see(self.began.elapsed(), servers);
         self.is_ready.send_if_modified(|was| !std::mem::replace(was, ready) && ready);
-        if let (Some(kept), false) = (&self.kept, targets.is_empty()) {
-            kept.keep(rev, targets);
+    }
+
+    /// The list service has told this. What a life was given at its start is not kept: it would seem as young as the
+    /// life.
+    pub fn keep(&self, rev: u64, targets: impl FnOnce() -> Vec<Target>) {
+        if let Some(kept) = &self.kept {
+            let targets = targets();
+            if !targets.is_empty() {
+                kept.keep(rev, &targets);
+            }
         }
     }
 
--- a/crates/emberpin/src/upstream/driver.rs
+++ b/crates/emberpin/src/upstream/driver.rs
@@ -423,8 +423,9 @@
         match believed.judge(held, told, listing.whole) {
             Verdict::Take => self.list(listing),
             Verdict::Keep => self.list(Listing { whole: false, ..listing }),
-            Verdict::Ignore => {}
+            Verdict::Ignore => return,
         }
+        believed.keep(self.rev, || self.roster.all().0);
     }
 
     /// Applies the list to the servers here first, so that what is being sent sees a drain at once.
@@ -452,7 +453,7 @@
             false => Membership::Changes(lines),
         }));
         if let Some(believed) = &self.believed {
-            believed.hold(self.rev, &self.roster.all().0, self.upstreams.len());
+            believed.see(self.upstreams.len());
         }
     }
 
