Keep the port of the upgrade tests from its first bind, so that no other test takes it

Seen once in a full run: the test's socket could not be bound. The port was looked up, given back and bound again; in between any connection of another test may have it. Bound once now and kept.

--- a/crates/emberpin/tests/upgrade.rs
+++ b/crates/emberpin/tests/upgrade.rs
@@ -39,7 +39,10 @@
 impl Site {
     fn new(servers: &[serde_json::Value]) -> Site {
         let mut limiter = Limiter::prepare(servers);
-        let listener = TcpListener::bind(limiter.address).expect("bound");
+        // Taken once and kept: a port that is only looked up may be another's by now.
+        let listener = TcpListener::bind((limiter.address.ip(), 0)).expect("bound");
+        limiter.address = listener.local_addr().expect("bound");
+        limiter.config["listen"] = json!(limiter.address.to_string());
         // One plan of the two has a ceiling of eight units that hardly fills.
         let plan = &mut limiter.config["settings"]["plans"][1];
         for (name, value) in
