--- a/crates/emberpin-site/src/bin/cold-start.rs
+++ b/crates/emberpin-site/src/bin/cold-start.rs
@@ -43,6 +43,9 @@
     /// Servers are warm
     #[arg(long)]
     warm: bool,
+    /// Limiters have links, and reach servers at one address, so that they can tell each other the list
+    #[arg(long)]
+    links: bool,
     /// Further tables of the scenario, as in its file: faults, settings
     #[arg(long, value_name = "FILE")]
     more: Option<PathBuf>,
@@ -129,12 +132,13 @@
         let power = self.power.unwrap_or(limiters as f64 / 4.0);
         let text = format!(
             "name = \"cold-start\"\nabout = \"A start of many limiters.\"\nseed = {seed}\nseconds = {}\n\
-             [site]\nlimiters = {limiters}\nservers = {}\ntogether = true\ncold = {}\nknown = {}\nlist_power = {power}\n\
+             [site]\nlimiters = {limiters}\nservers = {}\ntogether = true\ncold = {}\nknown = {}\none_address = {}\nlist_power = {power}\n\
              [load]\nrate = {}\nusage = 0.3\nretries = 0\nimpatient = 0.0\nwork = {}\n{more}",
             self.seconds,
             self.servers,
             !self.warm,
             self.known,
+            self.links,
             self.rate * limiters as f64,
             // Servers could do all of it while cold.
             0.5,
@@ -153,7 +157,7 @@
         for file in &self.with {
             arguments.extend(["--with".into(), file.into()]);
         }
-        Ok(Program { path, arguments, logs: false, links: false })
+        Ok(Program { path, arguments, logs: false, links: self.links })
     }
 }
 
--- a/crates/emberpin-site/src/clients.rs
+++ b/crates/emberpin-site/src/clients.rs
@@ -158,6 +158,7 @@
                 return unreached(sent);
             }
             let customer = &world.schedule.customers[arrival.customer as usize];
+            world.asks(of, limiter);
             world.recorder.note(What::Asked {
                 what: of,
                 first: Try(of.0 - of.0 % TRIES),
--- a/crates/emberpin-site/src/discovery.rs
+++ b/crates/emberpin-site/src/discovery.rs
@@ -11,13 +11,13 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::sync::{watch, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
@@ -30,6 +30,8 @@
     life: Life,
     standing: Standing,
     json: Value,
+    /// The version that it came with, the same at all agents; 0 before.
+    version: u64,
 }
 
 /// What one limiter's agent has been sent.
@@ -38,8 +40,8 @@
     rev: Cell<u64>,
     /// What was sent last arrives then; what is sent later does not overtake it.
     last_due: Cell<Instant>,
-    /// By id: the entry, and the version that it came with.
-    listed: RefCell<BTreeMap<String, (u64, Entry)>>,
+    /// By id.
+    listed: RefCell<BTreeMap<String, Entry>>,
     /// All that it named at first.
     first: RefCell<Vec<Entry>>,
     news: Notify,
@@ -51,8 +53,12 @@
     agents: Vec<Rc<Agent>>,
     silent: watch::Sender<bool>,
     dead: watch::Sender<bool>,
-    untrue: Cell<Option<Untrue>>,
+    untrue: RefCell<Option<(Untrue, Option<Vec<usize>>)>>,
+    /// Who is told of calls.
+    calls: RefCell<Option<mpsc::UnboundedSender<usize>>>,
     power: Rc<Power>,
+    /// Versions that some limiter was told, where they tell each other.
+    told: RefCell<HashSet<u64>>,
     rng: RefCell<ChaCha8Rng>,
 }
 
@@ -81,9 +87,19 @@
         let silent = watch::Sender::new(false);
         let site = &world.scenario.site;
         let power = Power::new(site.list_power, site.list_patience_s, site.list_warm_s);
-        let (dead, untrue) = (watch::Sender::new(false), Cell::new(None));
+        let (dead, untrue) = (watch::Sender::new(false), RefCell::default());
         let rng = RefCell::new(rng);
-        let discovery = Rc::new(Discovery { world, agents, silent, dead, untrue, power, rng });
+        let discovery = Rc::new(Discovery {
+            world,
+            agents,
+            silent,
+            dead,
+            untrue,
+            calls: RefCell::default(),
+            power,
+            told: RefCell::default(),
+            rng,
+        });
         for (limiter, listener) in listeners.into_iter().enumerate() {
             spawn_local(discovery.clone().accept(limiter, listener));
         }
@@ -105,9 +121,24 @@
         self.dead.send_replace(dead);
     }
 
-    /// Tells whole lists that are not so, or true ones again.
-    pub fn set_untrue(&self, how: Option<Untrue>) {
-        self.untrue.set(how);
+    /// Tells whole lists that are not so, to all or to these, or true ones again.
+    pub fn set_untrue(&self, how: Option<(Untrue, Option<Vec<usize>>)>) {
+        *self.untrue.borrow_mut() = how;
+    }
+
+    /// Tells who calls from now on, as they call.
+    pub fn calls(&self) -> mpsc::UnboundedReceiver<usize> {
+        let (calls, told) = mpsc::unbounded_channel();
+        *self.calls.borrow_mut() = Some(calls);
+        told
+    }
+
+    fn asked(&self, limiter: usize) {
+        self.world.recorder.note(What::ListAsked { limiter });
+        if let Some(calls) = &*self.calls.borrow() {
+            // Nobody may listen any more.
+            _ = calls.send(limiter);
+        }
     }
 
     /// The service starts now: its power grows from here.
@@ -167,7 +198,7 @@
             },
             "capacity_hint": 1.0, "boot_ms": boot_ms,
         });
-        Entry { life, standing, json }
+        Entry { life, standing, json, version: 0 }
     }
 
     /// The whole list as a limiter last had it, for its start.
@@ -184,7 +215,10 @@
         let agent = &self.agents[limiter];
         let rev = agent.rev.get();
         let (_, whole) = agent.whole();
-        match (self.untrue.get(), since) {
+        let untrue = self.untrue.borrow();
+        let concerns =
+            |group: &Option<Vec<usize>>| group.as_ref().is_none_or(|group| group.contains(&limiter));
+        match (untrue.as_ref().filter(|(_, group)| concerns(group)).map(|(how, _)| *how), since) {
             (Some(Untrue::Empty), _) => Some((rev, (true, Vec::new()))),
             (Some(Untrue::Half), _) => Some((rev, (true, whole.into_iter().step_by(2).collect()))),
             (Some(Untrue::Older), _) => Some((1, (true, agent.first.borrow().clone()))),
@@ -200,7 +234,16 @@
     fn tell(&self, limiter: usize, rev: u64, (all, entries): (bool, Vec<Entry>)) -> Value {
         for entry in &entries {
             let (life, standing) = (entry.life, entry.standing);
-            self.world.recorder.note(What::Told { limiter, life, standing });
+            let site = &self.world.scenario.site;
+            // Where limiters tell each other, what one is told counts for all; what is no more true for none.
+            let to = match site.one_address {
+                false => limiter..limiter + 1,
+                true if entry.version > 0 && self.told.borrow_mut().insert(entry.version) => 0..site.limiters,
+                true => 0..0,
+            };
+            for limiter in to {
+                self.world.recorder.note(What::Told { limiter, life, standing });
+            }
         }
         let targets: Vec<&Value> = entries.iter().map(|entry| &entry.json).collect();
         json!({"rev": rev, "all": all, "targets": targets})
@@ -221,7 +264,7 @@
         // A call that comes to a dead service counts as one that failed.
         let asking = Cell::new(*dead.borrow());
         if asking.get() {
-            recorder.note(What::ListAsked { limiter });
+            self.asked(limiter);
         }
         let sound = tokio::select! {
             biased;
@@ -241,7 +284,7 @@
         let agent = &self.agents[limiter];
         let mut silent = self.silent.subscribe();
         while let Ok((head, _)) = wire.read(false).await {
-            self.world.recorder.note(What::ListAsked { limiter });
+            self.asked(limiter);
             asking.set(true);
             let (path, query) = head.path.split_once('?').unwrap_or((&head.path, ""));
             if path != "/registry/instances" {
@@ -312,20 +355,21 @@
 
 impl Agent {
     fn take(&self, uid: String, entry: Entry) {
-        self.rev.set(self.rev.get() + 1);
-        self.listed.borrow_mut().insert(uid, (self.rev.get(), entry));
+        let version = self.rev.get() + 1;
+        self.rev.set(version);
+        self.listed.borrow_mut().insert(uid, Entry { version, ..entry });
         self.news.notify_waiters();
     }
 
     /// All that is not gone.
     fn whole(&self) -> (bool, Vec<Entry>) {
         let listed = self.listed.borrow();
-        let here = listed.values().filter(|(_, entry)| entry.standing != Standing::Gone);
-        (true, here.map(|(_, entry)| entry.clone()).collect())
+        let here = listed.values().filter(|entry| entry.standing != Standing::Gone);
+        (true, here.cloned().collect())
     }
 
     fn changed_after(&self, rev: u64) -> Vec<Entry> {
         let listed = self.listed.borrow();
-        listed.values().filter(|(at, _)| *at > rev).map(|(_, entry)| entry.clone()).collect()
+        listed.values().filter(|entry| entry.version > rev).cloned().collect()
     }
 }
--- a/crates/emberpin-site/src/links.rs
+++ b/crates/emberpin-site/src/links.rs
@@ -1,32 +1,35 @@
 //! The links between limiters: each reaches each other through a relay of its own, so that a split holds back what is on
 //! the way in both directions, as a cut cable does.
 
+use crate::peers::Split;
 use crate::servers::World;
+use emberpin_start::feed::neighbours;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-/// The limiters on one side of a split.
-type Split = Option<Vec<usize>>;
+/// Up to so many limiters there are links between all pairs, as keys need them; beyond, between neighbours in the telling
+/// of lists alone.
+pub const MESH: usize = 40;
 
 /// All links of a site.
 pub struct LinkNet {
     /// Where each limiter listens.
     listen: Vec<SocketAddr>,
-    /// Where each reaches each other.
-    relays: Vec<Vec<SocketAddr>>,
-    split: watch::Sender<Split>,
+    /// Where each reaches those that it has links to.
+    relays: Vec<BTreeMap<usize, SocketAddr>>,
+    split: watch::Sender<Option<Split>>,
 }
 
 impl LinkNet {
-    /// Relays for every pair of limiters; none of them is cut.
+    /// Relays for the links; none of them is cut.
     ///
     /// # Errors
     ///
@@ -35,15 +38,16 @@
         let listen: Vec<SocketAddr> = (0..limiters).map(|_| world.address()).collect::<Result<_, _>>()?;
         let (split, _) = watch::channel(None);
         let mut relays = Vec::new();
+        let all: BTreeSet<u32> = (0..limiters as u32).collect();
         for from in 0..limiters {
-            let mut to_each = Vec::new();
+            let near = neighbours(from as u32, &all);
+            let mut to_each = BTreeMap::new();
             for (to, address) in listen.iter().enumerate() {
-                if from == to {
-                    to_each.push(*address);
+                if from == to || (limiters > MESH && !near.contains(&(to as u32))) {
                     continue;
                 }
                 let listener = TcpListener::bind((address.ip(), 0)).await?;
-                to_each.push(listener.local_addr()?);
+                to_each.insert(to, listener.local_addr()?);
                 spawn_local(relay(listener, *address, (from, to), split.subscribe()));
             }
             relays.push(to_each);
@@ -51,9 +55,9 @@
         Ok(LinkNet { listen, relays, split })
     }
 
-    /// Splits the limiters into this group and the rest, or heals the split.
-    pub fn split(&self, group: Split) {
-        self.split.send_replace(group);
+    /// Splits the limiters, or heals the split.
+    pub fn split(&self, split: Option<Split>) {
+        self.split.send_replace(split);
     }
 
     /// Writes the operator file of one limiter, and the secret that all share.
@@ -69,8 +73,11 @@
             options.create(true).truncate(true).write(true).mode(0o600).open(keys.join("fingerprint.key"))?;
         file.write_all(format!("{secret:016x}").repeat(4).as_bytes())?;
         let mut table = format!("[link]\ncluster = \"site\"\nplain = true\nkeys = \"{}\"\n", keys.display());
-        for (number, relay) in self.relays[limiter].iter().enumerate() {
-            let address = if number == limiter { self.listen[number] } else { *relay };
+        if self.listen.len() > MESH {
+            table += "beat_ms = 1000\nsuspect_ms = 2500\ndead_ms = 4000\n";
+        }
+        for (number, own) in self.listen.iter().enumerate() {
+            let address = self.relays[limiter].get(&number).unwrap_or(own);
             table += &format!(
                 "[[link.member]]\nnumber = {number}\nname = \"n{number}\"\naddress = \"{address}\"\n"
             );
@@ -81,18 +88,22 @@
     }
 }
 
-async fn relay(listener: TcpListener, to: SocketAddr, pair: (usize, usize), split: watch::Receiver<Split>) {
+async fn relay(
+    listener: TcpListener,
+    to: SocketAddr,
+    pair: (usize, usize),
+    split: watch::Receiver<Option<Split>>,
+) {
     while let Ok((near, _)) = listener.accept().await {
         let split = split.clone();
         spawn_local(async move {
             let Ok(far) = TcpStream::connect(to).await else { return };
             _ = (near.set_nodelay(true), far.set_nodelay(true));
             let ((near_out, near_in), (far_out, far_in)) = (near.into_split(), far.into_split());
-            let ways = Rc::new(pair);
             // Whichever way ends, both do: a process that is gone is gone for its reader and its writer.
             tokio::select! {
-                () = carry(near_out, far_in, ways.clone(), split.clone()) => {}
-                () = carry(far_out, near_in, ways, split) => {}
+                () = carry(near_out, far_in, pair, split.clone()) => {}
+                () = carry(far_out, near_in, (pair.1, pair.0), split) => {}
             }
         });
     }
@@ -101,12 +112,10 @@
 async fn carry(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    pair: Rc<(usize, usize)>,
-    mut split: watch::Receiver<Split>,
+    (sender, receiver): (usize, usize),
+    mut split: watch::Receiver<Option<Split>>,
 ) {
-    let apart = |split: &Split| {
-        split.as_ref().is_some_and(|group| group.contains(&pair.0) != group.contains(&pair.1))
-    };
+    let apart = |split: &Option<Split>| split.as_ref().is_some_and(|split| split.holds(sender, receiver));
     let mut bytes = vec![0; 16 * 1024];
     while let Ok(n @ 1..) = from.read(&mut bytes).await {
         if split.wait_for(|split| !apart(split)).await.is_err() || to.write_all(&bytes[..n]).await.is_err() {
--- a/crates/emberpin-site/src/needs.rs
+++ b/crates/emberpin-site/src/needs.rs
@@ -1,5 +1,6 @@
 //! What a run takes of the machine, told before it starts: descriptors of this process, and memory.
 
+use crate::links::MESH;
 use crate::scenario::Site;
 use nix::sys::resource::{getrlimit, setrlimit, Resource};
 use std::fmt;
@@ -22,12 +23,19 @@
 }
 
 impl Needs {
-    /// What a site needs; a server listens at an address for each limiter, and links stand between all pairs.
+    /// What a site needs; a server listens at an address for each limiter, unless there is one for all, and links stand
+    /// between all pairs or neighbours.
     pub fn of(site: &Site, links: bool) -> Needs {
         let (limiters, servers) = (site.limiters as u64, site.servers as u64);
-        let pairs = if links { 3 * limiters * limiters } else { 0 };
+        let pairs = match links {
+            false => 0,
+            true if site.limiters <= MESH => 3 * limiters * limiters,
+            // Two neighbours for each power of four.
+            true => 3 * limiters * 2 * u64::from(limiters.ilog2() / 2 + 1),
+        };
+        let addresses = if site.one_address { 1 } else { limiters };
         Needs {
-            descriptors: BASE_DESCRIPTORS + 2 * limiters * servers + limiters * (4 + FRONT) + pairs,
+            descriptors: BASE_DESCRIPTORS + 2 * addresses * servers + limiters * (4 + FRONT) + pairs,
             memory_mib: BASE_MIB + EACH_MIB * limiters,
         }
     }
--- a/crates/emberpin-site/src/peers.rs
+++ b/crates/emberpin-site/src/peers.rs
@@ -4,6 +4,7 @@
 //! `seen[b]` is the socket at whose address every limiter sees limiter `b`: what comes there is told apart by the
 //! address it comes from, and goes on to `b` from the sender's socket, as `b` knows its peers by their addresses.
 
+use crate::scenario::Way;
 use crate::servers::World;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -18,11 +19,32 @@
 /// A longer datagram than any limiter may send.
 const LONGEST: usize = 257;
 
+/// A group of limiters that is apart from the rest, wholly or one way.
+#[derive(Clone, Debug)]
+pub struct Split {
+    /// The group.
+    pub group: Vec<usize>,
+    /// Which way nothing passes, as the group sees it.
+    pub way: Way,
+}
+
+impl Split {
+    /// Whether what one limiter tells another does not come.
+    pub fn holds(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (self.group.contains(&from), self.group.contains(&to));
+        match self.way {
+            Way::Both => from != to,
+            Way::Out => from && !to,
+            Way::Back => to && !from,
+        }
+    }
+}
+
 /// What is wrong between limiters.
 #[derive(Default)]
 struct Trouble {
     /// Those in the group hear each other, and so do those outside it.
-    split: Option<Vec<usize>>,
+    split: Option<Split>,
     /// Share that is lost.
     loss: f64,
     /// The rest comes up to so much later, each by itself, so that they overtake each other.
@@ -78,9 +100,9 @@
         Ok((self.listen[of], seen?, self.all.local_addr()?))
     }
 
-    /// Splits the limiters into this group and the rest, or heals the split.
-    pub fn split(&self, group: Option<Vec<usize>>) {
-        self.trouble.borrow_mut().split = group;
+    /// Splits the limiters, or heals the split.
+    pub fn split(&self, split: Option<Split>) {
+        self.trouble.borrow_mut().split = split;
     }
 
     /// Loses a share and delays the rest.
@@ -105,7 +127,7 @@
 
     fn pass(self: Rc<Self>, from: usize, to: usize, bytes: Vec<u8>) {
         let trouble = self.trouble.borrow();
-        let apart = trouble.split.as_ref().is_some_and(|group| group.contains(&from) != group.contains(&to));
+        let apart = trouble.split.as_ref().is_some_and(|split| split.holds(from, to));
         let (lost, late) = {
             let mut rng = self.rng.borrow_mut();
             (rng.random::<f64>() < trouble.loss, trouble.delay.mul_f64(rng.random::<f64>()))
--- a/crates/emberpin-site/src/process.rs
+++ b/crates/emberpin-site/src/process.rs
@@ -96,12 +96,12 @@
         })
     }
 
-    /// Starts its process with this configuration, and returns once it is ready.
+    /// Starts its process with this configuration, and returns once it is ready; whether it is, or was killed before.
     ///
     /// # Errors
     ///
     /// It does not start, or does not become ready.
-    pub async fn start(self: &Rc<Self>, config: Value) -> Result<(), String> {
+    pub async fn start(self: &Rc<Self>, config: Value) -> Result<bool, String> {
         let number = self.number;
         let file = self.folder.join(format!("limiter-{number}.json"));
         let log = self.folder.join(format!("limiter-{number}.log"));
@@ -145,11 +145,14 @@
             // Nobody is to wait for its end; what is left of it goes with the handle.
             self.pid.set(None);
             self.ended.send_replace(true);
-            return Err(problem);
+            return match self.expected.get() {
+                Some(ProcessEnd::Killed) => Ok(false),
+                _ => Err(problem),
+            };
         }
         self.recorder.note(What::LimiterUp { limiter: number });
         spawn_local(self.clone().watch(child, log));
-        Ok(())
+        Ok(true)
     }
 
     /// The arguments that give it a log; before its first start the log is begun, as an operator does it.
@@ -240,6 +243,11 @@
         self.before.set(usage.cpu_ms);
     }
 
+    /// SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// SIGSTOP, or SIGCONT.
     pub fn pause(&self, on: bool) {
         self.signal(if on { Signal::SIGSTOP } else { Signal::SIGCONT });
--- a/crates/emberpin-site/src/scenario.rs
+++ b/crates/emberpin-site/src/scenario.rs
@@ -58,6 +58,9 @@
     pub together: bool,
     /// Limiters are given the list of servers at their start, as they last had it.
     pub known: bool,
+    /// All limiters reach a server at one address, as they must where they tell each other the list; links to halls
+    /// cannot be cut then.
+    pub one_address: bool,
     /// How many limiters there are by their settings; 0 for as many as there are.
     pub told_limiters: usize,
     /// Calls a second that the list service answers; calls that wait share it. 0 for as many as come.
@@ -92,6 +95,7 @@
             cold: false,
             together: false,
             known: true,
+            one_address: false,
             told_limiters: 0,
             list_power: 0.0,
             list_patience_s: 2.0,
@@ -314,6 +318,8 @@
     PeersSplit {
         /// The first group; the others are the second.
         group: Vec<usize>,
+        /// Which way nothing passes, as the group sees it.
+        way: Way,
         /// How long.
         length: Micros,
     },
@@ -340,6 +346,8 @@
     DiscoveryTells {
         /// What it tells.
         how: Untrue,
+        /// To whom; to all without it.
+        group: Option<Vec<usize>>,
         /// How long.
         length: Micros,
     },
@@ -357,6 +365,18 @@
         /// After how long.
         back: Micros,
     },
+    /// SIGHUP.
+    LimiterHungUp {
+        /// Which.
+        limiter: usize,
+    },
+    /// kill -9 to the next limiters that call the list service, each just as it calls; they start again.
+    CallersKilled {
+        /// How many.
+        count: usize,
+        /// After how long.
+        back: Micros,
+    },
     /// Customers move to others of their limiters at one stroke.
     FirmsHop {
         /// What share of them.
@@ -447,6 +467,8 @@
     DiscoveryTells,
     LimiterPaused,
     LimitersKilled,
+    CallersKilled,
+    LimiterHungUp,
     FirmsHop,
     FirmHammers,
     Rush,
@@ -767,18 +789,29 @@
                 delay: of.delay()?,
                 length: of.length()?,
             }),
-            Kind::PeersSplit => one(Fault::PeersSplit { group: of.group()?, length: of.length()? }),
+            Kind::PeersSplit => {
+                let way = of.raw.way.take().unwrap_or(Way::Both);
+                one(Fault::PeersSplit { group: of.group()?, way, length: of.length()? })
+            }
             Kind::PeersPoor => {
                 one(Fault::PeersPoor { loss: of.share()?, delay: of.delay()?, length: of.length()? })
             }
             Kind::DiscoverySilent => one(Fault::DiscoverySilent { length: of.length()? }),
             Kind::DiscoveryDead => one(Fault::DiscoveryDead { length: of.length()? }),
-            Kind::DiscoveryTells => one(Fault::DiscoveryTells { how: of.how()?, length: of.length()? }),
+            Kind::DiscoveryTells => {
+                let group = of.raw.group.is_some().then(|| of.group()).transpose()?;
+                one(Fault::DiscoveryTells { how: of.how()?, group, length: of.length()? })
+            }
             Kind::LimiterPaused => one(Fault::LimiterPaused { limiter: of.limiter()?, length: of.length()? }),
             Kind::LimitersKilled => {
                 let count = (of.share()? * site.limiters as f64).round() as usize;
                 one(Fault::LimitersKilled { count, back: of.back()? })
             }
+            Kind::CallersKilled => {
+                let count = (of.share()? * site.limiters as f64).round() as usize;
+                one(Fault::CallersKilled { count, back: of.back()? })
+            }
+            Kind::LimiterHungUp => one(Fault::LimiterHungUp { limiter: of.limiter()? }),
             Kind::FirmsHop => one(Fault::FirmsHop { share: of.share()? }),
             Kind::FirmHammers => {
                 one(Fault::FirmHammers { plan: of.plan()?, times: of.times()?, length: of.length()? })
--- a/crates/emberpin-site/src/servers.rs
+++ b/crates/emberpin-site/src/servers.rs
@@ -48,6 +48,8 @@
     /// Keys whose effect was had.
     effects: RefCell<HashSet<u32>>,
     meter: RefCell<Meter>,
+    /// Which limiter each try was asked of.
+    asked: RefCell<HashMap<Try, usize>>,
 }
 
 /// Use by customer in the present period and those before it.
@@ -83,6 +85,13 @@
 }
 
 impl World {
+    /// A client asks a limiter.
+    pub fn asks(&self, what: Try, limiter: usize) {
+        if self.scenario.site.one_address {
+            self.asked.borrow_mut().insert(what, limiter);
+        }
+    }
+
     /// What stands before anything starts.
     pub fn new(recorder: Recorder, scenario: Scenario, schedule: Schedule, host: Ipv4Addr) -> Rc<World> {
         let site = &scenario.site;
@@ -99,6 +108,7 @@
             memory,
             effects: RefCell::default(),
             meter: RefCell::default(),
+            asked: RefCell::default(),
             scenario,
             schedule,
         })
@@ -214,7 +224,8 @@
     }
 
     async fn listen(&self, process: &Rc<Process>, place: u32) -> std::io::Result<()> {
-        let addresses = self.addresses.borrow().clone();
+        let mut addresses = self.addresses.borrow().clone();
+        addresses.dedup();
         for (limiter, address) in addresses.into_iter().enumerate() {
             let listener = listen(address).await?;
             let accepting = spawn_local(process.clone().accept(limiter, address, place, listener));
@@ -224,8 +235,11 @@
     }
 
     fn take_addresses(&self) -> std::io::Result<()> {
-        let limiters = self.world.scenario.site.limiters;
-        let addresses: std::io::Result<Vec<_>> = (0..limiters).map(|_| self.world.address()).collect();
+        let site = &self.world.scenario.site;
+        let addresses: std::io::Result<Vec<_>> = match site.one_address {
+            true => self.world.address().map(|one| vec![one; site.limiters]),
+            false => (0..site.limiters).map(|_| self.world.address()).collect(),
+        };
         *self.addresses.borrow_mut() = addresses?;
         Ok(())
     }
@@ -444,6 +458,11 @@
                 continue;
             }
             let attempt = AttemptId(World::next(&world.attempts));
+            let of = head.header("req-id").and_then(|id| world.schedule.parse_id(id));
+            // Where all come to one address, the client knows whom it asked.
+            let asked = of.filter(|_| world.scenario.site.one_address);
+            let asked = asked.and_then(|of| world.asked.borrow().get(&of).copied());
+            let limiter = asked.unwrap_or(limiter);
             world.recorder.note_at(began, What::Begun { attempt, life: self.life, limiter });
             out.set(Some(attempt));
             // On the way; whoever ends the connection meanwhile has taken it back.
@@ -456,7 +475,6 @@
                 () = wire.ended() => return Over::TheirEnd,
                 () = arrives => {}
             }
-            let of = head.header("req-id").and_then(|id| world.schedule.parse_id(id));
             let work = of.and_then(|of| world.schedule.arrival(of)).map_or(0.0, |arrival| arrival.work);
             world.recorder.note(What::Whole { attempt, what: of, work });
             let Some(of) = of else {
--- a/crates/emberpin-site/src/site.rs
+++ b/crates/emberpin-site/src/site.rs
@@ -5,7 +5,7 @@
 use crate::discovery::Discovery;
 use crate::links::LinkNet;
 use crate::needs::Needs;
-use crate::peers::PeerNet;
+use crate::peers::{PeerNet, Split};
 use crate::process::{Limiter, Program, Usage};
 use crate::referee::{judge, Judgement, Terms};
 use crate::scenario::{Fault, Scenario, Way};
@@ -278,7 +278,7 @@
         Ok(stage)
     }
 
-    async fn start_limiter(&self, number: usize) -> Result<(), String> {
+    async fn start_limiter(&self, number: usize) -> Result<bool, String> {
         let limiter = &self.limiters[number];
         let peers = self.peers.addresses(number).map_err(|e| format!("the peers' network: {e}"))?;
         let site = &self.world.scenario.site;
@@ -287,10 +287,10 @@
     }
 
     /// Splits the limiters' datagrams and links.
-    fn split(&self, group: Option<Vec<usize>>) {
-        self.peers.split(group.clone());
+    fn split(&self, split: Option<Split>) {
+        self.peers.split(split.clone());
         if let Some(links) = &self.links {
-            links.split(group);
+            links.split(split);
         }
     }
 
@@ -300,7 +300,9 @@
             return;
         }
         match self.start_limiter(number).await {
-            Ok(()) => self.clients.up(number),
+            Ok(true) => self.clients.up(number),
+            // Whoever killed it starts it again.
+            Ok(false) => {}
             Err(problem) => *self.problem.borrow_mut() = Some(problem),
         }
     }
@@ -450,8 +452,8 @@
                 sleep(span(length)).await;
                 link.set_delay(0);
             }
-            Fault::PeersSplit { group, length } => {
-                self.split(Some(group.clone()));
+            Fault::PeersSplit { group, way, length } => {
+                self.split(Some(Split { group: group.clone(), way: *way }));
                 sleep(span(length)).await;
                 self.split(None);
             }
@@ -470,8 +472,8 @@
                 sleep(span(length)).await;
                 self.discovery.set_dead(false);
             }
-            Fault::DiscoveryTells { how, length } => {
-                self.discovery.set_untrue(Some(*how));
+            Fault::DiscoveryTells { how, group, length } => {
+                self.discovery.set_untrue(Some((*how, group.clone())));
                 sleep(span(length)).await;
                 self.discovery.set_untrue(None);
             }
@@ -485,19 +487,20 @@
                 sleep(span(length)).await;
                 limiter.pause(false);
             }
+            Fault::LimiterHungUp { limiter } => self.limiters[*limiter].hang_up(),
+            Fault::CallersKilled { count, back } => {
+                let mut calls = self.discovery.calls();
+                let mut killing = Vec::new();
+                while let (true, Some(number)) = (killing.len() < *count, calls.recv().await) {
+                    killing.push(spawn_local(self.clone().kill_at_once(number, span(back))));
+                }
+                for killed in killing {
+                    _ = killed.await;
+                }
+            }
             Fault::LimitersKilled { count, back } => {
-                let killing: Vec<_> = (0..*count)
-                    .map(|number| {
-                        let (stage, back) = (self.clone(), span(back));
-                        spawn_local(async move {
-                            let _busy = stage.busy[number].lock().await;
-                            stage.clients.down(number);
-                            stage.limiters[number].kill().await;
-                            sleep(back).await;
-                            stage.restart(number).await;
-                        })
-                    })
-                    .collect();
+                let killing: Vec<_> =
+                    (0..*count).map(|number| spawn_local(self.clone().kill(number, span(back)))).collect();
                 for killed in killing {
                     _ = killed.await;
                 }
@@ -509,6 +512,22 @@
         self.note(format!("over: {}", describe(&fault)));
     }
 
+    /// kill -9 to a limiter, which starts again after a while.
+    async fn kill(self: Rc<Self>, number: usize, back: Duration) {
+        let _busy = self.busy[number].lock().await;
+        self.clients.down(number);
+        self.limiters[number].kill().await;
+        sleep(back).await;
+        self.restart(number).await;
+    }
+
+    /// The same, while it may still be starting.
+    async fn kill_at_once(self: Rc<Self>, number: usize, back: Duration) {
+        self.clients.down(number);
+        self.limiters[number].kill().await;
+        self.kill(number, back).await;
+    }
+
     /// A server is up again, cold, under whatever id it has now.
     async fn start_server(&self, server: &Rc<Server>) {
         if self.over.get() || server.process().is_some() {
@@ -567,7 +586,7 @@
         Fault::LinkSlow { limiter, hall, delay, .. } => {
             format!("link of limiter {limiter} to hall {hall} slower by {:.0} ms", seconds(*delay) * 1000.0)
         }
-        Fault::PeersSplit { group, .. } => format!("limiters {group:?} split from the rest"),
+        Fault::PeersSplit { group, way, .. } => format!("limiters {group:?} split from the rest: {way:?}"),
         Fault::PeersPoor { loss, .. } => format!("{:.0} % of the peers' messages lost", loss * 100.0),
         Fault::DiscoverySilent { .. } => "discovery silent".into(),
         Fault::DiscoveryDead { .. } => "the list service dead".into(),
@@ -575,6 +594,13 @@
         Fault::LimiterPaused { limiter, length } => {
             format!("limiter {limiter} paused for {:.1} s", seconds(*length))
         }
+        Fault::LimiterHungUp { limiter } => format!("limiter {limiter} hung up"),
+        Fault::CallersKilled { count, back } => {
+            format!(
+                "the next {count} callers of the list service killed as they call, back after {:.1} s",
+                seconds(*back)
+            )
+        }
         Fault::LimitersKilled { count, back } => {
             format!("{count} limiters killed, back after {:.1} s", seconds(*back))
         }
--- /dev/null
+++ b/crates/emberpin-site/tests/common/mod.rs
@@ -0,0 +1,75 @@
+//! Playing a site of processes, and counting what was seen.
+#![allow(dead_code)]
+
+use emberpin_site::process::Program;
+use emberpin_site::report::stories;
+use emberpin_site::scenario::Scenario;
+use emberpin_site::site::{run, Outcome};
+use emberpin_site::trace::{Event, ProcessEnd, What, SECOND};
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+
+/// Limiters with this operator file, if any, and perhaps with links.
+pub fn play_by(operator: &str, links: bool, text: &str, seed: u64) -> Outcome {
+    let head = format!("name = \"t\"\nabout = \"A test's own site.\"\nseed = {seed}\n");
+    let scenario = Scenario::parse("test", &format!("{head}{text}")).expect("sound");
+    let file = tempfile::Builder::new().suffix(".toml").tempfile().expect("a file");
+    std::fs::write(file.path(), operator).expect("written");
+    let mut arguments: Vec<OsString> = vec!["limiter".into()];
+    if !operator.is_empty() {
+        arguments.extend(["--with".into(), file.path().into()]);
+    }
+    let program = Program { path: env!("CARGO_BIN_EXE_emberpin-site").into(), arguments, logs: false, links };
+    run(&scenario, &program, |_| ()).unwrap_or_else(|e| panic!("seed {seed}: {e}"))
+}
+
+pub fn play_with(operator: &str, text: &str, seed: u64) -> Outcome {
+    play_by(operator, false, text, seed)
+}
+
+pub fn play(text: &str, seed: u64) -> Outcome {
+    play_with("", text, seed)
+}
+
+/// How many limiters were killed.
+pub fn killed(outcome: &Outcome) -> usize {
+    count(outcome, |what| matches!(what, What::LimiterDown { how: ProcessEnd::Killed, .. }))
+}
+
+/// When each limiter first held the list, in seconds, in order.
+pub fn listed(outcome: &Outcome) -> Vec<f64> {
+    let mut first = BTreeMap::new();
+    for event in &outcome.events {
+        if let What::ListAnswered { limiter, well: true } = event.what {
+            first.entry(limiter).or_insert(event.at as f64 / SECOND as f64);
+        }
+    }
+    let mut times: Vec<f64> = first.into_values().collect();
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+/// Calls of the list service between two times in seconds, and those that failed.
+pub fn calls(outcome: &Outcome, from: f64, to: f64) -> (usize, usize) {
+    let within = |event: &&Event| (from..to).contains(&(event.at as f64 / SECOND as f64));
+    let count = |of: fn(&What) -> bool| outcome.events.iter().filter(within).filter(|e| of(&e.what)).count();
+    (
+        count(|what| matches!(what, What::ListAsked { .. })),
+        count(|what| matches!(what, What::ListAnswered { well: false, .. })),
+    )
+}
+
+pub fn count(outcome: &Outcome, of: impl Fn(&What) -> bool) -> usize {
+    outcome.events.iter().filter(|event| of(&event.what)).count()
+}
+
+#[track_caller]
+pub fn holds(outcome: &Outcome) {
+    assert!(!outcome.judgement.is_broken(), "seed {}:{}", outcome.scenario.seed, stories(&outcome.judgement));
+}
+
+/// When limiters called after a time, in seconds, in order.
+pub fn called_after(outcome: &Outcome, from: f64) -> Vec<f64> {
+    let times = outcome.events.iter().filter(|event| matches!(event.what, What::ListAsked { .. }));
+    times.map(|event| event.at as f64 / SECOND as f64).filter(|at| *at > from).collect()
+}
--- a/crates/emberpin-site/tests/start.rs
+++ b/crates/emberpin-site/tests/start.rs
@@ -1,39 +1,19 @@
 //! Starts of many limiters at once, each a process of its own, between stand-ins that have just started too.
 #![allow(missing_docs)]
 
-use emberpin_site::process::Program;
-use emberpin_site::report::{stories, Summary};
-use emberpin_site::scenario::Scenario;
-use emberpin_site::site::{run, Outcome};
+mod common;
+
+use common::{called_after, calls, count, holds, killed, listed, play, play_with};
+use emberpin_site::report::Summary;
 use emberpin_site::starts::Starts;
-use emberpin_site::trace::{Event, ProcessEnd, What, SECOND};
+use emberpin_site::trace::{Event, What, SECOND};
 use emberpin_start::snapshot::{decode, encode, Label};
 use nix::sys::stat::Mode;
 use nix::unistd::mkfifo;
-use std::collections::{BTreeMap, BTreeSet};
-use std::ffi::OsString;
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Limiters with this operator file, if any.
-fn play_with(operator: &str, text: &str, seed: u64) -> Outcome {
-    let head = format!("name = \"t\"\nabout = \"A test's own site.\"\nseed = {seed}\n");
-    let scenario = Scenario::parse("test", &format!("{head}{text}")).expect("sound");
-    let file = tempfile::Builder::new().suffix(".toml").tempfile().expect("a file");
-    std::fs::write(file.path(), operator).expect("written");
-    let mut arguments: Vec<OsString> = vec!["limiter".into()];
-    if !operator.is_empty() {
-        arguments.extend(["--with".into(), file.path().into()]);
-    }
-    let program =
-        Program { path: env!("CARGO_BIN_EXE_emberpin-site").into(), arguments, logs: false, links: false };
-    run(&scenario, &program, |_| ()).unwrap_or_else(|e| panic!("seed {seed}: {e}"))
-}
-
-fn play(text: &str, seed: u64) -> Outcome {
-    play_with("", text, seed)
-}
-
 /// Twenty-four limiters that know nothing and have just started, like their servers, before a list service of a call of
 /// each in 4 s.
 const TOGETHER: &str =
@@ -42,38 +22,6 @@
 /// That power, as an operator says it.
 const TOLD: &str = "[start]\nlist_calls_per_s = 6\n";
 
-/// When each limiter first held the list, in seconds, in order.
-fn listed(outcome: &Outcome) -> Vec<f64> {
-    let mut first = BTreeMap::new();
-    for event in &outcome.events {
-        if let What::ListAnswered { limiter, well: true } = event.what {
-            first.entry(limiter).or_insert(event.at as f64 / SECOND as f64);
-        }
-    }
-    let mut times: Vec<f64> = first.into_values().collect();
-    times.sort_by(f64::total_cmp);
-    times
-}
-
-/// Calls of the list service between two times in seconds, and those that failed.
-fn calls(outcome: &Outcome, from: f64, to: f64) -> (usize, usize) {
-    let within = |event: &&Event| (from..to).contains(&(event.at as f64 / SECOND as f64));
-    let count = |of: fn(&What) -> bool| outcome.events.iter().filter(within).filter(|e| of(&e.what)).count();
-    (
-        count(|what| matches!(what, What::ListAsked { .. })),
-        count(|what| matches!(what, What::ListAnswered { well: false, .. })),
-    )
-}
-
-fn count(outcome: &Outcome, of: impl Fn(&What) -> bool) -> usize {
-    outcome.events.iter().filter(|event| of(&event.what)).count()
-}
-
-#[track_caller]
-fn holds(outcome: &Outcome) {
-    assert!(!outcome.judgement.is_broken(), "seed {}:{}", outcome.scenario.seed, stories(&outcome.judgement));
-}
-
 /// Once nothing was served before the first server was warm: what cold ones may get was a part of what warm ones
 /// were seen to carry.
 #[test]
@@ -151,8 +99,7 @@
     let site = TOGETHER.replace("known = false", "known = true");
     let outcome = play_with(TOLD, &format!("seconds = 20\n{site}{}{}", kill(8.0), kill(11.0)), 5);
     holds(&outcome);
-    let killed = count(&outcome, |what| matches!(what, What::LimiterDown { how: ProcessEnd::Killed, .. }));
-    assert!(killed >= 28, "{killed} were killed");
+    assert!(killed(&outcome) >= 28, "they were killed");
     let back: Vec<f64> = called_after(&outcome, 11.5);
     assert!(back.len() >= 14, "{back:?}");
     let crowd =
@@ -162,12 +109,6 @@
     assert_eq!(failed, 0, "of {asked}");
 }
 
-/// When limiters called after a time, in seconds, in order.
-fn called_after(outcome: &Outcome, from: f64) -> Vec<f64> {
-    let times = outcome.events.iter().filter(|event| matches!(event.what, What::ListAsked { .. }));
-    times.map(|event| event.at as f64 / SECOND as f64).filter(|at| *at > from).collect()
-}
-
 /// A service that comes back from an outage with an empty list, then half of it, then all.
 const BACK_BY_PARTS: &str = "[[fault]]\nat_s = 4\nwhat = \"discovery-dead\"\nfor_s = 3\n\
                              [[fault]]\nat_s = 7\nwhat = \"discovery-tells\"\nhow = \"empty\"\nfor_s = 5\n\
@@ -223,8 +164,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let outcome = play_with(&keeping(folder.path()), &text, 8);
     holds(&outcome);
-    let killed = count(&outcome, |what| matches!(what, What::LimiterDown { how: ProcessEnd::Killed, .. }));
-    assert!(killed >= 14, "{killed} were killed");
+    assert!(killed(&outcome) >= 14, "they were killed");
     let (asked, failed) = calls(&outcome, 9.5, 18.0);
     assert!(asked > 0 && asked == failed, "the service was dead: {asked}, {failed}");
     let starts = Starts::of(&outcome);
@@ -353,8 +293,7 @@
     let fault = "[[fault]]\nat_s = 8\nwhat = \"limiters-killed\"\nshare = 0.5\nback_s = 1\n";
     let outcome = play_with(TOLD, &format!("seconds = 16\n{site}{fault}"), 15);
     holds(&outcome);
-    let killed = count(&outcome, |what| matches!(what, What::LimiterDown { how: ProcessEnd::Killed, .. }));
-    assert!(killed >= 10, "{killed} were killed");
+    assert!(killed(&outcome) >= 10, "they were killed");
     let (asked, failed) = calls(&outcome, 9.0, 16.0);
     assert!(asked >= 10 && failed == 0, "{asked}, {failed}");
     let starts = Starts::of(&outcome);
--- /dev/null
+++ b/crates/emberpin-site/tests/told.rs
@@ -0,0 +1,226 @@
+//! Lists told by peers over the link, while callers, links and the service fail: each limiter a process of its own.
+#![allow(missing_docs)]
+
+mod common;
+
+use common::{called_after, calls, count, holds, killed, play_by};
+use emberpin_site::site::Outcome;
+use emberpin_site::starts::Starts;
+use emberpin_site::trace::{Event, Life, Micros, Standing, What, SECOND};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Limiters that know nothing and have just started, before a list service of a call of each in 4 s.
+const TOGETHER: &str =
+    "[site]\nlimiters = 24\nservers = 8\ntogether = true\ncold = true\nknown = false\none_address = true\nlist_power = 6\n\
+                        [load]\nrate = 24\nusage = 0.3\nretries = 0\n";
+const TOLD: &str = "[start]\nlist_calls_per_s = 6\ncallers = 3\nlist_service = \"site\"\n";
+
+fn play(text: &str, seed: u64) -> Outcome {
+    play_by(TOLD, true, text, seed)
+}
+
+#[test]
+fn a_few_call_and_the_others_are_told() {
+    let outcome = play(&format!("seconds = 12\n{TOGETHER}"), 1);
+    holds(&outcome);
+    let starts = Starts::of(&outcome);
+    assert!(starts.ready[1].is_some_and(|last| last < 3.0), "all held the list: {starts:?}");
+    let (asked, failed) = calls(&outcome, 0.0, 12.0);
+    assert!(asked <= 6 && failed == 0, "{asked} calls: {:?}", called_after(&outcome, 0.0));
+}
+
+/// Those that hold the watches of 24, by the order of their slots.
+const CALLERS: [usize; 3] = [0, 17, 10];
+
+/// Of those that were killed just as they called, others take the place.
+#[test]
+fn the_few_callers_are_killed_just_as_they_call() {
+    let fault = "[[fault]]\nat_s = 0\nwhat = \"callers-killed\"\nshare = 0.125\nback_s = 6\n";
+    let outcome = play(&format!("seconds = 12\n{TOGETHER}{fault}"), 2);
+    holds(&outcome);
+    assert_eq!(killed(&outcome), 3, "each was killed as it called");
+    let first_up = |limiter| {
+        let up = |event: &&Event| matches!(event.what, What::LimiterUp { limiter: of } if of == limiter);
+        outcome.events.iter().find(up).map(|event| event.at as f64 / SECOND as f64)
+    };
+    let ups: Vec<f64> = (0..24).filter_map(first_up).collect();
+    assert_eq!(ups.len(), 24);
+    assert!(ups.iter().filter(|at| **at < 3.0).count() == 21, "the others were told: {ups:?}");
+    let (asked, failed) = calls(&outcome, 0.0, 12.0);
+    assert!(asked <= 10 && failed <= 3, "{asked} calls, {failed} failed");
+}
+
+const SERVING: &str =
+    "[site]\nlimiters = 24\nservers = 8\none_address = true\nlist_power = 6\nnotice_ms = [100, 300]\n\
+                       [load]\nrate = 60\nusage = 0.3\nretries = 0\n";
+
+/// Drains of two servers, one after the other.
+fn drains(at: f64) -> String {
+    let one = |server: usize, at: f64| {
+        format!("[[fault]]\nat_s = {at:.1}\nwhat = \"server-drained\"\nserver = {server}\nfor_s = 3\n")
+    };
+    one(1, at) + &one(4, at + 1.0)
+}
+
+/// How many limiters the drains count as told to, all of them from when one was.
+fn drained(outcome: &Outcome) -> usize {
+    count(outcome, |what| matches!(what, What::Told { standing: Standing::Draining, .. }))
+}
+
+/// All callers die in service: few others call, and a drain told to them reaches all.
+#[test]
+fn callers_that_die_together_are_replaced_and_drains_reach_everyone() {
+    let kill = |limiter: &usize| {
+        format!("[[fault]]\nat_s = 6\nwhat = \"limiter-killed\"\nlimiter = {limiter}\nback_s = 7\n")
+    };
+    let faults: String = CALLERS.iter().map(kill).collect();
+    let outcome = play(&format!("seconds = 16\n{SERVING}{faults}{}", drains(11.0)), 3);
+    holds(&outcome);
+    assert_eq!(killed(&outcome), 3);
+    let before = outcome.events.iter().filter(|event| event.at < 6 * SECOND);
+    let called: BTreeSet<usize> = before
+        .filter_map(|event| match event.what {
+            What::ListAsked { limiter } => Some(limiter),
+            _ => None,
+        })
+        .collect();
+    assert!(called.is_superset(&CALLERS.into()) && called.len() <= 5, "they held the watches: {called:?}");
+    let (asked, failed) = calls(&outcome, 6.0, 16.0);
+    assert!((3..=8).contains(&asked) && failed == 0, "{asked} calls, {failed} failed");
+    assert_eq!(drained(&outcome), 2 * 24);
+    let starts = Starts::of(&outcome);
+    assert!(starts.served(2, 16) > 0.95, "{starts:?}");
+}
+
+/// A third of the limiters cannot tell the rest anything, or cannot hear them, or both: they find out, call for
+/// themselves, and obey the drains that are told meanwhile; as the others do.
+#[test]
+fn limiters_behind_a_link_that_is_cut_one_way_or_both_call_for_themselves() {
+    for (seed, way) in [(4, "both"), (5, "out"), (6, "back")] {
+        let group: Vec<usize> = (1..9).collect();
+        let fault = format!(
+            "[[fault]]\nat_s = 5\nwhat = \"peers-split\"\ngroup = {group:?}\nway = \"{way}\"\nfor_s = 9\n"
+        );
+        let outcome = play(&format!("seconds = 16\n{SERVING}{fault}{}", drains(10.5)), seed);
+        holds(&outcome);
+        let cut = count(&outcome, |what| matches!(what, What::Fault { name } if name.contains("split from")));
+        assert!(cut > 0, "{way}: they were cut off");
+        let within = |event: &&Event| (5 * SECOND..14 * SECOND).contains(&event.at);
+        let own: Vec<usize> = outcome
+            .events
+            .iter()
+            .filter(within)
+            .filter_map(|event| match event.what {
+                What::ListAsked { limiter } if group.contains(&limiter) => Some(limiter),
+                _ => None,
+            })
+            .collect();
+        assert!((1..=8).contains(&own.len()), "{way}: {own:?} called for themselves");
+        assert_eq!(drained(&outcome), 2 * 24, "{way}");
+        assert_eq!(calls(&outcome, 0.0, 16.0).1, 0, "{way}: none failed");
+        let starts = Starts::of(&outcome);
+        assert!(starts.served(2, 16) > 0.95, "{way}: {starts:?}");
+    }
+}
+
+/// Half of the fleet is told an older list by the service, before its servers moved: what peers tell them is newer.
+#[test]
+fn peers_tell_a_new_list_beside_an_old_one() {
+    let moved: String = (0..8)
+        .map(|server| format!("[[fault]]\nat_s = 0.0{server}\nwhat = \"server-moved\"\nserver = {server}\n"))
+        .collect();
+    let half: Vec<usize> = (0..24).step_by(2).collect();
+    let older = format!(
+        "[[fault]]\nat_s = 0\nwhat = \"discovery-tells\"\nhow = \"older\"\ngroup = {half:?}\nfor_s = 20\n"
+    );
+    let text =
+        format!("seconds = 14\n{}{moved}{older}", TOGETHER.replace("cold = true", "notice_ms = [0, 1]"));
+    let outcome = play(&text, 7);
+    holds(&outcome);
+    let told = |event: &Event| matches!(event.what, What::ListAnswered { limiter, well: true } if half.contains(&limiter));
+    assert!(outcome.events.iter().any(told), "a caller was told the older list");
+    let starts = Starts::of(&outcome);
+    assert!(starts.served(6, 14) > 0.95, "{starts:?}");
+    // Without peers to tell them, half the fleet goes by the older list.
+    let alone = play_by("[start]\nlist_calls_per_s = 6\n", false, &text, 7);
+    let alone = Starts::of(&alone);
+    assert!(alone.served(6, 14) < 0.9, "{alone:?}");
+}
+
+/// One of the callers stands still for 8 s, and goes on with the list of before a drain.
+#[test]
+fn a_caller_that_stands_still_is_replaced_and_told_when_it_goes_on() {
+    let fault = "[[fault]]\nat_s = 5\nwhat = \"limiter-paused\"\nlimiter = 17\nfor_s = 8\n";
+    let outcome = play(&format!("seconds = 16\n{SERVING}{fault}{}", drains(10.5)), 8);
+    assert_eq!(
+        count(&outcome, |what| matches!(what, What::Fault { name } if name.contains("does not stand still"))),
+        0
+    );
+    let asked = called_after(&outcome, 5.0);
+    assert!((1..=4).contains(&asked.len()) && asked[0] > 8.0, "one took its place: {asked:?}");
+    assert_eq!(drained(&outcome), 2 * 24);
+    // What is late at all is its own, from before it could hear anything.
+    let mut drains: BTreeMap<Life, Micros> = BTreeMap::new();
+    for event in &outcome.events {
+        match event.what {
+            What::Told { life, standing: Standing::Draining, .. } => {
+                _ = drains.entry(life).or_insert(event.at)
+            }
+            What::Told { life, standing: Standing::Ready, .. } => _ = drains.remove(&life),
+            What::Begun { life, limiter, .. } => {
+                let late = drains.get(&life).is_some_and(|since| event.at > since + 600_000);
+                let woke = (13 * SECOND..13 * SECOND + 700_000).contains(&event.at);
+                assert!(!late || (limiter == 17 && woke), "{event}");
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The service is dead for the first 5 s: nobody is told, and then a few calls do for all.
+#[test]
+fn a_service_that_is_dead_at_the_start_is_asked_by_few_when_it_is_back() {
+    let fault = "[[fault]]\nat_s = 0\nwhat = \"discovery-dead\"\nfor_s = 5\n";
+    let outcome = play(&format!("seconds = 14\n{TOGETHER}{fault}"), 9);
+    holds(&outcome);
+    let (asked, failed) = calls(&outcome, 0.0, 5.0);
+    assert!(asked >= 24 && asked == failed, "it was dead: {asked}, {failed}");
+    let (asked, failed) = calls(&outcome, 5.1, 14.0);
+    assert!(asked <= 16 && failed == 0, "{asked} calls: {:?}", called_after(&outcome, 5.1));
+    let starts = Starts::of(&outcome);
+    assert!(starts.served(10, 14) > 0.9, "{starts:?}");
+}
+
+/// A service that loses half of its list is doubted by all that hear it; an operator's word at one of them is enough.
+#[test]
+fn half_a_list_is_doubted_by_all_and_believed_by_all_on_a_word_at_one() {
+    let faults = "[[fault]]\nat_s = 5\nwhat = \"discovery-tells\"\nhow = \"half\"\nfor_s = 20\n\
+                  [[fault]]\nat_s = 6\nwhat = \"discovery-dead\"\nfor_s = 0.5\n\
+                  [[fault]]\nat_s = 11\nwhat = \"limiter-hung-up\"\nlimiter = 17\n";
+    let operator = TOLD.replace("[start]\n", "[start]\nkeep_share = 0.6\n");
+    let outcome = play_by(&operator, true, &format!("seconds = 16\n{SERVING}{faults}"), 11);
+    holds(&outcome);
+    let (asked, failed) = calls(&outcome, 6.5, 16.0);
+    assert!(asked > failed, "half a list was told");
+    let used = |from: u64, to: u64| {
+        let within = outcome.events.iter().filter(|event| (from * SECOND..to * SECOND).contains(&event.at));
+        let lives = within.filter_map(|event| match event.what {
+            What::Begun { life, .. } => Some(life),
+            _ => None,
+        });
+        lives.collect::<BTreeSet<Life>>().len()
+    };
+    assert_eq!(used(7, 11), 8, "all servers were kept");
+    assert_eq!(used(13, 16), 4, "the word at one took half away everywhere");
+}
+
+#[test]
+fn one_limiter_and_two_call_for_themselves() {
+    for limiters in [1, 2] {
+        let site = TOGETHER.replace("limiters = 24", &format!("limiters = {limiters}"));
+        let outcome = play(&format!("seconds = 4\n{site}"), 10);
+        holds(&outcome);
+        let starts = Starts::of(&outcome);
+        assert!(starts.calls == limiters as u64 && starts.ready[1].is_some_and(|at| at < 2.0), "{starts:?}");
+    }
+}
--- a/crates/emberpin-start/src/calls.rs
+++ b/crates/emberpin-start/src/calls.rs
@@ -136,7 +136,7 @@
 }
 
 /// The slot of a number, one of as many as there are; each has its own.
-fn spread(number: u32, size: u32) -> u32 {
+pub(crate) fn spread(number: u32, size: u32) -> u32 {
     let (number, size) = (u64::from(number % size), u64::from(size));
     let coprime = |step: &u64| gcd(*step, size) == 1;
     let step = ((size as f64 * STEP) as u64..size).find(coprime).unwrap_or(1);
--- a/crates/emberpin-start/src/lib.rs
+++ b/crates/emberpin-start/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod calls;
+pub mod feed;
 pub mod ready;
 pub mod snapshot;
 pub mod trust;
--- a/crates/emberpin-start/src/trust.rs
+++ b/crates/emberpin-start/src/trust.rs
@@ -34,6 +34,8 @@
 pub enum Verdict {
     /// It holds.
     Take,
+    /// It holds after a doubt, by the operator's word or because its time was over.
+    Believe,
     /// What it names holds; what it leaves out stays.
     Keep,
     /// It is older than what is held, which stays as it is.
@@ -62,14 +64,14 @@
         let short = whole && (told.servers as f64) < self.limits.keep_share * held.servers as f64;
         if !older && !short {
             if whole {
-                (self.doubted, self.believed) = (None, false);
+                self.take();
             }
             return Verdict::Take;
         }
         let since = *self.doubted.get_or_insert(now);
         if whole && (self.believed || now.saturating_sub(since) >= self.limits.keep) {
-            (self.doubted, self.believed) = (None, false);
-            return Verdict::Take;
+            self.take();
+            return Verdict::Believe;
         }
         match older {
             true => Verdict::Ignore,
@@ -77,6 +79,16 @@
         }
     }
 
+    /// A whole list is taken; others may have doubted it and believe it now.
+    pub fn take(&mut self) {
+        (self.doubted, self.believed) = (None, false);
+    }
+
+    /// Whether what was told last is doubted.
+    pub fn doubts(&self) -> bool {
+        self.doubted.is_some()
+    }
+
     /// The operator's word: while what was told is doubted, the next whole list holds, whatever it names. Whether it is.
     pub fn believe(&mut self) -> bool {
         self.believed = self.doubted.is_some();
--- a/crates/emberpin-start/tests/lists.rs
+++ b/crates/emberpin-start/tests/lists.rs
@@ -50,12 +50,12 @@
         patient.judge(KEEP * 2 - Duration::from_secs(1), list(10, 8), list(11, 0), true),
         Verdict::Keep
     );
-    assert_eq!(patient.judge(KEEP * 2, list(10, 8), list(11, 0), true), Verdict::Take);
+    assert_eq!(patient.judge(KEEP * 2, list(10, 8), list(11, 0), true), Verdict::Believe);
     let mut told = trust();
     assert!(!told.believe(), "nothing is doubted yet");
     assert_eq!(told.judge(KEEP, list(10, 8), list(3, 0), true), Verdict::Ignore);
     assert!(told.believe());
-    assert_eq!(told.judge(KEEP, list(10, 8), list(3, 0), true), Verdict::Take);
+    assert_eq!(told.judge(KEEP, list(10, 8), list(3, 0), true), Verdict::Believe);
     assert_eq!(told.judge(KEEP, list(10, 8), list(3, 0), true), Verdict::Ignore, "for one list only");
 }
 
@@ -104,7 +104,7 @@
             now += Duration::from_secs(later);
             let told = list(rev, servers);
             match trust.judge(now, held, told, whole) {
-                Verdict::Take if whole => (held, doubted) = (told, None),
+                Verdict::Take | Verdict::Believe if whole => (held, doubted) = (told, None),
                 Verdict::Take => prop_assert!(rev >= held.rev),
                 verdict => {
                     let since = *doubted.get_or_insert(now);
--- a/crates/emberpin/src/between/link.rs
+++ b/crates/emberpin/src/between/link.rs
@@ -7,7 +7,7 @@
 use crate::stages::memory::{boot_clock, random};
 use emberpin_link::{Action, Belief, Closing, ConnectionId, Event, Life, Link as Core, Refused, Settings};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -26,12 +26,17 @@
 /// Inputs that wait, at most: whoever reads a connection waits then, and with it the other side.
 const INPUTS: usize = 256;
 /// Most bytes of one message: an answer of the largest size with its key fits.
-const LONGEST: usize = 256 * 1024;
+pub const LONGEST: usize = 256 * 1024;
 /// Bytes that one member may be behind with.
 const WINDOW: usize = 4 << 20;
 
+/// The kind of the messages about keys.
+pub const KEYS: u16 = 1;
+/// And of those about lists of servers.
+pub const LISTS: u16 = 2;
+
 /// What the link tells whoever uses it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum News {
     /// A member said something.
     Told { from: u32, body: Vec<u8> },
@@ -57,12 +62,13 @@
     writers: RefCell<HashMap<ConnectionId, mpsc::UnboundedSender<Vec<u8>>>>,
     next: std::cell::Cell<u64>,
     inputs: mpsc::Sender<Input>,
-    news: mpsc::UnboundedSender<News>,
+    /// By kind.
+    users: RefCell<BTreeMap<u16, mpsc::UnboundedSender<News>>>,
     hello_within: Duration,
 }
 
 impl Link {
-    /// Starts the link, which listens at this member's address.
+    /// Starts the link, which listens at this member's address and speaks to these members.
     ///
     /// # Errors
     ///
@@ -71,7 +77,7 @@
         settings: &operator::Link,
         number: u32,
         config: &Config,
-        news: mpsc::UnboundedSender<News>,
+        spoken_to: &BTreeSet<u32>,
     ) -> Result<Rc<Link>, String> {
         let me = settings.members.iter().find(|member| member.number == number);
         let me = me.ok_or_else(|| format!("[link] has no member {number}"))?;
@@ -96,7 +102,7 @@
                 members: settings
                     .members
                     .iter()
-                    .filter(|m| m.number != number)
+                    .filter(|m| spoken_to.contains(&m.number))
                     .map(|m| m.name.clone())
                     .collect(),
                 beat: millis(settings.beat),
@@ -119,7 +125,7 @@
             writers: RefCell::default(),
             next: std::cell::Cell::new(0),
             inputs,
-            news,
+            users: RefCell::default(),
             hello_within: settings.dead_after,
         });
         spawn_local(link.clone().accept(listener));
@@ -127,11 +133,18 @@
         Ok(link)
     }
 
+    /// What is told of this kind from now on, and what changes about members.
+    pub fn subscribe(&self, kind: u16) -> mpsc::UnboundedReceiver<News> {
+        let (user, news) = mpsc::unbounded_channel();
+        self.users.borrow_mut().insert(kind, user);
+        news
+    }
+
     /// Tells a member something; if it cannot be told, the news say soon that it is not reached, or nothing is lost
     /// that was not lost before.
-    pub fn tell(&self, member: u32, body: Vec<u8>) {
+    pub fn tell(&self, member: u32, kind: u16, body: Vec<u8>) {
         if let Some(name) = self.names.get(&member) {
-            self.feed(Event::Send { to: name.clone(), kind: KEYS, body });
+            self.feed(Event::Send { to: name.clone(), kind, body });
         }
     }
 
@@ -220,21 +233,22 @@
                     }
                     self.writers.borrow_mut().remove(&connection);
                 }
-                Action::Deliver { from, kind: KEYS, body, .. } => {
-                    if let Some(member) = self.members.get(&from) {
-                        _ = self.news.send(News::Told { from: member.number, body });
+                // Of a kind that nobody here uses, a later version has it.
+                Action::Deliver { from, kind, body, .. } => {
+                    if let (Some(member), Some(user)) =
+                        (self.members.get(&from), self.users.borrow().get(&kind))
+                    {
+                        _ = user.send(News::Told { from: member.number, body });
                     }
                 }
-                // Of a kind that a later version has.
-                Action::Deliver { .. } => {}
                 Action::Changed { member, belief } => {
                     if let Some(member) = self.members.get(&member) {
-                        _ = self.news.send(News::Changed { member: member.number, belief });
+                        self.tell_all(&News::Changed { member: member.number, belief });
                     }
                 }
                 Action::Superseded { by } => {
                     eprintln!("emberpin: link: a later life of this instance is there, number {by}");
-                    _ = self.news.send(News::Superseded);
+                    self.tell_all(&News::Superseded);
                 }
                 // Of who is away the news tell.
                 Action::NotSent { why: Refused::NotConnected | Refused::NoMember, .. } => {}
@@ -243,6 +257,12 @@
         }
     }
 
+    fn tell_all(&self, news: &News) {
+        for user in self.users.borrow().values() {
+            _ = user.send(news.clone());
+        }
+    }
+
     fn dial(&self, to: String) {
         let Some(address) = self.members.get(&to).map(|member| member.address) else { return };
         let (inputs, tls, within) = (self.inputs.clone(), self.tls.clone(), self.hello_within);
@@ -291,9 +311,6 @@
     }
 }
 
-/// The kind of the messages about keys.
-const KEYS: u16 = 1;
-
 fn split(stream: TcpStream) -> Streams {
     let (reader, writer) = stream.into_split();
     (Box::new(reader), Box::new(writer))
--- a/crates/emberpin/src/limiter.rs
+++ b/crates/emberpin/src/limiter.rs
@@ -10,6 +10,7 @@
 //! the start, if the operator switches it on.
 
 use crate::between::handover::{self, Upgrade};
+use crate::between::link::Link;
 use crate::between::peers::Peers;
 use crate::front::clients::Front;
 use crate::front::passed;
@@ -24,6 +25,7 @@
 use crate::upstream::believed::Believed;
 use crate::upstream::discovery::Discovery;
 use crate::upstream::driver::{Callers, Driver, Parts};
+use crate::upstream::fed::{spoken_to, Fed};
 use crate::upstream::kept::Kept;
 use crate::upstream::servers::Pool;
 use emberpin_upgrade::process::Process;
@@ -79,8 +81,14 @@
     };
     let (supersede, mut superseded) = mpsc::unbounded_channel();
     // Kept here, so that without a link nobody seems to have said it.
+    let link = match &config.link {
+        Some((settings, number)) if config.idempotency.is_some() || config.tells_lists() => {
+            Some(Link::start(settings, *number, &config, &spoken_to(&config, *number))?)
+        }
+        _ => None,
+    };
     let idempotency = match &config.idempotency {
-        Some(settings) => Some(Idempotency::start(settings, &config, supersede.clone())?),
+        Some(settings) => Some(Idempotency::start(settings, &config, link.clone(), supersede.clone())?),
         None => None,
     };
     // All that may fail is done: now the process before this one, if it is there, gives what it knows.
@@ -106,7 +114,8 @@
     }
     let rev = given.as_ref().map_or(config.known.rev, |given| given.rev);
     let asking = Asking::new(&config, clock.now(), given.is_some());
-    let discovery = Discovery::start(config.discovery, rev, asking.clone(), inputs.clone());
+    let fed = Fed::start(&config, link.as_ref(), supersede.clone(), inputs.clone());
+    let discovery = Discovery::start(config.discovery, rev, (asking.clone(), fed.clone()), inputs.clone());
     let refetch = discovery.refetch();
     let believed = Believed::start(&config, kept, refetch.clone());
     spawn_local(reload(hung_up, discovery, believed.clone(), figures.clone()));
@@ -118,7 +127,7 @@
     let callers = Callers { orders, pairings };
     let driver = Driver::new(
         config,
-        Parts { clock, inputs, peers, asking, believed: believed.clone(), refetch, figures, pool },
+        Parts { clock, inputs, peers, asking, believed: believed.clone(), fed, refetch, figures, pool },
         given,
     );
     let driver = spawn_local(driver.run(received, callers));
--- a/crates/emberpin/src/operate/config.rs
+++ b/crates/emberpin/src/operate/config.rs
@@ -109,6 +109,11 @@
         Config::new(file, operator).map_err(|problem| format!("{shown}: {problem}"))
     }
 
+    /// Lists of servers are told over the link.
+    pub(crate) fn tells_lists(&self) -> bool {
+        self.start.as_ref().is_some_and(|start| start.callers.is_some())
+    }
+
     /// No client waits for an answer longer than this.
     pub(crate) fn longest_deadline(&self) -> Duration {
         let longest = self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
@@ -146,6 +151,9 @@
             own.map(|own| (link, own))
                 .ok_or_else(|| format!("[link] has no member named {:?}, as this instance is", file.name))
         });
+        if operator.start.as_ref().is_some_and(|start| start.callers.is_some()) && link.is_none() {
+            return Err("[start] callers tell the list over the link, and [link] is not set: set it, or leave callers out".into());
+        }
         let snapshot =
             operator.start.as_ref().map(|start| start.folder_of(&file.name)).transpose()?.flatten();
         Ok(Config {
--- a/crates/emberpin/src/operate/operator.rs
+++ b/crates/emberpin/src/operate/operator.rs
@@ -428,7 +428,7 @@
 }
 
 /// A count within its bounds, or an error that names both.
-fn count<'de, D: Deserializer<'de>>(
+pub fn count<'de, D: Deserializer<'de>>(
     from: D,
     bounds: RangeInclusive<u32>,
     unit: &str,
--- a/crates/emberpin/src/operate/start.rs
+++ b/crates/emberpin/src/operate/start.rs
@@ -1,6 +1,6 @@
 //! The table `[start]` of operator files: how limiters start and come back.
 
-use crate::operate::operator::{own_folder, within};
+use crate::operate::operator::{count, own_folder, within};
 use serde::{Deserialize, Deserializer};
 use std::fmt;
 use std::path::PathBuf;
@@ -13,6 +13,11 @@
     /// Calls a second that the list service answers.
     #[serde(deserialize_with = "power")]
     pub list_calls_per_s: Option<f64>,
+    /// So many limiters watch the list, and tell the others over the link; without it each watches for itself.
+    #[serde(deserialize_with = "callers")]
+    pub callers: Option<usize>,
+    /// The list service's name, the same at all limiters, where they reach it at different addresses.
+    pub list_service: Option<String>,
     /// Ready after so long, even if no server is known.
     #[serde(rename = "ready_within_s", deserialize_with = "ready")]
     pub ready_within: Duration,
@@ -38,6 +43,8 @@
     fn default() -> Start {
         Start {
             list_calls_per_s: None,
+            callers: None,
+            list_service: None,
             ready_within: Duration::from_secs(10),
             keep_share: 0.5,
             keep: Duration::from_secs(300),
@@ -64,6 +71,10 @@
     within(from, 0.1..=1e6, "calls a second").map(Some)
 }
 
+fn callers<'de, D: Deserializer<'de>>(from: D) -> Result<Option<usize>, D::Error> {
+    count(from, 1..=100, "limiters").map(Some)
+}
+
 fn ready<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
     within(from, 0.0..=600.0, "s").map(Duration::from_secs_f64)
 }
@@ -91,6 +102,13 @@
             Some(power) => writeln!(to, "list_calls_per_s = {power} calls a second, by all limiters")?,
             None => writeln!(to, "list_calls_per_s not set: ten, or a call of each in 4 s if that is more")?,
         }
+        match (self.callers, &self.list_service) {
+            (None, _) => writeln!(to, "callers not set: each limiter watches the list for itself")?,
+            (Some(callers), None) => writeln!(to, "callers = {callers}, who tell the others")?,
+            (Some(callers), Some(name)) => {
+                writeln!(to, "callers = {callers}, who tell the others; the service is {name:?}")?;
+            }
+        }
         writeln!(to, "ready_within_s = {} s", self.ready_within.as_secs_f64())?;
         writeln!(to, "keep_share = {} of the servers held", self.keep_share)?;
         writeln!(to, "keep_s = {} s", self.keep.as_secs_f64())?;
--- a/crates/emberpin/src/stages/idempotency.rs
+++ b/crates/emberpin/src/stages/idempotency.rs
@@ -2,7 +2,7 @@
 //! who waits, lets first requests on, and words what the others are told. What is told to whom is decided in
 //! `emberpin_idempotency`.
 
-use crate::between::link::{Link, News};
+use crate::between::link::{Link, News, KEYS};
 use crate::between::tls;
 use crate::front::answers::{plain, written};
 use crate::front::stream::Content;
@@ -124,6 +124,7 @@
     pub fn start(
         settings: &operator::Idempotency,
         config: &Config,
+        link: Option<Rc<Link>>,
         superseded: mpsc::UnboundedSender<()>,
     ) -> Result<Rc<Idempotency>, String> {
         let millis = |time: Duration| time.as_secs_f64() * 1000.0;
@@ -153,9 +154,8 @@
             wait: settings.repeats == Repeats::Wait,
             recorded: memory.is_some(),
         };
-        let (news, heard) = mpsc::unbounded_channel();
-        let (mut keeper, link, secret) = match &config.link {
-            None => (Keeper::Alone(Box::new(Table::new(limits, now))), None, recalled.secret),
+        let (mut keeper, secret) = match &config.link {
+            None => (Keeper::Alone(Box::new(Table::new(limits, now))), recalled.secret),
             Some((link, number)) => {
                 let rules = Rules {
                     me: Member(*number),
@@ -168,8 +168,7 @@
                 };
                 // All must see the same request as the same, so they share what fingerprints are made with.
                 let secret = tls::secret(Path::new(&link.keys))?;
-                let started = Link::start(link, *number, config, news)?;
-                (Keeper::Together(Box::new(Claims::new(rules, limits, now))), Some(started), secret)
+                (Keeper::Together(Box::new(Claims::new(rules, limits, now))), secret)
             }
         };
         for (record, same_clock) in recalled.records {
@@ -198,8 +197,8 @@
         if let Some(memory) = &stage.memory {
             spawn_local(keep(Rc::downgrade(&stage), noted, memory.first_segment()));
         }
-        if stage.link.is_some() {
-            spawn_local(listen(Rc::downgrade(&stage), heard, superseded));
+        if let Some(link) = &stage.link {
+            spawn_local(listen(Rc::downgrade(&stage), link.subscribe(KEYS), superseded));
         }
         Ok(stage)
     }
@@ -294,7 +293,7 @@
                 }
                 Action::Say(member, said) => {
                     if let (Some(link), Ok(body)) = (&self.link, postcard::to_allocvec(&said)) {
-                        link.tell(member.0, body);
+                        link.tell(member.0, KEYS, body);
                     }
                 }
             }
--- a/crates/emberpin/src/upstream/asking.rs
+++ b/crates/emberpin/src/upstream/asking.rs
@@ -21,6 +21,7 @@
     /// The same on the clock that all limiters share, in milliseconds.
     life: f64,
     asked: Cell<bool>,
+    goes_on: bool,
     heard: Notify,
 }
 
@@ -43,6 +44,7 @@
             began: Instant::now(),
             life: now,
             asked: Cell::new(goes_on),
+            goes_on,
             heard: Notify::new(),
         })
     }
@@ -58,6 +60,24 @@
         }
     }
 
+    /// The slot of this limiter, since the start or since it lacks what it would be told.
+    pub fn slot(&self) -> Duration {
+        match self.asked.get() && self.goes_on {
+            true => Duration::ZERO,
+            false => self.calls.borrow().first(),
+        }
+    }
+
+    /// The first call is made now.
+    pub fn ask(&self) {
+        self.asked.set(true);
+    }
+
+    /// Returns when a peer was heard of before the first call.
+    pub async fn heard_more(&self) {
+        self.heard.notified().await;
+    }
+
     /// A message of a peer came.
     pub fn heard(&self, from: GatewayId, bytes: &[u8]) {
         if self.asked.get() {
--- a/crates/emberpin/src/upstream/believed.rs
+++ b/crates/emberpin/src/upstream/believed.rs
@@ -59,7 +59,7 @@
     /// What becomes of what was told; one that is doubted is asked for again.
     pub fn judge(self: &Rc<Self>, held: List, told: List, whole: bool) -> Verdict {
         let verdict = self.trust.borrow_mut().judge(self.began.elapsed(), held, told, whole);
-        if verdict != Verdict::Take {
+        if matches!(verdict, Verdict::Keep | Verdict::Ignore) {
             eprintln!(
                 "emberpin: a list of version {} with {} servers is doubted, version {} with {} is held; SIGHUP has it \
                  believed",
@@ -79,6 +79,16 @@
         verdict
     }
 
+    /// A peer doubted this whole list and believes it now.
+    pub fn take(&self) {
+        self.trust.borrow_mut().take();
+    }
+
+    /// Whether what was told last is doubted.
+    pub fn doubts(&self) -> bool {
+        self.trust.borrow().doubts()
+    }
+
     /// So many servers of the list may be sent to.
     pub fn see(&self, servers: usize) {
         let ready = self.ready.borrow_mut().see(self.began.elapsed(), servers);
--- a/crates/emberpin/src/upstream/discovery.rs
+++ b/crates/emberpin/src/upstream/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::messages::Input;
 use crate::upstream::asking::Asking;
+use crate::upstream::fed::Fed;
 use crate::upstream::listing::Listing;
 use bytes::Bytes;
 use emberpin_start::calls::Ended;
@@ -36,11 +37,17 @@
     pub fn start(
         address: SocketAddr,
         rev: u64,
-        asking: Rc<Asking>,
+        (asking, fed): (Rc<Asking>, Option<Rc<Fed>>),
         inputs: mpsc::Sender<Input>,
     ) -> Discovery {
         let discovery = Discovery { address: watch::Sender::new(address), refetch: Rc::default() };
-        spawn_local(follow(discovery.address.subscribe(), discovery.refetch.clone(), rev, asking, inputs));
+        spawn_local(follow(
+            discovery.address.subscribe(),
+            discovery.refetch.clone(),
+            rev,
+            (asking, fed),
+            inputs,
+        ));
         discovery
     }
 
@@ -59,27 +66,53 @@
     mut address: watch::Receiver<SocketAddr>,
     refetch: Rc<Notify>,
     rev: u64,
-    asking: Rc<Asking>,
+    (asking, fed): (Rc<Asking>, Option<Rc<Fed>>),
     inputs: mpsc::Sender<Input>,
 ) {
     let mut since = Some(rev);
-    let mut place = 0;
-    asking.first().await;
+    let (mut place, mut whole) = (0, false);
+    if fed.is_none() {
+        asking.first().await;
+    }
     loop {
         let at = *address.borrow_and_update();
         let watching = async {
+            // The whole list is wanted, or it is this limiter's turn to hold a watch.
+            if let (Some(fed), false) = (&fed, std::mem::take(&mut whole)) {
+                tokio::select! {
+                    () = fed.turn(&asking) => since = fed.held().or(since),
+                    () = refetch.notified() => since = None,
+                }
+            }
             let (began, mut watched) = (Instant::now(), Watched::default());
-            tokio::select! {
-                () = hold((at, place), &mut since, &mut watched, &inputs) => {}
-                () = refetch.notified() => since = None,
+            let yields = async {
+                match &fed {
+                    Some(fed) => fed.yielded().await,
+                    None => std::future::pending().await,
+                }
+            };
+            let yielded = tokio::select! {
+                () = hold((at, place), &mut since, &mut watched, fed.as_deref(), &inputs) => false,
+                () = refetch.notified() => {
+                    (since, whole) = (None, true);
+                    false
+                }
+                () = yields => true,
+            };
+            if let Some(fed) = &fed {
+                fed.watch(false);
             }
             // A watch that told something was sound: only fruitless ones are spaced out.
             let ended = match watched {
                 Watched { told: true, .. } => Ended::Told,
                 Watched { busy: Some(wait), .. } => Ended::Busy { wait },
-                Watched { .. } => Ended::Failed { after: began.elapsed() },
+                Watched { answered, .. } => {
+                    Ended::Failed { after: answered.unwrap_or_else(|| began.elapsed()) }
+                }
             };
-            tokio::time::sleep(asking.pause(ended)).await;
+            if !yielded {
+                tokio::time::sleep(asking.pause(ended)).await;
+            }
         };
         tokio::select! {
             () = watching => {}
@@ -90,6 +123,9 @@
                 // Versions of one place mean nothing at another: the whole list is taken there.
                 (since, place) = (None, place + 1);
                 asking.moved();
+                if let Some(fed) = &fed {
+                    fed.moved(*address.borrow());
+                }
             }
         }
     }
@@ -109,6 +145,7 @@
     (address, place): (SocketAddr, u32),
     since: &mut Option<u64>,
     watched: &mut Watched,
+    fed: Option<&Fed>,
     inputs: &mpsc::Sender<Input>,
 ) {
     let path = match since {
@@ -127,6 +164,10 @@
             watched.busy = wait.and_then(|wait| wait.trim().parse().ok()).map(Duration::from_secs);
             return;
         }
+        // It tells what is newer than the version held, if anything is.
+        if let Some(fed) = fed.filter(|fed| since.is_some() && fed.held() == *since) {
+            fed.watch(true);
+        }
         let mut body = response.into_body();
         let mut held = Vec::new();
         while let Some(Some(Ok(frame))) = patient(body.frame()).await {
@@ -135,6 +176,8 @@
             while let Some(end) = held.iter().position(|byte| *byte == b'\n') {
                 let line: Vec<u8> = held.drain(..=end).collect();
                 if line.iter().all(u8::is_ascii_whitespace) {
+                    // The service lives, and has nothing newer than what is held.
+                    fed.inspect(|fed| fed.watch(true));
                     continue;
                 }
                 // A garbled line may have held a drain: what it said is asked for again.
@@ -144,6 +187,7 @@
                 if inputs.send(Input::Listing(listing)).await.is_err() {
                     return;
                 }
+                fed.inspect(|fed| fed.watch(true));
             }
             if held.len() > MAX_LINE {
                 return;
--- a/crates/emberpin/src/upstream/driver.rs
+++ b/crates/emberpin/src/upstream/driver.rs
@@ -10,7 +10,8 @@
 use crate::operate::figures::Figures;
 use crate::upstream::asking::Asking;
 use crate::upstream::believed::Believed;
-use crate::upstream::listing::{server_id, Entry, Listing, State};
+use crate::upstream::fed::Fed;
+use crate::upstream::listing::{server_id, Entry, Listing, State, Teller};
 use crate::upstream::roster::Roster;
 use crate::upstream::servers::{Pool, Upstream};
 use dillpass::settings::Names;
@@ -59,6 +60,7 @@
     refetch: Rc<Notify>,
     /// Where `[start]` is on: which lists hold.
     believed: Option<Rc<Believed>>,
+    fed: Option<Rc<Fed>>,
     /// The version of the list, and which list service it is from.
     rev: u64,
     place: u32,
@@ -73,6 +75,7 @@
     pub peers: Option<Rc<Peers>>,
     pub asking: Rc<Asking>,
     pub believed: Option<Rc<Believed>>,
+    pub fed: Option<Rc<Fed>>,
     pub refetch: Rc<Notify>,
     pub figures: Arc<Figures>,
     pub pool: Rc<Pool>,
@@ -89,7 +92,7 @@
 impl Driver {
     /// Knows what the process before this one gave, if it did.
     pub fn new(config: Config, parts: Parts, given: Option<Given>) -> Driver {
-        let Parts { clock, inputs, peers, asking, believed, refetch, figures, pool } = parts;
+        let Parts { clock, inputs, peers, asking, believed, fed, refetch, figures, pool } = parts;
         spawn_local(pool.clone().retire());
         let mut roster = Roster::default();
         let (gateway, known) = match given {
@@ -104,7 +107,7 @@
                     if whole { "all" } else { "the list and what is out by hand, as the settings differ" };
                 eprintln!("emberpin: taken over from the process before: {what}");
                 let targets = targets.into_iter().map(Entry::Target).collect();
-                (gateway, Listing { rev: given.rev, whole: true, targets, place: 0 })
+                (gateway, Listing { rev: given.rev, whole: true, targets, place: 0, teller: Teller::Service })
             }
         };
         let mut driver = Driver {
@@ -125,6 +128,7 @@
             peers,
             asking,
             believed,
+            fed,
             refetch,
         };
         driver.list(Listing { whole: true, ..known });
@@ -420,12 +424,31 @@
         let servers = listing.targets.iter().filter(here).count();
         let told = List { place: listing.place, rev: listing.rev, servers };
         let held = List { place: self.place, rev: self.rev, servers: self.roster.count() };
-        match believed.judge(held, told, listing.whole) {
-            Verdict::Take => self.list(listing),
+        let (teller, sure) = match listing.teller {
+            Teller::Peer { sure, .. } => (listing.teller, sure),
+            Teller::Service => (Teller::Service, false),
+        };
+        // A peer may be behind: only the service's word, or a word on it, makes a list older.
+        let behind = listing.place < self.place || (listing.place == self.place && listing.rev < self.rev);
+        if teller != Teller::Service && behind && !sure {
+            return;
+        }
+        let verdict = match sure {
+            true => {
+                believed.take();
+                Verdict::Take
+            }
+            false => believed.judge(held, told, listing.whole),
+        };
+        match verdict {
+            Verdict::Take | Verdict::Believe => self.list(listing),
             Verdict::Keep => self.list(Listing { whole: false, ..listing }),
             Verdict::Ignore => return,
         }
         believed.keep(self.rev, || self.roster.all().0);
+        if let (Some(fed), false) = (&self.fed, believed.doubts()) {
+            fed.hold(self.rev, teller, verdict == Verdict::Believe, &self.roster.all().0);
+        }
     }
 
     /// Applies the list to the servers here first, so that what is being sent sees a drain at once.
--- a/crates/emberpin/src/upstream/kept.rs
+++ b/crates/emberpin/src/upstream/kept.rs
@@ -2,7 +2,7 @@
 //! a thread of its own. A disk that fails, lies or stalls costs the snapshot, never the start or the service.
 
 use crate::operate::config::Config;
-use crate::upstream::listing::{Entry, Listing, Target};
+use crate::upstream::listing::{Entry, Listing, Target, Teller};
 use emberpin_start::snapshot::{decode, encode, Label, MAX_BYTES};
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
@@ -76,7 +76,7 @@
                 Ok(targets) => {
                     eprintln!("emberpin: {shown}: {} servers of version {}", targets.len(), label.rev);
                     let targets = targets.into_iter().map(Entry::Target).collect();
-                    Some(Listing { rev: label.rev, whole: true, targets, place: 0 })
+                    Some(Listing { rev: label.rev, whole: true, targets, place: 0, teller: Teller::Service })
                 }
                 Err(problem) => {
                     eprintln!("emberpin: {shown}: {problem}; starting without it");
--- a/crates/emberpin/src/upstream/listing.rs
+++ b/crates/emberpin/src/upstream/listing.rs
@@ -16,6 +16,18 @@
     /// Which list service it is from: they are counted from the start.
     #[serde(skip)]
     pub place: u32,
+    /// Whose word it is.
+    #[serde(skip)]
+    pub teller: Teller,
+}
+
+/// Who told a list.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Teller {
+    #[default]
+    Service,
+    /// Another limiter, under this word of belief; `sure` if it doubted the list and believes it now.
+    Peer { word: u32, sure: bool },
 }
 
 /// An entry that cannot be read must not take the others of its line with it.
--- a/crates/emberpin/src/upstream/mod.rs
+++ b/crates/emberpin/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod believed;
 pub(crate) mod discovery;
 pub(crate) mod driver;
+pub(crate) mod fed;
 pub(crate) mod kept;
 pub(crate) mod lifetimes;
 pub(crate) mod listing;
