Take up a quiet watch of the list soon when it breaks, not after a minute

Seen over processes: a list service that was dead for half a second at 6 s was called by nobody until 10 s, and by its former watchers later still. A watch that starts from a known version is told nothing until something changes; its end counted as a call that had failed after all that time, and the pauses grew to twice that, up to 60 s (`follow` in `discovery.rs`, since slow failures widen the window). Ruled out: calls that the dead service had reset (none came), slots (of 0 the first was due at once).

--- a/crates/emberpin-site/tests/start.rs
+++ b/crates/emberpin-site/tests/start.rs
@@ -314,6 +314,27 @@
     assert!(asked.is_some_and(|after| after < 2.5), "asked {asked:?} s after its end");
 }
 
+/// Once a watch that had told nothing new counted as a call that had taken all its time to fail, and was taken up again
+/// after twice that.
+#[test]
+fn a_watch_that_was_quiet_and_breaks_is_taken_up_again_soon() {
+    let fault = "[[fault]]\nat_s = 9\nwhat = \"discovery-dead\"\nfor_s = 0.2\n";
+    for (seed, operator) in [(17, ""), (18, TOLD)] {
+        let outcome = play_with(operator, &format!("seconds = 14\n{SERVING}{fault}"), seed);
+        holds(&outcome);
+        let told: BTreeSet<usize> = outcome
+            .events
+            .iter()
+            .filter(|event| (9 * SECOND..14 * SECOND).contains(&event.at))
+            .filter_map(|event| match event.what {
+                What::ListAnswered { limiter, well: true } => Some(limiter),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(told.len(), 24, "{operator:?}: within 5 s {told:?} were told again");
+    }
+}
+
 #[test]
 fn one_limiter_and_two_start_without_waiting() {
     for limiters in [1, 2] {
--- a/crates/emberpin/src/upstream/discovery.rs
+++ b/crates/emberpin/src/upstream/discovery.rs
@@ -134,8 +134,10 @@
 /// What came of one watch.
 #[derive(Default)]
 struct Watched {
-    /// It told something.
+    /// It told something, if only that there was nothing new.
     told: bool,
+    /// How long the service took to answer at all.
+    answered: Option<Duration>,
     /// It was refused, to be asked again so long from now.
     busy: Option<Duration>,
 }
@@ -157,7 +159,9 @@
     let request = hyper::Request::get(path).header("host", address.to_string()).body(Empty::<Bytes>::new());
     let Ok(request) = request else { return };
     let reading = async {
+        let began = Instant::now();
         let Some(Ok(response)) = patient(sender.send_request(request)).await else { return };
+        watched.answered = Some(began.elapsed());
         if response.status() != hyper::StatusCode::OK {
             let wait = response.headers().get(RETRY_AFTER).and_then(|value| value.to_str().ok());
             // In seconds; a date (RFC 9110, 10.2.3, allows both) counts as not said.
@@ -177,6 +181,7 @@
                 let line: Vec<u8> = held.drain(..=end).collect();
                 if line.iter().all(u8::is_ascii_whitespace) {
                     // The service lives, and has nothing newer than what is held.
+                    watched.told = true;
                     fed.inspect(|fed| fed.watch(true));
                     continue;
                 }
