Let gateways take turns at servers that are all cold, so that hundreds have some to go to

Seen: 300 limiters and 20 servers that all start together served 0.09 of what servers could do in the third second and 0.14 in the sixth. `cold_limit` in `brain.rs` picks few gateways for each cold server, here one of 300 with all of its budget, so most had none to send to. That bound guards warm fleets with some cold servers, where work has elsewhere to go.

While no warm server is in the list or was ever seen, a gateway's turn at a server now comes by the shared clock, as long as it takes to fell one; at a time as many have a turn as the cold share is requests, and each has its part of the rate over all of them, so that what all may send stays the same and whom it comes from moves on.

Ruled out: dropping the warmth from the guess, as answer times need not tell that a server is cold.

--- a/crates/dillpass/src/brain.rs
+++ b/crates/dillpass/src/brain.rs
@@ -91,6 +91,8 @@
 /// few while they are no more than that part of the limit.
 const COLD_GATEWAYS: f64 = 0.2;
 const COLD_FEW: f64 = 3.0;
+/// The golden ratio's part: steps of it round a circle never come close to one another.
+const GOLDEN: f64 = 0.618_033_988_749_895;
 /// Time in which what a warm server is held to carry may double, or be gone.
 const CARRY_TIME: Millis = 20_000.0;
 /// A keyed repeat must leave this share of the window unused.
@@ -619,17 +621,35 @@
         let carry = if self.load.carry > 0.0 { self.load.carry * server.info.size } else { alone };
         let rate = rules.fall_multiple * self.warmth(now, &server.info) * carry;
         let limit = rate.max(0.0) * rules.fall_time / 1000.0;
-        let picked = (COLD_GATEWAYS * limit).max(COLD_FEW.min(limit / COLD_FEW)).max(1.0).floor();
+        let picked = match self.all_cold(now) {
+            true => COLD_SHARE * limit,
+            false => (COLD_GATEWAYS * limit).max(COLD_FEW.min(limit / COLD_FEW)),
+        };
+        let picked = picked.max(1.0).floor();
         // No more than there are: what would be set aside for others yet would be nobody's.
         (rate.max(0.0), picked.min(f64::from(self.settings.group_size.max(1))))
     }
 
+    /// No warm server is there, or was ever seen.
+    fn all_cold(&self, now: Millis) -> bool {
+        self.load.carry <= 0.0 && self.servers.values().all(|server| self.warmth(now, &server.info) < 1.0)
+    }
+
     /// What this gateway may still send to a cold server, in requests of usual work.
     fn cold_budget(&self, now: Millis, server: &Backend) -> Bucket {
         let span = self.settings.rules.fall_time / 1000.0;
         let (rate, picked) = self.cold_limit(now, server);
-        let mine = f64::from(u8::from(f64::from(server.rank) < picked));
-        let rate = mine * COLD_SHARE * rate / picked;
+        let all = f64::from(self.settings.group_size.max(1));
+        // Guards gateways that would have no server while there is no warm one: they take turns of as
+        // long as it takes to fell one, and share the rate over all turns. Golden steps deal turns out
+        // evenly, and alike at all that know the same servers, whatever each has learnt.
+        let (mine, shared_by) = if !self.all_cold(now) || picked >= all {
+            (f64::from(server.rank) < picked, picked)
+        } else {
+            let turn = (now / self.settings.rules.fall_time).floor() + f64::from(self.settings.me.0);
+            ((turn * GOLDEN + server.turn).fract() < picked / all, all)
+        };
+        let rate = f64::from(u8::from(mine)) * COLD_SHARE * rate / shared_by;
         let mut budget = server.cold;
         budget.fill(now, rate, rate * span * COLD_BURST);
         budget
@@ -871,6 +891,8 @@
             }
         }
         self.servers.retain(|_, s| s.info.condition != Condition::Gone || !s.out.is_empty());
+        let count = self.servers.len() as f64;
+        self.servers.values_mut().enumerate().for_each(|(place, server)| server.turn = place as f64 / count);
     }
 
     /// Takes a server out by hand, or puts it back: as one that has just started and of which nothing is
@@ -885,8 +907,8 @@
         } else if self.banned.remove(&id) {
             self.returned.insert(id, now);
             if let Some(server) = self.servers.get_mut(&id) {
-                let (out, rank) = (std::mem::take(&mut server.out), server.rank);
-                *server = Backend { out, rank, ..Backend::new(server.info.clone(), now) };
+                let (out, rank, turn) = (std::mem::take(&mut server.out), server.rank, server.turn);
+                *server = Backend { out, rank, turn, ..Backend::new(server.info.clone(), now) };
             }
         }
     }
--- a/crates/dillpass/src/state.rs
+++ b/crates/dillpass/src/state.rs
@@ -91,6 +91,8 @@
     pub cold: Bucket,
     /// Place of this gateway among all in the hashed order for this life of the server.
     pub rank: u32,
+    /// Its place among all servers, as a part of a round.
+    pub turn: f64,
 }
 
 impl Backend {
@@ -107,6 +109,7 @@
             ejection: 0.0,
             cold: Bucket { level: 0.0, at: now },
             rank: 0,
+            turn: 0.0,
         }
     }
 }
--- a/crates/dillpass/tests/size.rs
+++ b/crates/dillpass/tests/size.rs
@@ -72,6 +72,59 @@
     }
 }
 
+/// Gateways that have just started with all their servers, none of which was ever seen warm: sends by server, and the share
+/// of the requests that were let in, at one request of each gateway in `every` steps of 100 ms.
+fn all_cold(group: u32, fleet: u32, every: u32) -> (Vec<Vec<f64>>, f64) {
+    let mut gateways: Vec<Bench> = (0..group).map(|me| Bench::fresh(one_of(me, group), 0)).collect();
+    let start = gateways[0].now;
+    let mut cold: Vec<Server> = (0..fleet).map(server).collect();
+    cold.iter_mut().for_each(|line| line.started = Some(start));
+    for bench in &mut gateways {
+        bench.now = start;
+        bench.list(Membership::Full(cold.clone()));
+    }
+    let (mut sends, mut asked, mut let_in) = (vec![Vec::new(); fleet as usize], 0, 0);
+    for step in 1..=100u32 {
+        for (me, bench) in gateways.iter_mut().enumerate() {
+            bench.now = start + f64::from(step) * 100.0;
+            bench.handle(Event::Timer { token: 0 });
+            if !(me as u32 + step).is_multiple_of(every) {
+                continue;
+            }
+            let (id, actions) = request(bench, step, 0, u64::from(step) * 1000 + me as u64, 1);
+            asked += 1;
+            if let Some(to) = sent(&actions) {
+                let_in += 1;
+                sends[to.0 as usize].push(bench.now - start);
+                bench.now += 30.0;
+                bench.ends(id, 0, to, Outcome::Ok);
+            }
+        }
+    }
+    (sends, f64::from(let_in) / f64::from(asked))
+}
+
+#[test]
+fn hundreds_that_are_all_cold_serve_in_turns_and_fell_nobody() {
+    for (group, fleet, every, least) in
+        [(300, 20, 10, 0.3), (300, 20, 1, 0.03), (100, 20, 10, 0.6), (30, 6, 10, 0.5)]
+    {
+        let (sends, share) = all_cold(group, fleet, every);
+        assert!(share > least, "{group} gateways: {share:.2} let in");
+        let rules = settings().rules;
+        let cold = |from: &&f64| **from + rules.fall_time <= rules.warm_after;
+        for (sends, from) in sends.iter().flat_map(|all| all.iter().filter(cold).map(move |from| (all, from)))
+        {
+            let within =
+                sends.iter().filter(|at| *at >= from && **at < from + rules.fall_time).count() as f64;
+            let warmth = rules.cold_from + (1.0 - rules.cold_from) * from / rules.warm_after;
+            // One usual request of 30 ms after the other is the least that a server does.
+            let limit = rules.fall_multiple * warmth / 0.030 * rules.fall_time / 1000.0;
+            assert!(within < limit, "{group}: {within} within a second of {from}, the limit is {limit:.1}");
+        }
+    }
+}
+
 #[test]
 fn ceiling_is_kept_by_a_set_that_hears_nothing_of_each_other_and_restarts() {
     const SET: u32 = 10;
