--- a/crates/emberpin/src/operate/config.rs
+++ b/crates/emberpin/src/operate/config.rs
@@ -151,9 +151,6 @@
             own.map(|own| (link, own))
                 .ok_or_else(|| format!("[link] has no member named {:?}, as this instance is", file.name))
         });
-        if operator.start.as_ref().is_some_and(|start| start.callers.is_some()) && link.is_none() {
-            return Err("[start] callers tell the list over the link, and [link] is not set: set it, or leave callers out".into());
-        }
         let snapshot =
             operator.start.as_ref().map(|start| start.folder_of(&file.name)).transpose()?.flatten();
         Ok(Config {
--- a/crates/emberpin/src/operate/operator.rs
+++ b/crates/emberpin/src/operate/operator.rs
@@ -298,6 +298,15 @@
                 operator.start = Some(start);
             }
         }
+        if let (Some(start), None) = (&operator.start, &operator.link) {
+            if start.callers.is_some() {
+                let file = set_by.get("start").map(|path| path.display().to_string()).unwrap_or_default();
+                return Err(format!(
+                    "{file}: [start] callers tell the list over the link, and [link] is not set: set it, or leave \
+                     callers out"
+                ));
+            }
+        }
         Ok(operator)
     }
 }
--- a/crates/emberpin/tests/command.rs
+++ b/crates/emberpin/tests/command.rs
@@ -43,6 +43,26 @@
     assert!(text(&missing.stderr).starts_with(&format!("emberpin: cannot read {file}: ")));
 }
 
+#[test]
+fn callers_without_a_link_and_callers_that_are_no_number_are_refused_with_their_place() {
+    let path = std::env::temp_dir().join(format!("emberpin-callers-{}.toml", std::process::id()));
+    let file = path.to_str().expect("text");
+    for (callers, problem) in [
+        ("3", ": [start] callers tell the list over the link, and [link] is not set: set it, or leave callers out\n"),
+        ("0", ":2:11: found 0, expected 1 to 100 limiters\n"),
+    ] {
+        std::fs::write(&path, format!("[start]\ncallers = {callers}\n")).expect("written");
+        let checked = emberpin(&["check", "--with", file]);
+        std::fs::remove_file(&path).expect("removed");
+        assert_eq!(checked.status.code(), Some(2));
+        assert_eq!(text(&checked.stderr), format!("emberpin: {file}{problem}"));
+    }
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy");
+    let shipped = emberpin(&["check", "--with", &format!("{folder}/start.toml")]);
+    assert_eq!(shipped.status.code(), Some(0), "{}", text(&shipped.stderr));
+    assert!(text(&shipped.stdout).contains("callers not set"), "{}", text(&shipped.stdout));
+}
+
 #[test]
 fn help_and_version_are_good_and_unknown_words_are_not() {
     assert_eq!(emberpin(&["--help"]).status.code(), Some(0));
