--- a/crates/emberpin-start/src/feed.rs
+++ b/crates/emberpin-start/src/feed.rs
@@ -265,7 +265,7 @@
             let since = unbroken.map_or(now, |before| before.since);
             let heard = Heard { pulse, at: now, since, from: behind.then_some(from) };
             self.heard.insert(pulse.caller, heard);
-            if !behind {
+            if !behind && self.is_one_of_few(now, pulse.caller) {
                 self.pass_on(from, pulse, actions);
             }
         }
@@ -281,6 +281,14 @@
         }
     }
 
+    /// Fewer than are needed come before this caller: the pulses of others need not go round, and are many where many
+    /// called at once.
+    fn is_one_of_few(&self, now: Duration, caller: u32) -> bool {
+        let slot = |number: &u32| self.slots.get(number).copied().unwrap_or(u32::MAX);
+        let before = self.fresh(now).filter(|heard| slot(&heard.pulse.caller) < slot(&caller));
+        before.count() < self.limits.callers
+    }
+
     fn pass_on(&self, from: u32, pulse: Pulse, actions: &mut Vec<Action>) {
         let others = self.reached.iter().filter(|to| **to != from && **to != pulse.caller);
         actions.extend(others.map(|to| Action::Say { to: *to, said: Said::Pulse(pulse) }));
