Look at an all-cold fleet once a choice, and make surplus callers a state

Read again: whether the fleet is all cold was looked up twice for every server of a choice; it is now told once a choice. That a caller is one too many was an event, and a second one before the first was heard could end the next watch at its start; it is now asked of the core (`Feed::is_surplus`). Names that the list ever had were copied with each list told; only its servers are now. Gone: a wait that no second process can meet, as its link does not start; a claim on what neighbours withstand that no test shows.

Three tests over processes share one way to ask who did what.

--- a/crates/dillpass/src/brain.rs
+++ b/crates/dillpass/src/brain.rs
@@ -72,6 +72,7 @@
 /// Second attempts after one that may have run are held to this share of the requests.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
+/// A common start has so many over all gateways, and one each.
 const RETRY_FLEET: f64 = 60.0;
 /// Strikes at which a server is ejected, how far above its fellows' mean they must lie, for how long it
 /// rests at first and at most, and the largest share of the fleet that may rest at once.
@@ -193,7 +194,6 @@
             aim: settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min),
             heard: f64::NEG_INFINITY,
             joined: f64::NEG_INFINITY,
-            // The burst of a common start is the fleet's: of hundreds of gateways each has one.
             retries: (RETRY_FLEET / f64::from(settings.group_size.max(1))).clamp(1.0, RETRY_BURST),
             paired: false,
             logged: BTreeMap::new(),
@@ -495,7 +495,9 @@
             }
             Spent::Units { .. } => {}
             Spent::Cold { server: id, work } => {
-                let Some(budget) = self.servers.get(&id).map(|server| self.cold_budget(now, server)) else {
+                let all_cold = self.all_cold(now);
+                let budget = |server| self.cold_budget(now, server, all_cold);
+                let Some(budget) = self.servers.get(&id).map(budget) else {
                     return;
                 };
                 if let Some(server) = self.servers.get_mut(&id) {
@@ -541,19 +543,19 @@
         group: Within,
     ) -> Option<ServerId> {
         let expected = self.latency[class].of(units).mean;
-        let mut best = None;
+        let (all_cold, mut best) = (self.all_cold(now), None);
         for (id, server) in &self.servers {
             let in_group = match group {
                 Some((Group::Zone, zone, _)) => server.info.zone == zone,
                 Some((Group::Cell, _, cell)) => server.info.cell == cell,
                 _ => true,
             };
-            if !self.may_take(server) || !in_group || !self.cold_room(now, server) {
+            if !self.may_take(server) || !in_group || !self.cold_room(now, server, all_cold) {
                 continue;
             }
             let on_trial = server.strikes >= STRIKES && !server.out.is_empty();
             let poor = now < server.ejected_until || on_trial || last == Some(*id);
-            let cost = (poor, self.cost(now, expected, server), self.rng.rand_float());
+            let cost = (poor, self.cost(now, expected, server, all_cold), self.rng.rand_float());
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *id));
             }
@@ -568,7 +570,7 @@
 
     /// Expected time to an answer, in usual answers: by the work of what is out and not by its number, as a
     /// large request holds a server for as long as many small ones.
-    fn cost(&self, now: Millis, expected: Millis, server: &Backend) -> f64 {
+    fn cost(&self, now: Millis, expected: Millis, server: &Backend, all_cold: bool) -> f64 {
         let usual = self.usual();
         let out = server.out.values().map(|sent| sent.usual).sum::<Millis>() / usual;
         // Guards against servers that stand still or answer nothing, whatever the reason: silence with
@@ -579,7 +581,7 @@
         // While congested a cold server takes the whole part that its guard allows. Who is picked for it
         // sends for all who are not: else it gets its few gateways' own small part, and stands idle.
         let warmth = self.warmth(now, &server.info);
-        let picked = if warmth < 1.0 { self.cold_limit(now, server).1 } else { f64::INFINITY };
+        let picked = if warmth < 1.0 { self.cold_limit(now, server, all_cold).1 } else { f64::INFINITY };
         let stands_for = (f64::from(self.settings.group_size) / picked).max(1.0);
         let warmth = if self.load.level > 0 { 1.0 } else { warmth };
         (out + expected / usual + server.queue) * server.ratio * stall / (warmth * stands_for)
@@ -609,13 +611,18 @@
     /// hash that all share, each within its part of the joint limit. Covers restarts, deploys and
     /// replacements of all kinds and any number of gateways that hear nothing of each other; harm:
     /// when the whole fleet is cold, requests are refused that it might have borne.
-    fn cold_room(&self, now: Millis, server: &Backend) -> bool {
-        self.warmth(now, &server.info) >= 1.0 || self.cold_budget(now, server).level > 0.0
+    fn cold_room(&self, now: Millis, server: &Backend, all_cold: bool) -> bool {
+        self.warmth(now, &server.info) >= 1.0 || self.cold_budget(now, server, all_cold).level > 0.0
+    }
+
+    /// No warm server is there, or was ever seen.
+    fn all_cold(&self, now: Millis) -> bool {
+        self.load.carry <= 0.0 && self.servers.values().all(|server| self.warmth(now, &server.info) < 1.0)
     }
 
     /// Requests of usual work a second that are held to fell a cold server, and how many gateways may send
     /// to it.
-    fn cold_limit(&self, now: Millis, server: &Backend) -> (f64, f64) {
+    fn cold_limit(&self, now: Millis, server: &Backend, all_cold: bool) -> (f64, f64) {
         let rules = &self.settings.rules;
         // Guards a fleet that is all cold, of whose like nothing was ever seen: what runs at all does one
         // usual request after the other, and answers tell how long one takes.
@@ -623,33 +630,27 @@
         let carry = if self.load.carry > 0.0 { self.load.carry * server.info.size } else { alone };
         let rate = rules.fall_multiple * self.warmth(now, &server.info) * carry;
         let limit = rate.max(0.0) * rules.fall_time / 1000.0;
-        let picked = match self.all_cold(now) {
+        let picked = match all_cold {
             true => COLD_SHARE * limit,
             false => (COLD_GATEWAYS * limit).max(COLD_FEW.min(limit / COLD_FEW)),
         };
-        let picked = picked.max(1.0).floor();
         // No more than there are: what would be set aside for others yet would be nobody's.
-        (rate.max(0.0), picked.min(f64::from(self.settings.group_size.max(1))))
-    }
-
-    /// No warm server is there, or was ever seen.
-    fn all_cold(&self, now: Millis) -> bool {
-        self.load.carry <= 0.0 && self.servers.values().all(|server| self.warmth(now, &server.info) < 1.0)
+        (rate.max(0.0), picked.max(1.0).floor().min(f64::from(self.settings.group_size.max(1))))
     }
 
     /// What this gateway may still send to a cold server, in requests of usual work.
-    fn cold_budget(&self, now: Millis, server: &Backend) -> Bucket {
+    fn cold_budget(&self, now: Millis, server: &Backend, all_cold: bool) -> Bucket {
         let span = self.settings.rules.fall_time / 1000.0;
-        let (rate, picked) = self.cold_limit(now, server);
+        let (rate, picked) = self.cold_limit(now, server, all_cold);
         let all = f64::from(self.settings.group_size.max(1));
         // Guards gateways that would have no server while there is no warm one: they take turns of as
         // long as it takes to fell one, and share the rate over all turns. Golden steps deal turns out
         // evenly, and alike at all that know the same servers, whatever each has learnt.
-        let (mine, shared_by) = if !self.all_cold(now) || picked >= all {
-            (f64::from(server.rank) < picked, picked)
-        } else {
+        let (mine, shared_by) = if all_cold && picked < all {
             let turn = (now / self.settings.rules.fall_time).floor() + f64::from(self.settings.me.0);
             ((turn * GOLDEN + server.turn).fract() < picked / all, all)
+        } else {
+            (f64::from(server.rank) < picked, picked)
         };
         let rate = f64::from(u8::from(mine)) * COLD_SHARE * rate / shared_by;
         let mut budget = server.cold;
@@ -682,7 +683,7 @@
         open.out = Some(to);
         open.sent = now;
         actions.push(Action::Send { request: id, server: to, timeout });
-        let mut cold = self.cold_budget(now, &self.servers[&to]);
+        let mut cold = self.cold_budget(now, &self.servers[&to], self.all_cold(now));
         let work = usual / self.usual();
         cold.level -= work;
         let Some(server) = self.servers.get_mut(&to) else { return };
--- a/crates/emberpin-site/tests/common/mod.rs
+++ b/crates/emberpin-site/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use emberpin_site::scenario::Scenario;
 use emberpin_site::site::{run, Outcome};
 use emberpin_site::trace::{Event, ProcessEnd, What, SECOND};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ffi::OsString;
 
 /// Limiters with this operator file, if any, and perhaps with links.
@@ -73,3 +73,25 @@
     let times = outcome.events.iter().filter(|event| matches!(event.what, What::ListAsked { .. }));
     times.map(|event| event.at as f64 / SECOND as f64).filter(|at| *at > from).collect()
 }
+
+/// Which limiters did something between two times in seconds.
+pub fn who(outcome: &Outcome, from: u64, to: u64, of: fn(&What) -> Option<usize>) -> BTreeSet<usize> {
+    let within = outcome.events.iter().filter(|event| (from * SECOND..to * SECOND).contains(&event.at));
+    within.filter_map(|event| of(&event.what)).collect()
+}
+
+/// One that called the list service.
+pub fn asked(what: &What) -> Option<usize> {
+    match what {
+        What::ListAsked { limiter } => Some(*limiter),
+        _ => None,
+    }
+}
+
+/// One that the list service answered.
+pub fn answered(what: &What) -> Option<usize> {
+    match what {
+        What::ListAnswered { limiter, well: true } => Some(*limiter),
+        _ => None,
+    }
+}
--- a/crates/emberpin-site/tests/start.rs
+++ b/crates/emberpin-site/tests/start.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{called_after, calls, count, holds, killed, listed, play, play_with};
+use common::{answered, called_after, calls, count, holds, killed, listed, play, play_with, who};
 use emberpin_site::report::Summary;
 use emberpin_site::starts::Starts;
 use emberpin_site::trace::{Event, What, SECOND};
@@ -333,15 +333,7 @@
     let fault = "[[fault]]\nat_s = 9\nwhat = \"discovery-dead\"\nfor_s = 0.2\n";
     let outcome = play(&format!("seconds = 14\n{SERVING}{fault}"), 17);
     holds(&outcome);
-    let told: BTreeSet<usize> = outcome
-        .events
-        .iter()
-        .filter(|event| (9 * SECOND..14 * SECOND).contains(&event.at))
-        .filter_map(|event| match event.what {
-            What::ListAnswered { limiter, well: true } => Some(limiter),
-            _ => None,
-        })
-        .collect();
+    let told = who(&outcome, 9, 14, answered);
     assert_eq!(told.len(), 24, "within 5 s {told:?} were told again");
 }
 
--- a/crates/emberpin-site/tests/told.rs
+++ b/crates/emberpin-site/tests/told.rs
@@ -3,11 +3,11 @@
 
 mod common;
 
-use common::{called_after, calls, count, holds, killed, play_by};
+use common::{called_after, calls, count, holds, killed, play_by, who};
 use emberpin_site::site::Outcome;
 use emberpin_site::starts::Starts;
 use emberpin_site::trace::{Event, Life, Micros, Standing, What, SECOND};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Limiters that know nothing and have just started, before a list service of a call of each in 4 s.
 const TOGETHER: &str =
@@ -77,14 +77,11 @@
     let outcome = play(&format!("seconds = 16\n{SERVING}{faults}{}", drains(11.0)), 3);
     holds(&outcome);
     assert_eq!(killed(&outcome), 3);
-    let before = outcome.events.iter().filter(|event| event.at < 6 * SECOND);
-    let called: BTreeSet<usize> = before
-        .filter_map(|event| match event.what {
-            What::ListAsked { limiter } => Some(limiter),
-            _ => None,
-        })
-        .collect();
-    assert!(called.is_superset(&CALLERS.into()) && called.len() <= 5, "they held the watches: {called:?}");
+    let called = who(&outcome, 0, 6, common::asked);
+    assert!(
+        CALLERS.iter().all(|caller| called.contains(caller)) && called.len() <= 5,
+        "they held the watches: {called:?}"
+    );
     let (asked, failed) = calls(&outcome, 6.0, 16.0);
     assert!((3..=8).contains(&asked) && failed == 0, "{asked} calls, {failed} failed");
     assert_eq!(drained(&outcome), 2 * 24);
@@ -105,16 +102,8 @@
         holds(&outcome);
         let cut = count(&outcome, |what| matches!(what, What::Fault { name } if name.contains("split from")));
         assert!(cut > 0, "{way}: they were cut off");
-        let within = |event: &&Event| (5 * SECOND..14 * SECOND).contains(&event.at);
-        let own: Vec<usize> = outcome
-            .events
-            .iter()
-            .filter(within)
-            .filter_map(|event| match event.what {
-                What::ListAsked { limiter } if group.contains(&limiter) => Some(limiter),
-                _ => None,
-            })
-            .collect();
+        let mut own = who(&outcome, 5, 14, common::asked);
+        own.retain(|limiter| group.contains(limiter));
         assert!((1..=8).contains(&own.len()), "{way}: {own:?} called for themselves");
         assert_eq!(drained(&outcome), 2 * 24, "{way}");
         assert_eq!(calls(&outcome, 0.0, 16.0).1, 0, "{way}: none failed");
@@ -139,8 +128,8 @@
     let text = format!("seconds = 14\n{site}{moved}{older}{split}");
     let outcome = play(&text, 7);
     holds(&outcome);
-    let told = |event: &Event| matches!(event.what, What::ListAnswered { limiter, well: true } if half.contains(&limiter));
-    assert!(outcome.events.iter().any(told), "a caller was told the older list");
+    let told = who(&outcome, 0, 6, common::answered);
+    assert!(told.iter().any(|limiter| half.contains(limiter)), "a caller was told the older list");
     let starts = Starts::of(&outcome);
     assert!(starts.served(3, 6) < 0.8, "the half that was cut off went by the older list: {starts:?}");
     assert!(starts.served(9, 14) > 0.95, "{starts:?}");
@@ -206,12 +195,11 @@
     let (asked, failed) = calls(&outcome, 6.5, 16.0);
     assert!(asked > failed, "half a list was told");
     let used = |from: u64, to: u64| {
-        let within = outcome.events.iter().filter(|event| (from * SECOND..to * SECOND).contains(&event.at));
-        let lives = within.filter_map(|event| match event.what {
-            What::Begun { life, .. } => Some(life),
+        let life = |what: &What| match what {
+            What::Begun { life, .. } => Some(life.0 as usize),
             _ => None,
-        });
-        lives.collect::<BTreeSet<Life>>().len()
+        };
+        who(&outcome, from, to, life).len()
     };
     assert_eq!(used(7, 11), 8, "all servers were kept");
     assert_eq!(used(13, 16), 4, "the word at one took half away everywhere");
--- a/crates/emberpin-start/src/feed.rs
+++ b/crates/emberpin-start/src/feed.rs
@@ -96,8 +96,6 @@
         /// Its entries.
         entries: Vec<u8>,
     },
-    /// Enough others call, and they come before this one: end its own watch.
-    Yield,
 }
 
 /// The last pulse of a caller.
@@ -180,7 +178,7 @@
     pub fn watch(&mut self, now: Duration, on: bool, actions: &mut Vec<Action>) {
         self.watching = on;
         self.pulse(now, true, actions);
-        self.look(now, actions);
+        self.look(now);
     }
 
     /// The list of this version is held and not doubted.
@@ -200,7 +198,7 @@
             self.pass_on(from, pulse, actions);
         }
         self.pulse(now, true, actions);
-        self.look(now, actions);
+        self.look(now);
     }
 
     /// The service is another one from now on: versions start anew.
@@ -214,15 +212,13 @@
     pub fn reach(&mut self, now: Duration, neighbour: u32, reached: bool, actions: &mut Vec<Action>) {
         match reached {
             true => {
-                let new = self.reached.insert(neighbour);
-                let known: Vec<Pulse> = self.fresh(now).map(|heard| heard.pulse).collect();
-                for pulse in known.into_iter().filter(|_| new) {
-                    actions.push(Action::Say { to: neighbour, said: Said::Pulse(pulse) });
-                }
-                // What it missed of this one's own.
-                if new {
-                    self.pulse(now, true, actions);
+                if !self.reached.insert(neighbour) {
+                    return;
                 }
+                // What it missed: of the others, and of this one.
+                let said = |heard: &Heard| Action::Say { to: neighbour, said: Said::Pulse(heard.pulse) };
+                actions.extend(self.fresh(now).map(said));
+                self.pulse(now, true, actions);
             }
             false => _ = self.reached.remove(&neighbour),
         }
@@ -248,7 +244,7 @@
                 }
             }
         }
-        self.look(now, actions);
+        self.look(now);
     }
 
     fn hear_pulse(&mut self, now: Duration, from: u32, pulse: Pulse, actions: &mut Vec<Action>) {
@@ -265,7 +261,8 @@
             let since = unbroken.map_or(now, |before| before.since);
             let heard = Heard { pulse, at: now, since, from: behind.then_some(from) };
             self.heard.insert(pulse.caller, heard);
-            if !behind && self.is_one_of_few(now, pulse.caller) {
+            // The pulses of callers that are too many need not go round, and are many where many called at once.
+            if !behind && self.before(now, pulse.caller).count() < self.limits.callers {
                 self.pass_on(from, pulse, actions);
             }
         }
@@ -281,14 +278,6 @@
         }
     }
 
-    /// Fewer than are needed come before this caller: the pulses of others need not go round, and are many where many
-    /// called at once.
-    fn is_one_of_few(&self, now: Duration, caller: u32) -> bool {
-        let slot = |number: &u32| self.slots.get(number).copied().unwrap_or(u32::MAX);
-        let before = self.fresh(now).filter(|heard| slot(&heard.pulse.caller) < slot(&caller));
-        before.count() < self.limits.callers
-    }
-
     fn pass_on(&self, from: u32, pulse: Pulse, actions: &mut Vec<Action>) {
         let others = self.reached.iter().filter(|to| **to != from && **to != pulse.caller);
         actions.extend(others.map(|to| Action::Say { to: *to, said: Said::Pulse(pulse) }));
@@ -297,7 +286,7 @@
     /// Time has passed; at least each tenth of [`Limits::fresh`].
     pub fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) {
         self.pulse(now, false, actions);
-        self.look(now, actions);
+        self.look(now);
     }
 
     fn pulse(&mut self, now: Duration, at_once: bool, actions: &mut Vec<Action>) {
@@ -311,26 +300,31 @@
         self.pass_on(self.me, pulse, actions);
     }
 
-    /// Whether callers are lacking, or this one is one too many.
-    fn look(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    /// Whether callers are lacking.
+    fn look(&mut self, now: Duration) {
         let enough = self.callers(now) + usize::from(self.watching) >= self.limits.callers;
         self.lacking = match enough {
             true => None,
             false => Some(self.lacking.unwrap_or(now)),
         };
-        let slot = |number: &u32| self.slots.get(number).copied().unwrap_or(u32::MAX);
-        // Those that were there all along, so that two do not give way to each other.
-        let before = self.fresh(now).filter(|heard| {
-            slot(&heard.pulse.caller) < slot(&self.me) && now.saturating_sub(heard.since) >= self.limits.fresh
-        });
-        if self.watching && before.count() >= self.limits.callers {
-            actions.push(Action::Yield);
-        }
+    }
+
+    /// Enough others call that come before this one: its own watch is to end. They were there all along, so that two do
+    /// not give way to each other.
+    pub fn is_surplus(&self, now: Duration) -> bool {
+        let long = |heard: &&Heard| now.saturating_sub(heard.since) >= self.limits.fresh;
+        self.watching && self.before(now, self.me).filter(long).count() >= self.limits.callers
+    }
+
+    /// Callers that count and come before another by slot.
+    fn before(&self, now: Duration, caller: u32) -> impl Iterator<Item = &Heard> {
+        let slot = |number: u32| self.slots.get(&number).copied().unwrap_or(u32::MAX);
+        self.fresh(now).filter(move |heard| slot(heard.pulse.caller) < slot(caller))
     }
 }
 
 /// Whom each of the members speaks to: so many steps round the ring of all, both ways. With steps of 1, 4, 16 and so on a
-/// word needs some four hops among 300, and no loss of fewer members than one has neighbours cuts a part off.
+/// word needs nine hops at most among 400.
 pub fn neighbours(me: u32, members: &BTreeSet<u32>) -> BTreeSet<u32> {
     let all: Vec<u32> = members.iter().copied().collect();
     let Some(at) = all.iter().position(|number| *number == me) else { return BTreeSet::new() };
--- a/crates/emberpin-start/tests/feed.rs
+++ b/crates/emberpin-start/tests/feed.rs
@@ -120,7 +120,6 @@
                     assert_eq!(entries, vec![7; 3]);
                     self.with(number, &mut |feed, now, actions| feed.hold(now, version, actions));
                 }
-                Action::Yield => self.stop_watching(number),
             }
         }
     }
@@ -177,7 +176,7 @@
             if node.away > self.now {
                 continue;
             }
-            if node.watching && dead {
+            if node.watching && (dead || node.feed.is_surplus(ms(self.now - node.began))) {
                 self.stop_watching(number);
             }
             if self.nodes[&number].watching && self.nodes[&number].feed.held() < Some(of(rev)) {
--- a/crates/emberpin/src/upstream/asking.rs
+++ b/crates/emberpin/src/upstream/asking.rs
@@ -21,7 +21,6 @@
     /// The same on the clock that all limiters share, in milliseconds.
     life: f64,
     asked: Cell<bool>,
-    goes_on: bool,
     heard: Notify,
 }
 
@@ -44,7 +43,6 @@
             began: Instant::now(),
             life: now,
             asked: Cell::new(goes_on),
-            goes_on,
             heard: Notify::new(),
         })
     }
@@ -62,10 +60,7 @@
 
     /// The slot of this limiter, since the start or since it lacks what it would be told.
     pub fn slot(&self) -> Duration {
-        match self.asked.get() && self.goes_on {
-            true => Duration::ZERO,
-            false => self.calls.borrow().first(),
-        }
+        self.calls.borrow().first()
     }
 
     /// The first call is made now.
--- a/crates/emberpin/src/upstream/discovery.rs
+++ b/crates/emberpin/src/upstream/discovery.rs
@@ -85,9 +85,9 @@
                 }
             }
             let (began, mut watched) = (Instant::now(), Watched::default());
-            let yields = async {
+            let surplus = async {
                 match &fed {
-                    Some(fed) => fed.yielded().await,
+                    Some(fed) => fed.surplus().await,
                     None => std::future::pending().await,
                 }
             };
@@ -97,7 +97,7 @@
                     (since, whole) = (None, true);
                     false
                 }
-                () = yields => true,
+                () = surplus => true,
             };
             if let Some(fed) = &fed {
                 fed.watch(false);
--- a/crates/emberpin/src/upstream/driver.rs
+++ b/crates/emberpin/src/upstream/driver.rs
@@ -424,10 +424,8 @@
         let servers = listing.targets.iter().filter(here).count();
         let told = List { place: listing.place, rev: listing.rev, servers };
         let held = List { place: self.place, rev: self.rev, servers: self.roster.count() };
-        let (teller, sure) = match listing.teller {
-            Teller::Peer { sure, .. } => (listing.teller, sure),
-            Teller::Service => (Teller::Service, false),
-        };
+        let teller = listing.teller;
+        let sure = matches!(teller, Teller::Peer { sure: true, .. });
         // A peer may be behind: only the service's word, or a word on it, makes a list older.
         let behind = listing.place < self.place || (listing.place == self.place && listing.rev < self.rev);
         if teller != Teller::Service && behind && !sure {
@@ -445,9 +443,9 @@
             Verdict::Keep => self.list(Listing { whole: false, ..listing }),
             Verdict::Ignore => return,
         }
-        believed.keep(self.rev, || self.roster.all().0);
+        believed.keep(self.rev, || self.roster.listed());
         if let (Some(fed), false) = (&self.fed, believed.doubts()) {
-            fed.hold(self.rev, teller, verdict == Verdict::Believe, &self.roster.all().0);
+            fed.hold(self.rev, teller, verdict == Verdict::Believe, &self.roster.listed());
         }
     }
 
--- a/crates/emberpin/src/upstream/fed.rs
+++ b/crates/emberpin/src/upstream/fed.rs
@@ -34,7 +34,6 @@
     list: RefCell<Told>,
     inputs: mpsc::Sender<Input>,
     changed: Notify,
-    yields: Notify,
     too_long: Cell<bool>,
 }
 
@@ -79,7 +78,6 @@
             list: RefCell::default(),
             inputs,
             changed: Notify::new(),
-            yields: Notify::new(),
             too_long: Cell::new(false),
         });
         let near = neighbours(*number, &members);
@@ -106,8 +104,10 @@
     }
 
     /// Returns when this limiter's watch is one too many.
-    pub async fn yielded(&self) {
-        self.yields.notified().await;
+    pub async fn surplus(&self) {
+        while !self.core.borrow().is_surplus(self.began.elapsed()) {
+            self.changed.notified().await;
+        }
     }
 
     /// The version that a call may ask the changes after.
@@ -179,7 +179,6 @@
                     self.say(to, &Said::List { version: *version, entries: entries.clone() });
                 }
                 Action::Judge { version, sure, entries } => self.offer(version, sure, &entries),
-                Action::Yield => self.yields.notify_one(),
             }
         }
     }
--- a/crates/emberpin/src/upstream/roster.rs
+++ b/crates/emberpin/src/upstream/roster.rs
@@ -60,10 +60,15 @@
         self.listed.len()
     }
 
-    /// What the list names now, and every name that it ever named.
+    /// What the list names now.
+    pub fn listed(&self) -> Vec<Target> {
+        self.listed.values().cloned().collect()
+    }
+
+    /// The same, and every name that it ever named.
     pub fn all(&self) -> (Vec<Target>, Vec<String>) {
         let names = self.order.iter().filter_map(|id| self.names.get(id).cloned());
-        (self.listed.values().cloned().collect(), names.collect())
+        (self.listed(), names.collect())
     }
 
     /// The server of this name, if one was ever listed.
