Ask more of servers that are all cold while they say that nothing waits there

Counted by reason over all limiters: of some 180 refusals a second nearly all were "no server may take work". From the third second on half to three quarters of the refused had a turn at a server (`cold_limit`, `cold_budget`) and had spent their part; what all were allowed came to 10 a second at a server, where 15 were asked. Ruled out: congestion (2 refusals a second), quotas (18 in the first second, then 1), answers not seen yet (72 to 93 in 100 had some from the third second on). Cause: in a fleet that is all cold `cold_limit` holds a server to one usual request after the other, though it has several cores and its answers are slow already for being cold; nothing raised that. Change: while reports of cold servers say that hardly anything waits, every gateway takes the guess for half as much again a second, up to eight times; less once something waits, and nothing more without reports.

--- a/crates/dillpass/src/brain.rs
+++ b/crates/dillpass/src/brain.rs
@@ -93,6 +93,13 @@
 /// few while they are no more than that part of the limit.
 const COLD_GATEWAYS: f64 = 0.2;
 const COLD_FEW: f64 = 3.0;
+/// Where all servers are cold, what they are held to bear may grow by this part a second while they say that
+/// hardly anything waits there, and to so many times the guess; word of it counts for so long.
+const COLD_GROWTH: f64 = 0.5;
+const COLD_WAITS: f64 = 0.5;
+const COLD_MOST: f64 = 8.0;
+const COLD_NEWS: Millis = 2_000.0;
+const COLD_WEIGHT: f64 = 0.5;
 /// The golden ratio's part: steps of it round a circle never come close to one another.
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// Time in which what a warm server is held to carry may double, or be gone.
@@ -190,7 +197,7 @@
             advice: BTreeMap::new(),
             mail: Bucket { level: 0.0, at: now },
             latency: latency.map(Latencies::new).collect(),
-            load: Load { warm_share: 1.0, ..Load::default() },
+            load: Load { warm_share: 1.0, cold_told: now - 2.0 * COLD_NEWS, ..Load::default() },
             aim: settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min),
             heard: f64::NEG_INFINITY,
             joined: f64::NEG_INFINITY,
@@ -626,7 +633,7 @@
         let rules = &self.settings.rules;
         // Guards a fleet that is all cold, of whose like nothing was ever seen: what runs at all does one
         // usual request after the other, and answers tell how long one takes.
-        let alone = server.info.size.min(1.0) * 1000.0 / self.usual();
+        let alone = server.info.size.min(1.0) * 1000.0 / self.usual() * self.cold_times();
         let carry = if self.load.carry > 0.0 { self.load.carry * server.info.size } else { alone };
         let rate = rules.fall_multiple * self.warmth(now, &server.info) * carry;
         let limit = rate.max(0.0) * rules.fall_time / 1000.0;
@@ -638,6 +645,27 @@
         (rate.max(0.0), picked.max(1.0).floor().min(f64::from(self.settings.group_size.max(1))))
     }
 
+    /// Guards a fleet that is all cold from being held for good to one request after the other: that is
+    /// little where a server has several cores, and its answers are slow for being cold. Queues fill long
+    /// before a server falls, so all ask for more, little by little, while reports say that they are
+    /// empty. Covers servers that report their queue; harm: who hears of them seldom asks for less.
+    fn learn_cold_times(&mut self, now: Millis, span: Millis) {
+        if now - self.load.cold_told > COLD_NEWS || !self.all_cold(now) {
+            return;
+        }
+        let step = span.min(TICK * 2.0) / 1000.0;
+        let times = match self.load.cold_waits < COLD_WAITS {
+            true => self.cold_times() * (1.0 + COLD_GROWTH * step),
+            false => self.cold_times() / (1.0 + step),
+        };
+        self.load.cold_times = times;
+    }
+
+    /// How many times the guess cold servers are held to bear.
+    fn cold_times(&self) -> f64 {
+        self.load.cold_times.max(1.0).min(COLD_MOST)
+    }
+
     /// What this gateway may still send to a cold server, in requests of usual work.
     fn cold_budget(&self, now: Millis, server: &Backend, all_cold: bool) -> Bucket {
         let span = self.settings.rules.fall_time / 1000.0;
@@ -796,6 +824,11 @@
             server.heard = now;
             server.queue = attempt.report.queue.unwrap_or(server.queue);
         }
+        let cold = self.servers.get(&id).is_some_and(|server| self.warmth(now, &server.info) < 1.0);
+        if let (Some(waits), true) = (attempt.report.queue, cold) {
+            self.load.cold_waits += (waits - self.load.cold_waits) * COLD_WEIGHT;
+            self.load.cold_told = now;
+        }
         let before_gap = now - attempt.elapsed < self.woke;
         if let (Some(server), Some(fault), false) =
             (self.servers.get_mut(&id), attempt.outcome.fault(), before_gap)
@@ -951,6 +984,7 @@
             self.load.carry =
                 if young { carry } else { carry.min(self.load.carry + rise.max(0.0)).max(fall) };
         }
+        self.learn_cold_times(now, span);
         if !self.tells_all() && !self.alone(now) {
             // One of many has an outcome too seldom to step down by outcomes alone.
             self.check_congestion(now, actions);
--- a/crates/dillpass/src/state.rs
+++ b/crates/dillpass/src/state.rs
@@ -138,6 +138,14 @@
     /// gateway's own answers that came from warm servers.
     pub carry: f64,
     pub warm_share: f64,
+    /// What waits at cold servers by their newest reports, when they last told, and how many times the guess they are held
+    /// to bear for that.
+    #[serde(default)]
+    pub cold_waits: f64,
+    #[serde(default)]
+    pub cold_told: Millis,
+    #[serde(default)]
+    pub cold_times: f64,
 }
 
 /// A request that still owes an answer.
--- a/crates/dillpass/tests/common/mod.rs
+++ b/crates/dillpass/tests/common/mod.rs
@@ -146,6 +146,22 @@
         self.ends_as(id, attempt, at, outcome, outcome == Outcome::Ok)
     }
 
+    /// A good answer with a load report.
+    pub fn reports(&mut self, id: RequestId, attempt: u32, at: ServerId, report: Report) -> Vec<Action> {
+        self.handle(Event::Attempt(Attempt {
+            request: id,
+            attempt,
+            server: at,
+            outcome: Outcome::Ok,
+            elapsed: 20.0,
+            ended: true,
+            repeatable: true,
+            report,
+            units: None,
+            metered: None,
+        }))
+    }
+
     /// The gateway killed and started again at this moment.
     pub fn reborn(&self, settings: Settings, servers: u32) -> Bench {
         let mut bench =
--- a/crates/dillpass/tests/size.rs
+++ b/crates/dillpass/tests/size.rs
@@ -73,8 +73,9 @@
 }
 
 /// Gateways that have just started with all their servers, none of which was ever seen warm: sends by server, and the share
-/// of the requests that were let in, at one request of each gateway in `every` steps of 100 ms.
-fn all_cold(group: u32, fleet: u32, every: u32) -> (Vec<Vec<f64>>, f64) {
+/// of the requests that were let in, at one request of each gateway in `every` steps of 100 ms. Servers say how many wait
+/// there, or nothing.
+fn all_cold(group: u32, fleet: u32, every: u32, waits: Option<f64>) -> (Vec<Vec<f64>>, f64) {
     let mut gateways: Vec<Bench> = (0..group).map(|me| Bench::fresh(one_of(me, group), 0)).collect();
     let start = gateways[0].now;
     let mut cold: Vec<Server> = (0..fleet).map(server).collect();
@@ -97,7 +98,8 @@
                 let_in += 1;
                 sends[to.0 as usize].push(bench.now - start);
                 bench.now += 30.0;
-                bench.ends(id, 0, to, Outcome::Ok);
+                let report = Report { queue: waits, ..Report::default() };
+                bench.reports(id, 0, to, report);
             }
         }
     }
@@ -109,8 +111,15 @@
     for (group, fleet, every, least) in
         [(300, 20, 10, 0.3), (300, 20, 1, 0.03), (100, 20, 10, 0.6), (30, 6, 10, 0.5)]
     {
-        let (sends, share) = all_cold(group, fleet, every);
+        let (sends, share) = all_cold(group, fleet, every, None);
         assert!(share > least, "{group} gateways: {share:.2} let in");
+        // Where servers say that queues fill, nothing more is asked of them; where they are empty, more and more.
+        let (_, full) = all_cold(group, fleet, every, Some(3.0));
+        assert!(full < share * 1.1, "{group} gateways: {full:.2} let in beside {share:.2}");
+        if every == 1 {
+            let (_, empty) = all_cold(group, fleet, every, Some(0.0));
+            assert!(empty > 2.5 * share, "{group} gateways: {empty:.2} let in beside {share:.2}");
+        }
         let rules = settings().rules;
         let cold = |from: &&f64| **from + rules.fall_time <= rules.warm_after;
         for (sends, from) in sends.iter().flat_map(|all| all.iter().filter(cold).map(move |from| (all, from)))
--- a/crates/emberpin-site/tests/start.rs
+++ b/crates/emberpin-site/tests/start.rs
@@ -37,6 +37,22 @@
     }
 }
 
+/// Once they were held to one request after the other until the first was warm, though their queues were empty and they
+/// have two cores.
+#[test]
+fn servers_that_are_all_cold_and_say_that_nothing_waits_are_asked_for_more() {
+    let text =
+        "seconds = 12\n[site]\nlimiters = 24\nservers = 4\nwarm_s = 20\ncold = true\ntogether = true\n\
+                [load]\nrate = 144\nusage = 0.3\nretries = 0\nwork = 0.3\n";
+    let outcome = play(text, 7);
+    holds(&outcome);
+    let cold = outcome.events.iter().filter(|e| matches!(e.what, What::ServerUp { warm_after: 1.., .. }));
+    assert_eq!(cold.count(), 4, "all servers were cold, and none fell");
+    let starts = Starts::of(&outcome);
+    assert!(starts.served(8, 12) > 1.5 * starts.served(1, 3), "{starts:?}");
+    assert!(starts.served(8, 12) > 0.6, "{starts:?}");
+}
+
 /// Once 24 calls came within 100 ms, all failed at 2 s, and a third of the limiters never got the list.
 #[test]
 fn all_start_in_one_instant_before_a_weak_list_service_and_each_calls_once() {
