--- a/crates/dillpass/src/brain.rs
+++ b/crates/dillpass/src/brain.rs
@@ -663,7 +663,7 @@
 
     /// How many times the guess cold servers are held to bear.
     fn cold_times(&self) -> f64 {
-        self.load.cold_times.max(1.0).min(COLD_MOST)
+        self.load.cold_times.clamp(1.0, COLD_MOST)
     }
 
     /// What this gateway may still send to a cold server, in requests of usual work.
--- a/crates/dillpass/src/handover.rs
+++ b/crates/dillpass/src/handover.rs
@@ -77,8 +77,9 @@
             c.plan < self.shape.plans.len() && c.set.1 >= 1 && figures.iter().all(|figure| figure.is_finite())
         };
         let load = [self.load.rate, self.load.peak, self.load.carry, self.load.out, self.aim, self.retries];
+        let cold = [self.load.cold_waits, self.load.cold_told, self.load.cold_times];
         self.customers.values().all(sound)
-            && load.iter().all(|figure| figure.is_finite())
+            && load.iter().chain(&cold).all(|figure| figure.is_finite())
             && self.latency.len() == self.shape.classes
             && self.load.level < crate::brain::LEVELS
     }
