--- a/crates/dillpass/src/bin/dillpass-drill/main.rs
+++ b/crates/dillpass/src/bin/dillpass-drill/main.rs
@@ -180,6 +180,7 @@
             units: call.weight.unwrap_or(1.0),
             set_size: call.set_size.unwrap_or(1),
             set_first: GatewayId(call.from_no.unwrap_or(0)),
+            ran: None,
         }))
     }
 
--- a/crates/dillpass/src/brain.rs
+++ b/crates/dillpass/src/brain.rs
@@ -218,6 +218,11 @@
         self.banned.contains(&server)
     }
 
+    /// The zone and cell of a server.
+    pub fn place(&self, server: ServerId) -> Option<(usize, u32)> {
+        self.servers.get(&server).map(|server| (server.info.zone, server.info.cell))
+    }
+
     /// How many servers the list names, and how many of them get nothing now: by hand, or by choice.
     pub fn pool(&self, now: Millis) -> (usize, usize) {
         let listed = self.servers.values().filter(|server| server.info.condition != Condition::Gone);
@@ -348,6 +353,9 @@
             actions.push(Action::Refuse { request: id, retry_after: 0.0 });
             return;
         }
+        if let Some(ran) = request.ran {
+            return self.go_on(now, request, ran, actions);
+        }
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_BURST);
         let customer = request.customer.0 & gossip::ID_MASK;
         let pause = self.settings.classes[class].aim * AIM_SHARE;
@@ -373,6 +381,28 @@
         self.send(now, id, server, actions);
     }
 
+    /// Takes over what another gateway had sent: where that may have run decides whether and where it goes
+    /// again. Its units were taken there, and it is no surge to be throttled; how many come is the host's.
+    fn go_on(&mut self, now: Millis, request: Request, ran: Ran, actions: &mut Vec<Action>) {
+        let (id, class, units) = (request.id, request.class.0, request.units);
+        self.ensure_customer(now, request.customer, request.plan, request.set_first, request.set_size);
+        if let Some(customer) = self.customers.get_mut(&(request.customer.0 & gossip::ID_MASK)) {
+            customer.open += 1;
+        }
+        let (deadline, at) = (now + request.remaining, now - ran.ago.max(0.0));
+        let ran = Some((at, ran.zone, ran.cell));
+        let open = Open { request, deadline, attempts: 0, out: None, sent: at, ran };
+        // The group drops what begins to run within its window: it may have to wait at its server first.
+        let latency = self.latency[class].of(units);
+        let begins = now + latency.mean + PATIENCE * 0.5 * latency.deviation;
+        let within = self.may_repeat(begins, &open);
+        self.requests.insert(id, open);
+        match within.and_then(|within| self.choose(now, class, units, None, within)) {
+            Some(server) => self.send(now, id, server, actions),
+            None => self.give_up(id, actions),
+        }
+    }
+
     // ---- Quota and ceiling ----
 
     fn ensure_customer(&mut self, now: Millis, id: CustomerId, plan: PlanId, first: GatewayId, set: u32) {
@@ -724,8 +754,14 @@
     /// How long the next attempt may take: all the time left, unless a further one could still be in time.
     fn patience(&self, now: Millis, id: RequestId) -> Option<Millis> {
         let open = self.requests.get(&id)?;
-        let left = open.deadline - now;
+        let mut left = open.deadline - now;
         let class = &self.settings.classes[open.request.class.0];
+        // What is taken over is given up with its window: what waits at a server until then is not to run.
+        if let (Some(_), Some((at, ..)), Effect::Keyed { window, .. }) =
+            (open.request.ran, open.ran, class.effect)
+        {
+            left = left.min(at + window - now);
+        }
         let latency = self.latency[open.request.class.0].of(open.request.units);
         let repeatable = class.effect != Effect::Unsafe && open.attempts == 0;
         let usual = (latency.mean + PATIENCE * latency.deviation).max(class.aim - REPEAT * latency.mean);
@@ -773,17 +809,7 @@
         if open.attempts >= self.settings.try_limit || now + usual * 0.5 > open.deadline {
             return None;
         }
-        // Effect guard: what may have run goes out again only where a repeat is harmless.
-        let group = match (open.ran, self.settings.classes[class].effect) {
-            (None, _) | (Some(_), Effect::Safe) => None,
-            (Some(_), Effect::Unsafe) => return None,
-            (Some((at, zone, cell)), Effect::Keyed { group, window }) => {
-                if now - at > window * (1.0 - WINDOW_MARGIN) {
-                    return None;
-                }
-                Some((group, zone, cell))
-            }
-        };
+        let group = self.may_repeat(now, open)?;
         if open.ran.is_some() {
             if self.load.level > 0 || self.retries < 1.0 {
                 return None;
@@ -793,6 +819,18 @@
         self.choose(now, class, units, Some(last), group)
     }
 
+    /// Effect guard: what may have run goes out again only where a repeat is harmless.
+    fn may_repeat(&self, now: Millis, open: &Open) -> Option<Within> {
+        match (open.ran, self.settings.classes[open.request.class.0].effect) {
+            (None, _) | (Some(_), Effect::Safe) => Some(None),
+            (Some(_), Effect::Unsafe) => None,
+            (Some((at, zone, cell)), Effect::Keyed { group, window }) => {
+                let inside = now - at <= window * (1.0 - WINDOW_MARGIN);
+                inside.then_some(Some((group, zone, cell)))
+            }
+        }
+    }
+
     /// The final answer, at once: a refusal that says when to come back if that is harmless, else a failure.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.finish(id) else { return };
--- a/crates/dillpass/src/interface.rs
+++ b/crates/dillpass/src/interface.rs
@@ -254,6 +254,19 @@
     pub set_size: u32,
     /// The first of them; the rest follow in order, counted round.
     pub set_first: GatewayId,
+    /// It may have run already, let on by another gateway that is gone.
+    pub ran: Option<Ran>,
+}
+
+/// Where a request may have run before it came here.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ran {
+    /// Its first attempt was sent so long ago at most.
+    pub ago: Millis,
+    /// To a server of this zone.
+    pub zone: usize,
+    /// And of this cell.
+    pub cell: u32,
 }
 
 /// How an attempt ended.
--- a/crates/dillpass/tests/common/fleet.rs
+++ b/crates/dillpass/tests/common/fleet.rs
@@ -184,6 +184,7 @@
                 units: 1.0,
                 set_size: 3.min(group),
                 set_first: GatewayId(to as u32),
+                ran: None,
             }),
         );
     }
--- a/crates/dillpass/tests/common/mod.rs
+++ b/crates/dillpass/tests/common/mod.rs
@@ -138,6 +138,7 @@
             units,
             set_size,
             set_first: GatewayId(0),
+            ran: None,
         };
         (id, self.handle(Event::Request(request)))
     }
--- a/crates/dillpass/tests/module.rs
+++ b/crates/dillpass/tests/module.rs
@@ -1007,3 +1007,54 @@
     assert!(actions.iter().any(|action| matches!(action, Action::Log(text) if text.contains("by hand"))));
     assert_eq!(served_by(&mut bench, 20), BTreeSet::new());
 }
+
+// ---- Work taken over from a gateway that is gone ----
+
+/// What may have run at a server of zone 0, so long ago.
+fn taken_over(bench: &mut Bench, class: usize, ago: Millis) -> (RequestId, Vec<Action>) {
+    let id = RequestId(1 << 31);
+    let request = Request {
+        id,
+        class: ClassId(class),
+        plan: PlanId(0),
+        customer: CustomerId(5),
+        remaining: 2_000.0,
+        units: 1.0,
+        set_size: 3,
+        set_first: GatewayId(0),
+        ran: Some(Ran { ago, zone: 0, cell: 0 }),
+    };
+    (id, bench.handle(Event::Request(request)))
+}
+
+#[test]
+fn what_is_taken_over_goes_to_its_group_within_its_window_and_is_not_counted_again() {
+    let mut bench = Bench::new(settings(), 6);
+    let before = bench.arrive(SAFE, 0, 5);
+    bench.ends(before.0, 0, sent(&before.1).expect("sent"), Outcome::Ok);
+    let (id, actions) = taken_over(&mut bench, KEYED_ZONE, 100.0);
+    let to = sent(&actions).expect("inside its window");
+    assert_eq!(bench.gateway.place(to).map(|place| place.0), Some(0), "where a repeat is dropped");
+    bench.ends(id, 0, to, Outcome::Ok);
+    let (_, late) = taken_over(&mut bench, KEYED_ZONE, 100_000.0);
+    assert_eq!(sent(&late), None, "past its window");
+    // So near the window's end that it might wait past it at its server.
+    let Effect::Keyed { window, .. } = settings().classes[KEYED_ZONE].effect else { panic!("keyed") };
+    let (_, late) = taken_over(&mut bench, KEYED_ZONE, window * 0.89);
+    assert_eq!(sent(&late), None, "it would begin to run when the window is over");
+    let (_, never) = taken_over(&mut bench, UNSAFE, 0.0);
+    assert_eq!(sent(&never), None, "what may never run twice");
+    assert!(never.iter().any(|action| matches!(action, Action::Fail { .. })), "and is not told to come back");
+}
+
+#[test]
+fn what_is_taken_over_is_given_up_with_its_window() {
+    let mut bench = Bench::new(settings(), 6);
+    let Effect::Keyed { window, .. } = settings().classes[KEYED_ZONE].effect else { panic!("keyed") };
+    let (_, actions) = taken_over(&mut bench, KEYED_ZONE, window * 0.3);
+    let timeout = actions.iter().find_map(|action| match action {
+        Action::Send { timeout, .. } => Some(*timeout),
+        _ => None,
+    });
+    assert!(timeout.is_some_and(|timeout| timeout <= window * 0.7 + 1.0), "{timeout:?} of {window}");
+}
--- a/crates/dillpass/tests/size.rs
+++ b/crates/dillpass/tests/size.rs
@@ -23,6 +23,7 @@
         units: 1.0,
         set_size: set,
         set_first: GatewayId(0),
+        ran: None,
     };
     (id, bench.handle(Event::Request(request)))
 }
--- a/crates/emberpin-idempotency/src/claims.rs
+++ b/crates/emberpin-idempotency/src/claims.rs
@@ -106,6 +106,11 @@
     pub waiters_per_key: usize,
     /// Outcomes that are kept for a holder that is not there; the oldest gives way, and its key stays as what may have run.
     pub owed: usize,
+    /// Work outlives its limiter: what a life that is gone was granted stays in flight until it is said what became of it,
+    /// or its time is over.
+    pub takes_over: bool,
+    /// Claims are numbered from here on; those of two lives must not meet where work outlives them.
+    pub first_claim: u64,
 }
 
 /// What happened.
@@ -179,6 +184,24 @@
         /// Who.
         member: Member,
     },
+    /// Nobody goes on with what a claim was granted for.
+    Ended {
+        /// Whose claim, and which.
+        of: Holding,
+        /// It may have run; else nothing of it was ever sent.
+        ran: bool,
+    },
+    /// What another's claim was granted for was served here.
+    Finished {
+        /// Whose key it is.
+        customer: Customer,
+        /// The key.
+        key: Key,
+        /// What the request looks like.
+        fingerprint: Fingerprint,
+        /// With what.
+        answer: A,
+    },
     /// Time has passed.
     Tick,
 }
@@ -292,6 +315,7 @@
     /// The claims of a limiter that starts now. All other members are away until it is told otherwise.
     pub fn new(rules: Rules, limits: Limits, now: Millis) -> Claims<A> {
         let away = rules.members.iter().copied().filter(|member| *member != rules.me).collect();
+        let first_claim = rules.first_claim;
         Claims {
             table: Table::new(limits, now),
             rules,
@@ -303,7 +327,7 @@
             by_holding: BTreeMap::new(),
             away,
             owed: BTreeMap::new(),
-            next: 0,
+            next: first_claim,
             own: Vec::new(),
         }
     }
@@ -330,6 +354,17 @@
         members.into_iter().take(self.rules.copies).map(|(_, member)| member).collect()
     }
 
+    /// The claim under which a request of this limiter goes on, and whose key it is.
+    pub fn claim_of(&self, ticket: Ticket) -> Option<(Claim, Customer)> {
+        let name = self.by_ticket.get(&ticket)?;
+        self.asks.get(name).map(|ask| (ask.claim, name.0))
+    }
+
+    /// Whose key a claim holds here.
+    pub fn customer_of(&self, of: Holding) -> Option<Customer> {
+        self.held.get(self.by_holding.get(&of)?).map(|held| held.customer)
+    }
+
     /// Takes an event, and appends what is to be done about it.
     pub fn handle(&mut self, now: Millis, event: Event<A>, actions: &mut Vec<Action<A>>) {
         self.now = self.now.max(now);
@@ -346,6 +381,20 @@
             Event::Heard { from, said } => self.hear(from, said, actions),
             Event::Reaches { member, reaches } => self.reaches(member, reaches, actions),
             Event::NewLife { member } => self.bereave(member, actions),
+            Event::Ended { of, ran: false } => {
+                self.of_claim(of, |ticket| table::Event::Released { ticket }, actions);
+            }
+            Event::Ended { of, ran: true } => {
+                self.of_claim(of, |ticket| table::Event::Lost { ticket }, actions);
+            }
+            Event::Finished { customer, key, fingerprint, answer } => {
+                self.next += 1;
+                let claim = Claim(self.next);
+                for holder in self.holders(customer) {
+                    let (key, answer) = (key.clone(), answer.clone());
+                    self.say(holder, Said::Served { claim, customer, key, fingerprint, answer }, actions);
+                }
+            }
             Event::Tick => self.tick(actions),
         }
         // What is said to oneself is heard at once, in order, until nothing more comes of it.
@@ -704,8 +753,9 @@
 
     /// A member's earlier life is over, with all that it had out or wanted.
     fn bereave(&mut self, member: Member, actions: &mut Vec<Action<A>>) {
+        let over = |held: &Held| held.of.0 == member && !(held.granted && self.rules.takes_over);
         let of: Vec<Ticket> =
-            self.held.iter().filter(|(_, held)| held.of.0 == member).map(|(ticket, _)| *ticket).collect();
+            self.held.iter().filter(|(_, held)| over(held)).map(|(ticket, _)| *ticket).collect();
         for ticket in of {
             self.give_up(ticket, actions);
         }
--- a/crates/emberpin-idempotency/src/keeper.rs
+++ b/crates/emberpin-idempotency/src/keeper.rs
@@ -30,6 +30,14 @@
         }
     }
 
+    /// The claims, where a majority decides.
+    pub fn claims(&self) -> Option<&Claims<A>> {
+        match self {
+            Keeper::Alone(_) => None,
+            Keeper::Together(claims) => Some(claims),
+        }
+    }
+
     /// Takes an event, and appends what is to be done about it. What others say is nothing to one that is alone.
     pub fn handle(&mut self, now: Millis, event: Event<A>, actions: &mut Vec<Action<A>>) {
         let table = match self {
@@ -47,7 +55,11 @@
             Event::Written { ticket } => table::Event::Written { ticket },
             Event::Unwritten { ticket } => table::Event::Unwritten { ticket },
             Event::Tick => table::Event::Tick,
-            Event::Heard { .. } | Event::Reaches { .. } | Event::NewLife { .. } => return,
+            Event::Heard { .. }
+            | Event::Reaches { .. }
+            | Event::NewLife { .. }
+            | Event::Ended { .. }
+            | Event::Finished { .. } => return,
         };
         let mut told = Vec::new();
         table.handle(now, event, &mut told);
--- a/crates/emberpin-idempotency/tests/claims.rs
+++ b/crates/emberpin-idempotency/tests/claims.rs
@@ -60,6 +60,8 @@
         slack: 300.0,
         waiters_per_key: 50,
         owed: 100,
+        takes_over: false,
+        first_claim: 0,
     }
 }
 
--- a/crates/emberpin-link/src/link.rs
+++ b/crates/emberpin-link/src/link.rs
@@ -228,6 +228,9 @@
     pub since: Millis,
     /// Something can be told to it.
     pub reachable: bool,
+    /// It ended the connection while it was well and could be told something, and none has come up since: it has most likely
+    /// ended itself. A cut or a standstill is silence, and shows otherwise.
+    pub ended: bool,
 }
 
 /// A member as it is seen.
@@ -342,7 +345,10 @@
             }
             Event::Accepted { connection, certified } => self.accepted(connection, certified, actions),
             Event::Bytes { connection, bytes } => self.bytes(connection, &bytes, actions),
-            Event::Closed { connection } => self.forget(connection, actions),
+            Event::Closed { connection } => {
+                self.note_end(connection);
+                self.forget(connection, actions);
+            }
             Event::Send { to, kind, body } => self.send(to, kind, body, actions),
             Event::Members { epoch, members } => self.members(epoch, members, actions),
             Event::Tick => self.tick(actions),
@@ -522,6 +528,7 @@
                     answered: self.now,
                 });
                 (peer.pause, peer.knows_me) = (0.0, true);
+                peer.belief.ended = false;
                 self.hear_of(to, life, Some(epoch), actions);
                 self.reach(to, actions);
             }
@@ -709,6 +716,17 @@
         self.forget(connection, actions);
     }
 
+    /// The other side has ended a connection.
+    fn note_end(&mut self, connection: ConnectionId) {
+        let Some(Role::Opened { to }) = self.connections.get(&connection).map(|open| &open.role) else {
+            return;
+        };
+        if let Some(peer) = self.peers.get_mut(to) {
+            let well = peer.belief.reachable && peer.belief.standing == Standing::Alive;
+            peer.belief.ended = well && matches!(peer.outgoing, Outgoing::Up(_));
+        }
+    }
+
     fn forget(&mut self, connection: ConnectionId, actions: &mut Vec<Action>) {
         let Some(open) = self.connections.remove(&connection) else { return };
         match open.role {
@@ -731,8 +749,14 @@
 
 impl Peer {
     fn new(now: Millis) -> Peer {
-        let belief =
-            Belief { standing: Standing::Unheard, life: None, epoch: 0, since: now, reachable: false };
+        let belief = Belief {
+            standing: Standing::Unheard,
+            life: None,
+            epoch: 0,
+            since: now,
+            reachable: false,
+            ended: false,
+        };
         Peer {
             belief,
             heard: now,
--- a/crates/emberpin-link/tests/network.rs
+++ b/crates/emberpin-link/tests/network.rs
@@ -596,3 +596,25 @@
         }
     }
 }
+
+/// A process that ends closes its connections; a cable that is cut and a process that stands still are silent, and what
+/// they had out may be out yet.
+#[test]
+fn an_end_is_told_apart_from_a_cut_and_from_a_standstill() {
+    let ends = |trouble: &dyn Fn(&mut Net)| {
+        let mut net = Net::new(3);
+        net.run(1_000.0);
+        trouble(&mut net);
+        let mut seen = false;
+        for _ in 0..500 {
+            net.run(10.0);
+            seen |= net.belief(0, 1).ended;
+        }
+        seen
+    };
+    assert!(ends(&|net| net.kill(1)));
+    assert!(!ends(&|net| net.cut.extend([(0, 1), (1, 0)])));
+    assert!(!ends(&|net| net.cut.extend([(0, 1)])));
+    assert!(!ends(&|net| net.cut.extend([(1, 0)])));
+    assert!(!ends(&|net| net.hosts[1].paused = true));
+}
--- /dev/null
+++ b/crates/emberpin-site/tests/takeover.rs
@@ -0,0 +1,184 @@
+//! Work in hand survives the loss of its limiter: several processes, some of which are killed, stopped or cut off, judged by
+//! the referee, which counts second effects at the servers.
+#![allow(missing_docs)]
+
+mod common;
+
+use common::count;
+use emberpin_site::process::Program;
+use emberpin_site::referee::Rule;
+use emberpin_site::report::{stories, Summary};
+use emberpin_site::scenario::Scenario;
+use emberpin_site::site::{run, Outcome};
+use emberpin_site::trace::{Micros, ProcessEnd, Try, What};
+use std::collections::{BTreeMap, BTreeSet};
+
+const KEYS: &str = "[idempotency]\nretention_s = 20\n";
+const TAKEOVER: &str = "[takeover]\n";
+/// Keyed work of some 0.2 s, all of it asked again under its key within 0.8 s.
+const LOAD: &str = "\
+    [load]\nrate = 60\nwork = 2.0\nsubmit = 1.0\nusage = 0.2\nretries = 0\nimpatient = 0\nrepeat_keys = 1.0\n\
+    repeat_after_ms = [500, 900]\nfront_notice_s = 0.05\n[rules]\nkeys_once = true\n";
+
+fn play(tables: &str, seed: u64, faults: &str) -> Outcome {
+    let text = format!(
+        "name = \"t\"\nabout = \"Work in hand.\"\nseed = {seed}\nseconds = 5\n[site]\nlimiters = 5\nservers = 12\n\
+         notice_ms = [1, 20]\nwarm_s = 1\n{LOAD}{faults}"
+    );
+    let scenario = Scenario::parse("test", &text).expect("sound");
+    let file = tempfile::Builder::new().suffix(".toml").tempfile().expect("a file");
+    std::fs::write(file.path(), tables).expect("written");
+    let arguments = vec!["limiter".into(), "--with".into(), file.path().into()];
+    let program =
+        Program { path: env!("CARGO_BIN_EXE_emberpin-site").into(), arguments, logs: true, links: true };
+    run(&scenario, &program, |_| ()).unwrap_or_else(|e| panic!("seed {seed}: {e}"))
+}
+
+#[track_caller]
+fn holds(outcome: &Outcome) {
+    let seed = outcome.scenario.seed;
+    assert!(!outcome.judgement.is_broken(), "seed {seed}:{}", stories(&outcome.judgement));
+    assert_eq!(Summary::of(outcome).second_effects, 0, "seed {seed}");
+}
+
+/// What became of the keys that limiters had in hand when they were killed, as far as anybody asked for them again: how many
+/// there were, how many were served, and how many attempts other limiters made for the dead one's clients.
+#[derive(Debug, Default)]
+struct InHand {
+    keys: usize,
+    served: usize,
+    taken: usize,
+}
+
+fn in_hand(outcome: &Outcome) -> InHand {
+    let mut asked: BTreeMap<Try, (usize, u32, Micros)> = BTreeMap::new();
+    let mut open: BTreeMap<Try, (usize, u32)> = BTreeMap::new();
+    let mut lost: BTreeMap<u32, Micros> = BTreeMap::new();
+    let (mut again, mut served, mut begun) = (BTreeSet::new(), BTreeSet::new(), BTreeMap::new());
+    let mut found = InHand::default();
+    for event in &outcome.events {
+        match event.what {
+            What::Asked { what, limiter, key, class: 1, .. } => {
+                again.extend(lost.get(&key).map(|_| key));
+                asked.insert(what, (limiter, key, event.at));
+                open.insert(what, (limiter, key));
+            }
+            What::Answered { what, status, .. } => {
+                open.remove(&what);
+                if let (200, Some((_, key, at))) = (status, asked.get(&what)) {
+                    if lost.get(key).is_some_and(|lost| at > lost) {
+                        served.insert(*key);
+                    }
+                }
+            }
+            What::Dropped { what, .. } | What::GaveUp { what } | What::Left { what } => {
+                _ = open.remove(&what)
+            }
+            What::LimiterDown { limiter, how: ProcessEnd::Killed } => {
+                lost.extend(open.values().filter(|(at, _)| *at == limiter).map(|(_, key)| (*key, event.at)));
+            }
+            What::Begun { attempt, limiter, .. } => _ = begun.insert(attempt, limiter),
+            What::Whole { attempt, what: Some(what), .. } => {
+                let to = asked.get(&what).map(|(limiter, ..)| *limiter);
+                found.taken += usize::from(to != begun.get(&attempt).copied());
+            }
+            _ => {}
+        }
+    }
+    (found.keys, found.served) = (again.len(), served.len());
+    found
+}
+
+/// One seed, and as many more as `TAKEOVER_SEEDS` says.
+fn seeds(first: u64) -> std::ops::Range<u64> {
+    let more = std::env::var("TAKEOVER_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+    first..first + more
+}
+
+/// Limiters killed at these times, each back after 0.4 s.
+fn kills(times: &[(usize, f64)]) -> String {
+    let kill = |(limiter, at): &(usize, f64)| {
+        format!("[[fault]]\nat_s = {at}\nwhat = \"limiter-killed\"\nlimiter = {limiter}\nback_s = 0.4\n")
+    };
+    times.iter().map(kill).collect()
+}
+
+fn killed(outcome: &Outcome) -> usize {
+    count(outcome, |what| matches!(what, What::LimiterDown { how: ProcessEnd::Killed, .. }))
+}
+
+fn faults(outcome: &Outcome, of: &str) -> usize {
+    count(
+        outcome,
+        |what| matches!(what, What::Fault { name } if name.contains(of) && !name.starts_with("over")),
+    )
+}
+
+fn both() -> String {
+    format!("{KEYS}{TAKEOVER}")
+}
+
+/// Limiters are killed in turn with work in hand: what they had out is served to those that ask again, and without the table
+/// it is not.
+#[test]
+fn what_killed_limiters_had_out_is_gone_on_with_once() {
+    let kills = kills(&[(0, 0.9), (1, 2.1), (2, 3.3)]);
+    for seed in seeds(1) {
+        let with = play(&both(), seed, &kills);
+        holds(&with);
+        assert_eq!(killed(&with), 3, "seed {seed}");
+        let without = play(KEYS, seed, &kills);
+        holds(&without);
+        let (with, without) = (in_hand(&with), in_hand(&without));
+        eprintln!("seed {seed}: with {with:?}, without {without:?}");
+        assert!(without.keys >= 3 && without.taken == 0, "there was work in hand: {without:?}");
+        assert!(with.keys >= 3 && with.taken >= 3, "others went on with it: {with:?}");
+        assert!(with.served * 10 >= with.keys * 6, "{with:?}");
+        assert!(without.served * 2 < without.keys, "{without:?}");
+    }
+}
+
+/// The claimant and one or more that would take over from it are killed, at once and one shortly after the other.
+#[test]
+fn claimants_holders_and_those_that_take_over_are_killed_and_nothing_runs_twice() {
+    let together = "[[fault]]\nat_s = 3.2\nwhat = \"limiters-killed\"\nshare = 0.4\nback_s = 0.4\n";
+    let one_after_the_other = kills(&[(0, 1.0), (1, 1.15), (2, 1.3), (3, 1.45), (4, 1.6)]);
+    for seed in seeds(2) {
+        let outcome = play(&both(), seed, &format!("{one_after_the_other}{together}"));
+        holds(&outcome);
+        assert_eq!(killed(&outcome), 7, "seed {seed}");
+        assert!(in_hand(&outcome).taken > 0, "seed {seed}: {:?}", in_hand(&outcome));
+    }
+}
+
+/// Two limiters hear nothing of the other three, or are not heard; in each part one is killed with work in hand.
+#[test]
+fn a_limiter_killed_behind_a_cut_link_is_taken_over_by_a_majority_or_by_nobody() {
+    let cut = |at: f64, way: &str| {
+        format!(
+            "[[fault]]\nat_s = {at}\nwhat = \"peers-split\"\ngroup = [0, 1]\nway = \"{way}\"\nfor_s = 1.2\n"
+        )
+    };
+    let kills = kills(&[(0, 1.0), (2, 1.2), (1, 3.0), (3, 3.2)]);
+    for seed in seeds(3) {
+        let outcome = play(&both(), seed, &format!("{}{}{kills}", cut(0.8, "both"), cut(2.8, "out")));
+        holds(&outcome);
+        assert_eq!((killed(&outcome), faults(&outcome, "split from")), (4, 2), "seed {seed}");
+    }
+}
+
+/// A claimant that stands still, and goes on, is not taken for dead: what it has out is its own.
+#[test]
+fn a_limiter_that_stands_still_with_work_in_hand_is_not_overtaken() {
+    let pause = |limiter: usize, at: f64, length: f64| {
+        format!("[[fault]]\nat_s = {at}\nwhat = \"limiter-paused\"\nlimiter = {limiter}\nfor_s = {length}\n")
+    };
+    for seed in seeds(4) {
+        let outcome = play(&both(), seed, &format!("{}{}", pause(0, 1.0, 0.8), pause(3, 2.5, 1.6)));
+        assert_eq!(Summary::of(&outcome).second_effects, 0, "seed {seed}");
+        assert_eq!(outcome.judgement.on(Rule::Effects).broken, 0, "seed {seed}");
+        let still = (faults(&outcome, "paused for"), faults(&outcome, "does not stand still"));
+        assert_eq!(still, (2, 0), "seed {seed}");
+        assert_eq!(in_hand(&outcome).taken, 0, "seed {seed}");
+    }
+}
--- a/crates/emberpin-takeover/src/hands.rs
+++ b/crates/emberpin-takeover/src/hands.rs
@@ -16,6 +16,9 @@
     pub life: Life,
     /// A keeper that has not answered by then is not there.
     pub ask_within: Millis,
+    /// An outcome is told to a client once a majority knows that there is one, or after so long: by then those that heard
+    /// nothing suspect this limiter, and do not take its end for one.
+    pub tell_within: Millis,
     /// Work is kept for so long beyond its own time, and a promise about work that is not known for so long.
     pub keep: Millis,
     /// Pieces of work that are kept at most, and bytes of them; new work goes out nowhere else then.
@@ -95,6 +98,8 @@
         /// Where it may have run.
         went: Went,
     },
+    /// A majority knows that a work has its outcome, or enough time was given to it: its client may be told.
+    Closed(WorkId),
     /// Nobody goes on with it.
     End(WorkId, Verdict),
 }
@@ -125,9 +130,27 @@
     promised: Ballot,
     /// Under which ballot it was told last, where it went and when, counted back to the first attempt, and what it is.
     told: Option<(Ballot, crate::Hall, Millis, Work)>,
+    /// What became of it, for those that ask later: one that was cut off may not know.
+    outcome: Option<Outcome>,
     expires: Millis,
 }
 
+/// What became of a work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Over,
+    Ended(Verdict),
+}
+
+impl Outcome {
+    fn said(self, id: WorkId) -> Said {
+        match self {
+            Outcome::Over => Said::Over(id),
+            Outcome::Ended(verdict) => Said::Ended(id, verdict),
+        }
+    }
+}
+
 /// A work whose key this limiter has granted.
 #[derive(Clone, Debug)]
 struct Granted {
@@ -149,6 +172,14 @@
     until: Millis,
 }
 
+/// A work with an outcome of which its keepers are told.
+#[derive(Clone, Debug)]
+struct Closing {
+    keepers: usize,
+    known: BTreeSet<Member>,
+    until: Millis,
+}
+
 /// The work in one limiter's hands.
 #[derive(Clone, Debug)]
 pub struct Hands {
@@ -157,6 +188,7 @@
     lives: BTreeMap<Member, Life>,
     away: BTreeSet<Member>,
     own: BTreeMap<WorkId, Own>,
+    closing: BTreeMap<WorkId, Closing>,
     kept: BTreeMap<WorkId, Kept>,
     bytes: usize,
     granted: BTreeMap<WorkId, Granted>,
@@ -177,6 +209,7 @@
             lives,
             away: BTreeSet::new(),
             own: BTreeMap::new(),
+            closing: BTreeMap::new(),
             kept: BTreeMap::new(),
             bytes: 0,
             granted: BTreeMap::new(),
@@ -260,8 +293,10 @@
         let Some(own) = self.own.get_mut(&id).filter(|own| !own.fenced) else {
             return actions.push(Action::Withhold(id, attempt));
         };
-        // What may have run counts from the first attempt, wherever a later one goes.
-        let (hall, at) = *own.went.get_or_insert((to, now));
+        // Another hall is gone to only where no attempt before can have run, or where all halls drop a repeat; the time
+        // counts from the first attempt all the same.
+        let (hall, at) = (to, own.went.map_or(now, |(_, at)| at));
+        own.went = Some((hall, at));
         let (ballot, went, keepers) = (own.ballot, Went { hall, ago: now - at }, own.keepers.clone());
         own.asked = Some(Asked { attempt, noted: BTreeSet::new(), refused: BTreeSet::new(), until });
         for (keeper, seen) in keepers {
@@ -310,11 +345,13 @@
     }
 
     fn done(&mut self, id: WorkId, said: Said, actions: &mut Vec<Action>) {
-        let Some(own) = self.own.remove(&id) else { return };
         // Whoever was overtaken has no say in what becomes of it.
-        if own.fenced {
-            return;
-        }
+        let Some(own) = self.own.remove(&id).filter(|own| !own.fenced) else {
+            return actions.push(Action::Closed(id));
+        };
+        let until = self.now + self.rules.tell_within;
+        let closing = Closing { keepers: own.keepers.len(), known: BTreeSet::new(), until };
+        self.closing.insert(id, closing);
         for (keeper, _) in own.keepers {
             self.say(keeper, said.clone(), actions);
         }
@@ -348,12 +385,14 @@
                 self.say(from, answer, actions);
             }
             Said::Prepare { id, ballot, seen } => {
-                let answer = match self.promise(id, ballot, seen) {
-                    Ok(kept) => {
+                let outcome = self.kept.get(&id).and_then(|kept| kept.outcome);
+                let answer = match (outcome, self.promise(id, ballot, seen)) {
+                    (Some(outcome), _) => outcome.said(id),
+                    (None, Ok(kept)) => {
                         self.yields(id, ballot);
                         Said::Promised { id, ballot, kept }
                     }
-                    Err(promised) => Said::Refused { id, ballot, promised },
+                    (None, Err(promised)) => Said::Refused { id, ballot, promised },
                 };
                 self.say(from, answer, actions);
             }
@@ -364,12 +403,20 @@
             }
             Said::Promised { id, ballot, kept } => self.promised(id, ballot, from, kept, actions),
             Said::Over(id) => {
-                self.forget(&id);
+                self.conclude(id, Outcome::Over);
                 self.granted.remove(&id);
+                self.say(from, Said::Known(id), actions);
+            }
+            Said::Known(id) => {
+                let Some(closing) = self.closing.get_mut(&id) else { return };
+                closing.known.insert(from);
+                if closing.known.len() > closing.keepers / 2 {
+                    self.closing.remove(&id);
+                    actions.push(Action::Closed(id));
+                }
             }
             Said::Ended(id, verdict) => {
-                // Its promise stands until its time is over: the claimant may wake yet.
-                self.drop_work(&id);
+                self.conclude(id, Outcome::Ended(verdict));
                 if self.granted.remove(&id).is_some() {
                     actions.push(Action::End(id, verdict));
                 }
@@ -391,6 +438,9 @@
             return Err(None);
         }
         let before = self.kept.get(&id);
+        if before.is_some_and(|kept| kept.outcome.is_some()) {
+            return Err(None);
+        }
         if let Some(kept) = before.filter(|kept| kept.promised > ballot) {
             return Err(Some(kept.promised));
         }
@@ -404,7 +454,7 @@
         let ago = if went.ago.is_finite() { went.ago.max(0.0) } else { f64::MAX };
         let expires = self.now + work.within.clamp(0.0, self.rules.keep) + self.rules.keep;
         let told = Some((ballot, went.hall, self.now - ago, work));
-        self.kept.insert(id, Kept { promised: ballot, told, expires });
+        self.kept.insert(id, Kept { promised: ballot, told, outcome: None, expires });
         Ok(())
     }
 
@@ -426,7 +476,7 @@
                 return Err(None);
             }
             let expires = self.now + 2.0 * self.rules.keep;
-            self.kept.insert(id, Kept { promised: ballot, told: None, expires });
+            self.kept.insert(id, Kept { promised: ballot, told: None, outcome: None, expires });
             return Ok(None);
         };
         if kept.promised > ballot {
@@ -444,6 +494,22 @@
         }))
     }
 
+    /// A work has its outcome. The work goes; its promise and what became of it stand until its time is over, as its
+    /// claimant may wake yet, and others may ask that have not heard.
+    fn conclude(&mut self, id: WorkId, outcome: Outcome) {
+        self.drop_work(&id);
+        let (expires, full) = (self.now + 2.0 * self.rules.keep, self.kept.len() >= self.rules.entries);
+        match self.kept.get_mut(&id) {
+            Some(kept) => kept.outcome = kept.outcome.or(Some(outcome)),
+            None if full => {}
+            None => {
+                let promised = Ballot { round: 0, of: id.claimant };
+                let kept = Kept { promised, told: None, outcome: Some(outcome), expires };
+                self.kept.insert(id, kept);
+            }
+        }
+    }
+
     fn forget(&mut self, id: &WorkId) {
         self.drop_work(id);
         self.kept.remove(id);
@@ -535,7 +601,7 @@
         }
         let newest = asking.promises.values().flatten().max_by_key(|(ballot, _, _)| *ballot).cloned();
         let keepers = granted.keepers.clone();
-        granted.asking = None;
+        (granted.asking, granted.taker) = (None, Some(self.rules.me));
         // A majority knows of no attempt, and lets none through any more: none was let out.
         let Some((_, went, work)) = newest else { return self.end(id, &keepers, Verdict::NotSent, actions) };
         let inside = work.window.is_some_and(|window| went.ago < window * (1.0 - MARGIN));
@@ -577,6 +643,12 @@
             }
             actions.push(Action::Withhold(id, attempt));
         }
+        let told: Vec<WorkId> =
+            self.closing.iter().filter(|(_, closing)| closing.until <= now).map(|(id, _)| *id).collect();
+        for id in told {
+            self.closing.remove(&id);
+            actions.push(Action::Closed(id));
+        }
         let gone: Vec<WorkId> =
             self.kept.iter().filter(|(_, kept)| kept.expires <= now).map(|(id, _)| *id).collect();
         gone.iter().for_each(|id| self.forget(id));
--- a/crates/emberpin-takeover/src/word.rs
+++ b/crates/emberpin-takeover/src/word.rs
@@ -120,6 +120,8 @@
     },
     /// It has its outcome: nobody needs to keep it.
     Over(WorkId),
+    /// That is known here.
+    Known(WorkId),
     /// Nobody goes on with it.
     Ended(WorkId, Verdict),
 }
--- a/crates/emberpin-takeover/tests/network.rs
+++ b/crates/emberpin-takeover/tests/network.rs
@@ -22,14 +22,16 @@
     sends: Vec<(Millis, usize)>,
     verdicts: Vec<Verdict>,
     taken: usize,
+    closed: usize,
     withheld: usize,
     window: Option<Millis>,
+    within: Millis,
     per_s: f64,
 }
 
 fn rules(me: usize, life: Life, per_s: f64) -> Rules {
     let (me, keep) = (Member(me as u32), 4_000.0);
-    Rules { me, life, ask_within: ASK, keep, entries: 100, bytes: 10_000, per_s }
+    Rules { me, life, ask_within: ASK, tell_within: 400.0, keep, entries: 100, bytes: 10_000, per_s }
 }
 
 impl Fleet {
@@ -44,8 +46,10 @@
             sends: Vec::new(),
             verdicts: Vec::new(),
             taken: 0,
+            closed: 0,
             withheld: 0,
             window,
+            within: 2_500.0,
             per_s,
         };
         (0..4).for_each(|at| fleet.meet(at));
@@ -65,7 +69,7 @@
     }
 
     fn work(&self) -> Work {
-        Work { payload: vec![1; 100], window: self.window, within: 2_500.0 }
+        Work { payload: vec![1; 100], window: self.window, within: self.within }
     }
 
     /// The key is granted, and its first attempt asked for.
@@ -96,6 +100,7 @@
                     assert_eq!(went.hall, HALL);
                     self.feed(at, Event::Go { id, attempt: 0, to: went.hall, work });
                 }
+                Action::Closed(_) => self.closed += 1,
                 Action::End(_, verdict) => self.verdicts.push(verdict),
             }
         }
@@ -152,7 +157,11 @@
     fleet.settle(50.0);
     assert_eq!(fleet.sends.len(), 1);
     fleet.feed(0, Event::Done(fleet.id()));
+    assert_eq!(fleet.closed, 0, "its client is not told before a majority knows");
     fleet.settle(50.0);
+    assert_eq!(fleet.closed, 1);
+    assert!((0..3).all(|at| fleet.nodes[at].as_ref().is_some_and(|hands| hands.kept() == (1, 0))));
+    fleet.settle(10_000.0);
     assert!((0..3).all(|at| fleet.nodes[at].as_ref().is_some_and(|hands| hands.kept() == (0, 0))));
 }
 
@@ -252,6 +261,154 @@
     assert!(fleet.verdicts.contains(&Verdict::MayHaveRun));
 }
 
+#[test]
+fn a_keeper_that_has_started_anew_notes_no_attempt_of_work_from_before() {
+    let mut fleet = Fleet::new(None, 10.0);
+    fleet.begin();
+    let mut held = std::mem::take(&mut fleet.wires);
+    for at in 1..3 {
+        fleet.feed(at, Event::Reaches(Member(0), false));
+        fleet.is_gone_for(at, 0, 1);
+    }
+    fleet.settle(90.0);
+    assert!(fleet.verdicts.contains(&Verdict::NotSent));
+    // The promise is forgotten, and what the claimant asked for arrives only now, where it was promised away.
+    fleet.kill(1, false);
+    fleet.start(1);
+    let said = held.get_mut(&(0, 1)).and_then(VecDeque::pop_front).expect("it was asked");
+    fleet.feed(1, Event::Heard(Member(0), said));
+    fleet.settle(90.0);
+    assert_eq!(fleet.sends.len(), 0);
+}
+
+#[test]
+fn work_whose_time_is_over_is_not_gone_on_with() {
+    let mut fleet = Fleet { within: 100.0, ..Fleet::new(Some(WINDOW), 10.0) };
+    fleet.begin();
+    fleet.settle(50.0);
+    fleet.kill(0, false);
+    fleet.settle(100.0);
+    (1..3).for_each(|at| fleet.is_gone_for(at, 0, 1));
+    fleet.settle(500.0);
+    assert_eq!((fleet.taken, fleet.sends.len()), (0, 1));
+    assert!(fleet.verdicts.contains(&Verdict::MayHaveRun));
+}
+
+#[test]
+fn one_that_learns_late_leaves_the_work_to_the_one_that_goes_on() {
+    let mut fleet = Fleet::new(Some(WINDOW), 10.0);
+    fleet.begin();
+    fleet.settle(50.0);
+    fleet.kill(0, false);
+    fleet.is_gone_for(1, 0, 1);
+    fleet.settle(60.0);
+    fleet.is_gone_for(2, 0, 1);
+    fleet.settle(800.0);
+    assert_eq!((fleet.taken, fleet.sends.len()), (1, 2));
+}
+
+#[test]
+fn news_of_the_same_end_again_does_not_make_one_take_over_again() {
+    let mut fleet = Fleet::new(Some(WINDOW), 10.0);
+    fleet.begin();
+    fleet.settle(50.0);
+    fleet.kill(0, false);
+    for _ in 0..2 {
+        // First its connection ended, then it is back in another life.
+        fleet.is_gone_for(1, 0, 1);
+        fleet.settle(100.0);
+    }
+    assert_eq!((fleet.taken, fleet.sends.len()), (1, 2));
+}
+
+#[test]
+fn a_client_is_told_after_a_while_where_nobody_answers() {
+    let mut fleet = Fleet::new(Some(WINDOW), 10.0);
+    fleet.begin();
+    fleet.settle(50.0);
+    (1..3).for_each(|other| fleet.feed(0, Event::Reaches(Member(other), false)));
+    fleet.feed(0, Event::Done(fleet.id()));
+    fleet.settle(300.0);
+    assert_eq!(fleet.closed, 0);
+    fleet.settle(150.0);
+    assert_eq!(fleet.closed, 1);
+}
+
+/// Two know of the outcome, and one that was cut off does not; it asks when the claimant is gone.
+#[test]
+fn one_that_has_not_heard_of_the_outcome_is_told_when_it_asks() {
+    for ended in [false, true] {
+        let mut fleet = Fleet::new(if ended { None } else { Some(WINDOW) }, 10.0);
+        fleet.begin();
+        fleet.settle(50.0);
+        if ended {
+            // It may never run twice: the one that asks says so, and its word to the other is lost.
+            fleet.kill(0, false);
+            fleet.is_gone_for(1, 0, 1);
+            (1..3).for_each(|at| fleet.feed(at, Event::Tick));
+            _ = (fleet.deliver(1, 2), fleet.deliver(2, 1));
+            assert_eq!(fleet.verdicts.len(), 1);
+            fleet.wires.clear();
+            fleet.feed(1, Event::Reaches(Member(2), false));
+        } else {
+            (0..2).for_each(|at| fleet.feed(at, Event::Reaches(Member(2), false)));
+            fleet.feed(0, Event::Done(fleet.id()));
+        }
+        fleet.settle(60.0);
+        fleet.kill(0, false);
+        fleet.feed(1, Event::Reaches(Member(2), true));
+        fleet.is_gone_for(2, 0, 1);
+        fleet.settle(800.0);
+        assert_eq!((fleet.taken, fleet.sends.len()), (0, 1), "ended: {ended}");
+        assert!(!fleet.verdicts.contains(&Verdict::NotSent));
+    }
+}
+
+#[test]
+fn words_that_come_late_or_about_another_ballot_let_nothing_out() {
+    let mut fleet = Fleet::new(Some(WINDOW), 10.0);
+    fleet.begin();
+    // No turn for longer than it waits: keepers may have promised the work away meanwhile.
+    fleet.now += 2.0 * ASK;
+    (1..3).for_each(|to| _ = fleet.deliver(0, to));
+    (1..3).for_each(|from| _ = fleet.deliver(from, 0));
+    assert_eq!(fleet.sends.len(), 0);
+    let mut fleet = Fleet::new(Some(WINDOW), 10.0);
+    fleet.begin();
+    let (id, ballot) = (fleet.id(), emberpin_takeover::Ballot { round: 5, of: Member(1) });
+    fleet.feed(0, Event::Heard(Member(1), Said::Noted { id, ballot }));
+    assert_eq!(fleet.sends.len(), 0);
+}
+
+#[test]
+fn a_later_attempt_counts_from_the_first() {
+    let mut fleet = Fleet::new(Some(WINDOW), 10.0);
+    fleet.begin();
+    fleet.settle(1_000.0);
+    let (id, work) = (fleet.id(), fleet.work());
+    fleet.feed(0, Event::Go { id, attempt: 1, to: HALL, work });
+    fleet.settle(400.0);
+    fleet.kill(0, false);
+    (1..3).for_each(|at| fleet.is_gone_for(at, 0, 1));
+    fleet.settle(500.0);
+    assert_eq!(fleet.taken, 0, "1.4 s after the first one the window is as good as over");
+}
+
+#[test]
+fn a_keeper_that_has_promised_a_ballot_promises_no_lower_one() {
+    let mut hands = Hands::new(rules(1, Life { number: 1, nonce: 1 }, 1.0), 0.0);
+    let id = WorkId { claimant: Member(0), life: Life { number: 1, nonce: 0 }, claim: 1 };
+    let seen = Life { number: 1, nonce: 1 };
+    let mut ask = |round: u32, of: u32| {
+        let (ballot, mut actions) = (emberpin_takeover::Ballot { round, of: Member(of) }, Vec::new());
+        hands.handle(0.0, Event::Heard(Member(of), Said::Prepare { id, ballot, seen }), &mut actions);
+        actions.iter().any(|action| matches!(action, Action::Say(_, Said::Promised { .. })))
+    };
+    assert!(ask(2, 2));
+    assert!(!ask(1, 3), "the lower one would let through what the higher one was told is not let through");
+    assert!(ask(2, 3));
+}
+
 #[test]
 fn a_table_that_is_full_takes_no_new_work() {
     let mut hands = Hands::new(Rules { entries: 1, ..rules(1, Life { number: 1, nonce: 1 }, 1.0) }, 0.0);
--- a/crates/emberpin/src/between/link.rs
+++ b/crates/emberpin/src/between/link.rs
@@ -34,6 +34,8 @@
 pub const KEYS: u16 = 1;
 /// And of those about lists of servers.
 pub const LISTS: u16 = 2;
+/// And of those about work in hand.
+pub const WORK: u16 = 3;
 
 /// What the link tells whoever uses it.
 #[derive(Clone, Debug)]
@@ -65,6 +67,7 @@
     /// By kind.
     users: RefCell<BTreeMap<u16, mpsc::UnboundedSender<News>>>,
     hello_within: Duration,
+    life: Life,
 }
 
 impl Link {
@@ -127,12 +130,18 @@
             inputs,
             users: RefCell::default(),
             hello_within: settings.dead_after,
+            life,
         });
         spawn_local(link.clone().accept(listener));
         spawn_local(link.clone().run(received, settings.beat / 2));
         Ok(link)
     }
 
+    /// This limiter's own life.
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
     /// What is told of this kind from now on, and what changes about members.
     pub fn subscribe(&self, kind: u16) -> mpsc::UnboundedReceiver<News> {
         let (user, news) = mpsc::unbounded_channel();
--- a/crates/emberpin/src/front/clients.rs
+++ b/crates/emberpin/src/front/clients.rs
@@ -5,10 +5,11 @@
 use crate::front::connections::{Connection, Connections, Place, Watched};
 use crate::front::room::Room;
 use crate::front::stream::{Content, Passed, Passing, Upload};
-use crate::messages::{Answer, Call, Input, Outgoing, Reply, Upstreamed, MAX_BODY};
+use crate::messages::{Answer, Call, Gate, Input, Outgoing, Reply, Upstreamed, MAX_BODY};
 use crate::operate::config::Config;
 use crate::operate::figures::{Active, Ending, Figures};
 use crate::stages::idempotency::{Idempotency, Keyed};
+use crate::stages::takeover::{Runner, Terms};
 use bytes::Bytes;
 use dillpass::RequestId;
 use http_body_util::BodyExt;
@@ -285,6 +286,7 @@
             headers: parts.headers,
             body,
             may_pass: self.idempotency.is_none(),
+            gate: None,
         };
         let reply = self.taken(asked, outgoing, patience, expires).await;
         let response = match reply {
@@ -320,6 +322,20 @@
         }
         let waiting = self.open_request(asked.id);
         strip(&mut outgoing.headers);
+        // A key on a class that is safe to repeat means nothing.
+        let keyed = outgoing.method == Method::POST && admission::key(&outgoing.headers).is_some();
+        let stage = self.idempotency.as_ref().filter(|_| keyed);
+        let takeover = stage.and_then(|stage| stage.takeover());
+        let gate = takeover.map(|takeover| takeover.gate(asked.class, expires));
+        outgoing.gate = gate.clone().map(|gate| gate as Rc<dyn Gate>);
+        let terms = Terms {
+            class: asked.class,
+            plan: asked.plan,
+            customer: asked.customer,
+            units: asked.units,
+            set_size: asked.set_size,
+            set_first: asked.set_first,
+        };
         let (answer, answered) = oneshot::channel();
         let outgoing = Rc::new(outgoing);
         let call = Call {
@@ -330,6 +346,7 @@
             units: asked.units,
             set_size: asked.set_size,
             set_first: asked.set_first,
+            ran: None,
             patience,
             expires,
             outgoing: outgoing.clone(),
@@ -358,36 +375,23 @@
                 return Ok(reply.into());
             }
         };
-        if let (Some(stage), Some(key)) = (&self.idempotency, admission::key(&outgoing.headers)) {
-            // A key on a class that is safe to repeat means nothing.
-            if outgoing.method == Method::POST {
-                let keyed = Keyed {
-                    method: &outgoing.method,
-                    uri: &outgoing.uri,
-                    class: asked.class.0,
-                    body,
-                    key,
-                    customer: asked.customer,
-                    set_size: asked.set_size,
-                    set_first: asked.set_first,
-                    expires,
-                };
-                // Nothing is passed on in pieces where the stage is on.
-                let asking = async move {
-                    match asking.await {
-                        Reply::Answer(answer) => answer,
-                        Reply::Passing(_) => Answer::Failed,
-                    }
-                };
-                return Ok(Replied::Whole(stage.serve(keyed, asking).await));
-            }
+        if let (Some(stage), Some(key)) = (stage, admission::key(&outgoing.headers)) {
+            let keyed = Keyed { outgoing: &outgoing, gate, terms, body, key, expires };
+            // Nothing is passed on in pieces where the stage is on.
+            let asking = async move {
+                match asking.await {
+                    Reply::Answer(answer) => answer,
+                    Reply::Passing(_) => Answer::Failed,
+                }
+            };
+            return Ok(Replied::Whole(stage.serve(keyed, asking).await));
         }
         Ok(asking.await.into())
     }
 
     /// A request is open here from now on, until what is returned is dropped.
     fn open_request(self: &Rc<Self>, name: String) -> Waiting {
-        let id = RequestId(self.next.replace(self.next.get().wrapping_add(1)));
+        let id = RequestId(self.next.replace(self.next.get().wrapping_add(1) & !TAKEN));
         Waiting { front: self.clone(), name, id, answered: false }
     }
 }
@@ -456,6 +460,43 @@
     response
 }
 
+/// Where the ids of requests that were taken over begin: clients' requests have those below.
+const TAKEN: u32 = 1 << 31;
+
+/// Asks the driver for requests of limiters that are gone; no client of this one waits for them.
+pub fn take_over(inputs: mpsc::Sender<Input>) -> Runner {
+    let next = Cell::new(TAKEN);
+    Box::new(move |taken| {
+        let id = RequestId(next.replace(next.get().wrapping_add(1) | TAKEN));
+        let inputs = inputs.clone();
+        Box::pin(async move {
+            let (answer, answered) = oneshot::channel();
+            let terms = taken.terms;
+            let call = Call {
+                id,
+                class: terms.class,
+                plan: terms.plan,
+                customer: terms.customer,
+                units: terms.units,
+                set_size: terms.set_size,
+                set_first: terms.set_first,
+                ran: Some(taken.ran),
+                patience: taken.patience,
+                expires: Instant::now() + taken.patience,
+                outgoing: Rc::new(taken.outgoing),
+                answer,
+            };
+            match inputs.send(Input::Call(call)).await {
+                Ok(()) => match answered.await {
+                    Ok(Reply::Answer(answer)) => answer,
+                    Ok(Reply::Passing(_)) | Err(_) => Answer::Failed,
+                },
+                Err(_) => Answer::Failed,
+            }
+        })
+    })
+}
+
 /// Asks the driver, and waits for the one answer.
 async fn ask(mut waiting: Waiting, call: Call, answered: oneshot::Receiver<Reply>) -> Reply {
     let reply = match waiting.front.inputs.send(Input::Call(call)).await {
--- a/crates/emberpin/src/limiter.rs
+++ b/crates/emberpin/src/limiter.rs
@@ -12,7 +12,7 @@
 use crate::between::handover::{self, Upgrade};
 use crate::between::link::Link;
 use crate::between::peers::Peers;
-use crate::front::clients::Front;
+use crate::front::clients::{take_over, Front};
 use crate::front::passed;
 use crate::front::room::{Held, Room};
 use crate::operate::clock::Clock;
@@ -120,6 +120,9 @@
     let believed = Believed::start(&config, kept, refetch.clone());
     spawn_local(reload(hung_up, discovery, believed.clone(), figures.clone()));
     let (longest, leaving) = (config.longest_deadline(), config.connections.leaving);
+    if let Some(takeover) = idempotency.as_ref().and_then(|stage| stage.takeover()) {
+        takeover.run_with(take_over(inputs.clone()));
+    }
     let front = Front::new(&config, idempotency, inputs.clone(), figures.clone(), room.clone());
     let accepting = spawn_local(front.clone().accept(listener, shared));
     let pool = Pool::new(&config, figures.clone(), room);
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -4,10 +4,12 @@
 use crate::front::stream::{Passing, Upload};
 use crate::upstream::listing::Listing;
 use bytes::Bytes;
-use dillpass::{ClassId, CustomerId, GatewayId, Millis, Outcome, PlanId, Report, RequestId, ServerId};
+use dillpass::{ClassId, CustomerId, GatewayId, Millis, Outcome, PlanId, Ran, Report, RequestId, ServerId};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
 use serde::{Deserialize, Serialize};
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -15,6 +17,17 @@
 
 /// Bodies up to this are held whole; longer ones are passed on in pieces.
 pub const MAX_BODY: usize = 64 * 1024;
+/// What a request's attempts pass.
+pub trait Gate {
+    /// Whether an attempt may go to a server of this zone and cell; asked within the time that it has.
+    fn opens<'a>(
+        &'a self,
+        attempt: u32,
+        to: (usize, u32),
+        within: Duration,
+    ) -> Pin<Box<dyn Future<Output = bool> + 'a>>;
+}
+
 /// A client's request as it goes on to servers.
 pub struct Outgoing {
     pub method: Method,
@@ -23,6 +36,8 @@
     pub body: Upstreamed,
     /// Answers that are too long to be held may be passed on in pieces.
     pub may_pass: bool,
+    /// Asked before each attempt, where work outlives its limiter.
+    pub gate: Option<Rc<dyn Gate>>,
 }
 
 /// A request's body.
@@ -65,6 +80,14 @@
     pub served: Option<Reply>,
 }
 
+impl Ended {
+    /// One that never began.
+    pub fn unsent() -> Ended {
+        let report = Report::default();
+        Ended { outcome: Outcome::Moot, elapsed: 0.0, report, metered: None, served: None }
+    }
+}
+
 /// A request that a client made; dropping its answer's receiver says nothing, [`Input::Gone`] does.
 pub struct Call {
     pub id: RequestId,
@@ -74,6 +97,8 @@
     pub units: f64,
     pub set_size: u32,
     pub set_first: GatewayId,
+    /// Where it may have run, if it is taken over from another limiter.
+    pub ran: Option<Ran>,
     /// How long the module may take, once the last byte of the request has come.
     pub patience: Duration,
     /// When the last byte of its answer must be out; far off while its body is still coming.
--- a/crates/emberpin/src/operate/config.rs
+++ b/crates/emberpin/src/operate/config.rs
@@ -3,6 +3,7 @@
 use crate::operate::door;
 use crate::operate::operator::{Connections, Idempotency, Link, Log, Operator};
 use crate::operate::start::Start;
+use crate::operate::takeover::Takeover;
 use crate::upstream::listing::Listing;
 use dillpass::settings::{Conf, Names};
 use dillpass::Settings;
@@ -52,6 +53,8 @@
     pub(crate) idle_limit: Duration,
     /// How limiters start, if the operator has said.
     pub(crate) start: Option<Start>,
+    /// How work in hand is taken over, if it is.
+    pub(crate) takeover: Option<Takeover>,
     /// The folder of this instance's snapshot of the list.
     pub(crate) snapshot: Option<PathBuf>,
     /// As the operator has them.
@@ -170,6 +173,7 @@
             idle_limit: millis(file.settings.idle_close(), 15_000.0)?
                 .mul_f64(operator.connections.idle_share),
             start: operator.start.clone(),
+            takeover: operator.takeover.clone(),
             connections: operator.connections.clone(),
             idempotency: operator.idempotency.clone(),
             most_units: file.settings.most_units().unwrap_or(largest),
--- a/crates/emberpin/src/operate/entry.rs
+++ b/crates/emberpin/src/operate/entry.rs
@@ -79,6 +79,7 @@
             units: asked.units,
             set_size: asked.set_size,
             set_first: asked.set_first,
+            ran: None,
         }));
         let sent = self.actions.iter().find_map(|action| match action {
             Action::Send { server, .. } => Some(*server),
--- a/crates/emberpin/src/operate/mod.rs
+++ b/crates/emberpin/src/operate/mod.rs
@@ -9,3 +9,4 @@
 pub(crate) mod figures;
 pub mod operator;
 pub mod start;
+pub mod takeover;
--- a/crates/emberpin/src/operate/operator.rs
+++ b/crates/emberpin/src/operate/operator.rs
@@ -2,6 +2,7 @@
 //! platform has it.
 
 use crate::operate::start::Start;
+use crate::operate::takeover::Takeover;
 use serde::{Deserialize, Deserializer};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -23,6 +24,8 @@
     pub link: Option<Link>,
     /// How limiters start; as the platform has it without its table.
     pub start: Option<Start>,
+    /// Work in hand survives the loss of its limiter; it does not without its table.
+    pub takeover: Option<Takeover>,
 }
 
 /// How limiters talk to each other: the table `[link]`, the same for all of them.
@@ -254,6 +257,7 @@
     log: Option<Log>,
     link: Option<Link>,
     start: Option<Start>,
+    takeover: Option<Takeover>,
 }
 
 impl Operator {
@@ -297,6 +301,24 @@
                 once("start")?;
                 operator.start = Some(start);
             }
+            if let Some(takeover) = file.takeover {
+                once("takeover")?;
+                operator.takeover = Some(takeover);
+            }
+        }
+        if operator.takeover.is_some() {
+            let missing = match (&operator.idempotency, &operator.link) {
+                (None, _) => Some("idempotency"),
+                (_, None) => Some("link"),
+                (Some(_), Some(_)) => None,
+            };
+            if let Some(missing) = missing {
+                let file = set_by.get("takeover").map(|path| path.display().to_string()).unwrap_or_default();
+                return Err(format!(
+                    "{file}: [takeover] takes over keyed work, and [{missing}] is not set: set it, or leave [takeover] \
+                     out"
+                ));
+            }
         }
         if let (Some(start), None) = (&operator.start, &operator.link) {
             if start.callers.is_some() {
@@ -332,8 +354,12 @@
             None => writeln!(to, "[link] off: limiters have their datagrams only")?,
         }
         match &self.start {
-            Some(start) => start.fmt(to),
-            None => writeln!(to, "[start] off: ready at once, whole lists bind, none is kept on a disk"),
+            Some(start) => start.fmt(to)?,
+            None => writeln!(to, "[start] off: ready at once, whole lists bind, none is kept on a disk")?,
+        }
+        match &self.takeover {
+            Some(takeover) => takeover.fmt(to),
+            None => writeln!(to, "[takeover] off: work in hand is lost with its limiter"),
         }
     }
 }
@@ -609,6 +635,10 @@
                  address = \"10.0.0.1:1\"",
                 "0.toml: [link] plain = true, but 10.0.0.1:1 of member \"n0\" is no loopback address",
             ),
+            ("[takeover]\nper_s = -1", "0.toml:2:9: found -1, expected 0 to 1000000 takeovers a second"),
+            ("[takeover]\nentries = 0", "0.toml:2:11: found 0, expected 1 to 1000000 pieces of work"),
+            ("[takeover]", "0.toml: [takeover] takes over keyed work, and [idempotency] is not set: set it, or leave"),
+            ("[idempotency]\n[takeover]", "0.toml: [takeover] takes over keyed work, and [link] is not set: set it"),
             ("[connections", "0.toml:1:13: "),
         ];
         for (text, expected) in cases {
--- a/crates/emberpin/src/stages/idempotency.rs
+++ b/crates/emberpin/src/stages/idempotency.rs
@@ -6,21 +6,22 @@
 use crate::between::tls;
 use crate::front::answers::{plain, written};
 use crate::front::stream::Content;
-use crate::messages::{Answer, MAX_BODY};
+use crate::messages::{Answer, Outgoing, MAX_BODY};
 use crate::operate::config::Config;
 use crate::operate::die;
 use crate::operate::operator::{self, Keys, Repeats};
 use crate::stages::memory::{boot_clock, random, Memory, Recalled};
+use crate::stages::takeover::{Keys as TakenKeys, Takeover, Terms, WorkGate};
 use bytes::Bytes;
-use dillpass::{CustomerId, GatewayId};
-use emberpin_idempotency::claims::{Action, Claims, Event, Member, Rules, Told};
+use emberpin_idempotency::claims::{Action, Claims, Event, Holding, Member, Rules, Said, Told};
 use emberpin_idempotency::{
     owner, Customer, Fingerprint, Form, Keeper, Key, Limits, Secret, Sweep, Table, Telling, Ticket, Weight,
 };
 use emberpin_link::Life;
 use emberpin_log::{Note, Ticket as RecordTicket};
+use emberpin_takeover::WorkId;
 use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::{Method, Response, StatusCode, Uri};
+use hyper::{Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
@@ -71,6 +72,9 @@
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Told<Answer>>>>,
     /// Requests that may go on yet.
     unsent: RefCell<HashMap<Ticket, First>>,
+    /// The gates of requests that are open here.
+    gates: RefCell<HashMap<Ticket, Rc<WorkGate>>>,
+    takeover: Option<Rc<Takeover>>,
     memory: Option<Memory>,
     link: Option<Rc<Link>>,
     /// The life of each member that was heard of last.
@@ -88,14 +92,11 @@
 
 /// A keyed request, as the stage sees it.
 pub struct Keyed<'a> {
-    pub method: &'a Method,
-    pub uri: &'a Uri,
-    pub class: usize,
+    pub outgoing: &'a Outgoing,
+    pub gate: Option<Rc<WorkGate>>,
+    pub terms: Terms,
     pub body: &'a Bytes,
     pub key: &'a str,
-    pub customer: CustomerId,
-    pub set_size: u32,
-    pub set_first: GatewayId,
     pub expires: Instant,
 }
 
@@ -165,6 +166,11 @@
                     slack: millis(link.dead_after),
                     waiters_per_key: settings.waiters_per_key,
                     owed: OWED,
+                    takes_over: config.takeover.is_some(),
+                    first_claim: match config.takeover {
+                        Some(_) => u64::from_le_bytes(random()?) >> 1,
+                        None => 0,
+                    },
                 };
                 // All must see the same request as the same, so they share what fingerprints are made with.
                 let secret = tls::secret(Path::new(&link.keys))?;
@@ -175,10 +181,18 @@
             keeper.table_mut().restore(record, same_clock);
         }
         keeper.table_mut().restored();
+        let takeover = match (&config.takeover, &link, &config.link) {
+            (Some(settings), Some(link), Some((_, number))) => {
+                Some(Takeover::start(settings, config, link, *number))
+            }
+            _ => None,
+        };
         let stage = Rc::new(Idempotency {
             keeper: RefCell::new(keeper),
             waiting: RefCell::default(),
             unsent: RefCell::default(),
+            gates: RefCell::default(),
+            takeover,
             memory,
             link,
             lives: RefCell::default(),
@@ -194,6 +208,10 @@
             me: config.settings.me.0,
             group: config.settings.group_size,
         });
+        if let Some(takeover) = &stage.takeover {
+            let keys: Weak<dyn TakenKeys> = Rc::<Idempotency>::downgrade(&stage);
+            takeover.serve(keys);
+        }
         if let Some(memory) = &stage.memory {
             spawn_local(keep(Rc::downgrade(&stage), noted, memory.first_segment()));
         }
@@ -209,10 +227,11 @@
     where
         F: Future<Output = Answer> + 'static,
     {
-        let customer = Customer(request.customer.0);
+        let (outgoing, terms, gate) = (request.outgoing, request.terms, request.gate);
+        let customer = Customer(terms.customer.0);
         // Owned by one limiter of its set, so that two that cannot ask each other do not both let it on; nothing was sent.
         if self.link.is_none()
-            && owner(customer, request.set_first.0, request.set_size, self.group) != Some(self.me)
+            && owner(customer, terms.set_first.0, terms.set_size, self.group) != Some(self.me)
         {
             let what = "another limiter keeps this customer's keys; nothing was sent";
             return problem(StatusCode::MISDIRECTED_REQUEST, what, None);
@@ -221,9 +240,12 @@
             Ok(key) => key,
             Err(why) => return problem(StatusCode::BAD_REQUEST, &format!("Idempotency-Key: {why}"), None),
         };
-        let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
-        let method = request.method.as_str();
-        let fingerprint = Fingerprint::of(&self.secret, method, path, request.class, request.body);
+        let path = outgoing.uri.path_and_query().map_or("/", |path| path.as_str());
+        let method = outgoing.method.as_str();
+        let fingerprint = Fingerprint::of(&self.secret, method, path, terms.class.0, request.body);
+        if let (Some(takeover), Some(gate)) = (&self.takeover, &gate) {
+            takeover.carry(gate, outgoing, &terms, key.clone(), fingerprint);
+        }
         let ticket = Ticket(self.next.replace(self.next.get() + 1));
         let (tell, told) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, tell);
@@ -236,11 +258,17 @@
             stage.conclude(ticket, answer.clone());
             answer
         };
+        if let Some(gate) = &gate {
+            self.gates.borrow_mut().insert(ticket, gate.clone());
+        }
         self.unsent.borrow_mut().insert(ticket, Box::pin(first));
         let within = request.expires.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
         self.handle(Event::Arrived { ticket, customer, key, fingerprint, within });
         let telling = timeout_at(request.expires, told).await;
         drop(owed);
+        if let (Some(gate), Ok(Ok(Told::Telling(Telling::Own(_))))) = (&gate, &telling) {
+            _ = timeout_at(request.expires, gate.closed()).await;
+        }
         die::here("reply");
         match telling {
             Ok(Ok(telling)) => worded(telling),
@@ -254,11 +282,26 @@
 
     /// What came of a first request.
     fn conclude(&self, ticket: Ticket, answer: Answer) {
+        let gate = self.gates.borrow_mut().remove(&ticket);
+        let work = gate.zip(self.takeover.as_ref());
+        // Where another goes on with it, what was not sent here may have been sent there.
+        let fenced = |(gate, takeover): &(Rc<WorkGate>, &Rc<Takeover>)| {
+            gate.work().is_some_and(|id| takeover.is_fenced(&id))
+        };
+        let overtaken = work.as_ref().is_some_and(fenced);
+        let answer = match answer {
+            Answer::Refused { .. } if overtaken => Answer::Failed,
+            answer => answer,
+        };
+        let served = matches!(answer, Answer::Served(_));
         self.handle(match answer {
             Answer::Served(_) => Event::Served { ticket, answer },
             Answer::Refused { .. } => Event::Refused { ticket, answer },
             Answer::Failed => Event::Failed { ticket, answer },
         });
+        if let Some((gate, takeover)) = work {
+            takeover.concluded(&gate, served);
+        }
         die::here("store");
     }
 
@@ -269,12 +312,16 @@
         for action in actions {
             match action {
                 Action::Pass(ticket) => {
+                    self.begin(ticket);
                     if let Some(first) = self.unsent.borrow_mut().remove(&ticket) {
                         spawn_local(first);
                     }
                 }
                 Action::Hold(_) => {}
-                Action::Drop(ticket) => _ = self.unsent.borrow_mut().remove(&ticket),
+                Action::Drop(ticket) => {
+                    self.gates.borrow_mut().remove(&ticket);
+                    self.unsent.borrow_mut().remove(&ticket);
+                }
                 Action::Record(record, ticket) => {
                     let Some(memory) = &self.memory else { continue };
                     let taken = memory.key(record, ticket.map(|ticket| RecordTicket(ticket.0)));
@@ -285,6 +332,7 @@
                     }
                 }
                 Action::Tell(ticket, told) => {
+                    self.gates.borrow_mut().remove(&ticket);
                     self.unsent.borrow_mut().remove(&ticket);
                     if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
                         // One that has just gone away does not hear it.
@@ -292,6 +340,7 @@
                     }
                 }
                 Action::Say(member, said) => {
+                    self.note_grant(member, &said);
                     if let (Some(link), Ok(body)) = (&self.link, postcard::to_allocvec(&said)) {
                         link.tell(member.0, KEYS, body);
                     }
@@ -300,14 +349,62 @@
         }
     }
 
+    /// How work in hand is taken over, if it is.
+    pub fn takeover(&self) -> Option<&Rc<Takeover>> {
+        self.takeover.as_ref()
+    }
+
+    /// A first request goes on: its attempts are to be asked for under its claim.
+    fn begin(&self, ticket: Ticket) {
+        let (Some(takeover), Some(gate)) = (&self.takeover, self.gates.borrow().get(&ticket).cloned()) else {
+            return;
+        };
+        let claimed = self.keeper.borrow().claims().and_then(|claims| {
+            claims.claim_of(ticket).map(|(claim, customer)| (claim, claims.holders(customer)))
+        });
+        if let Some((claim, keepers)) = claimed {
+            takeover.begun(&gate, claim, keepers);
+        }
+    }
+
+    /// What this limiter grants it may have to take over.
+    fn note_grant(&self, to: Member, said: &Said<Answer>) {
+        let (Some(takeover), Said::Granted(claim)) = (&self.takeover, said) else { return };
+        let holders = self
+            .keeper
+            .borrow()
+            .claims()
+            .and_then(|claims| claims.customer_of((to, *claim)).map(|customer| claims.holders(customer)));
+        if let Some(holders) = holders {
+            takeover.granted(to, *claim, holders);
+        }
+    }
+
+    /// Whether what a member says of its own claim still counts.
+    fn counts(&self, from: Member, said: &Said<Answer>) -> bool {
+        let Some(takeover) = &self.takeover else { return true };
+        match said {
+            Said::Released(claim) | Said::Lost(claim) => takeover.settled(from, *claim, false),
+            Said::Served { claim, .. } => takeover.settled(from, *claim, true),
+            _ => true,
+        }
+    }
+
     fn hear(&self, news: News) {
         match news {
             News::Told { from, body } => match postcard::from_bytes(&body) {
-                Ok(said) => self.handle(Event::Heard { from: Member(from), said }),
+                Ok(said) if self.counts(Member(from), &said) => {
+                    self.handle(Event::Heard { from: Member(from), said });
+                }
+                Ok(_) => {}
                 Err(e) => eprintln!("emberpin: link: member {from} said what is not understood: {e}"),
             },
             News::Changed { member, belief } => {
                 let of = Member(member);
+                // Heard here, so that it stands in order with what that life says of its claims.
+                if let Some(takeover) = &self.takeover {
+                    takeover.changed(member, &belief);
+                }
                 if let Some(life) = belief.life {
                     let before = self.lives.borrow_mut().insert(member, life);
                     if before.is_some_and(|before| before != life) {
@@ -347,6 +444,24 @@
     }
 }
 
+impl TakenKeys for Idempotency {
+    fn ended(&self, of: Holding, ran: bool) {
+        self.handle(Event::Ended { of, ran });
+    }
+
+    fn taken_over(&self, id: WorkId, customer: Customer, key: Key, fingerprint: Fingerprint, answer: Answer) {
+        let Some(takeover) = &self.takeover else { return };
+        match answer {
+            Answer::Served(_) => {
+                self.handle(Event::Finished { customer, key, fingerprint, answer });
+                takeover.done(id);
+            }
+            // It may have run before it came here.
+            Answer::Refused { .. } | Answer::Failed => takeover.failed(id),
+        }
+    }
+}
+
 /// Carries out what other limiters tell, and lets time pass. Ends with the stage.
 async fn listen(
     stage: Weak<Idempotency>,
--- a/crates/emberpin/src/stages/mod.rs
+++ b/crates/emberpin/src/stages/mod.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod idempotency;
 pub(crate) mod memory;
+pub(crate) mod takeover;
--- a/crates/emberpin/src/upstream/driver.rs
+++ b/crates/emberpin/src/upstream/driver.rs
@@ -277,6 +277,7 @@
             units: call.units,
             set_size: call.set_size,
             set_first: call.set_first,
+            ran: call.ran,
         }));
     }
 
@@ -396,11 +397,22 @@
         let timeout = Duration::try_from_secs_f64(timeout / 1000.0).unwrap_or_default();
         let (cancel, cancelled) = oneshot::channel();
         held.out = Some(Out { cancel: Some(cancel) });
-        let going =
-            upstream.clone().attempt(held.outgoing.clone(), timeout.min(left(held.expires)), cancelled);
+        let outgoing = held.outgoing.clone();
+        let place = self.gateway.place(server).unwrap_or_default();
+        let (upstream, timeout) = (upstream.clone(), timeout.min(left(held.expires)));
         let inputs = self.inputs.clone();
         spawn_local(async move {
-            let ended = going.await;
+            let asked = Instant::now();
+            let may_go = match &outgoing.gate {
+                None => true,
+                // The way may have been shut meanwhile.
+                Some(gate) => gate.opens(attempt, place, timeout).await && upstream.is_open(),
+            };
+            let left = timeout.saturating_sub(asked.elapsed());
+            let ended = match may_go && !left.is_zero() {
+                true => upstream.attempt(outgoing, left, cancelled).await,
+                false => Ended::unsent(),
+            };
             _ = inputs.send(Input::Ended { request, attempt, server, ended }).await;
         });
     }
