Hold and kill limiters at points of their code in the site, and prove takeovers at each stage

Need: kills at the moments that matter were left to chance. The fault limiter-stops lets a process of a test build stand still when it meets a named point for the Nth time, and kills or wakes it there. Tests: a claimant killed at nine points from the grant to the client's answer, one that takes over killed before it sends and with its answer, claimants that stand still for 0.4 to 2 s between their keepers' word and the write.

--- a/crates/emberpin-site/src/process.rs
+++ b/crates/emberpin-site/src/process.rs
@@ -68,6 +68,8 @@
     expected: Cell<Option<ProcessEnd>>,
     ended: watch::Sender<bool>,
     last_words: RefCell<String>,
+    /// Where its first life stands still.
+    stops_at: RefCell<Option<String>>,
 }
 
 impl Limiter {
@@ -93,6 +95,7 @@
             expected: Cell::new(None),
             ended: watch::Sender::new(true),
             last_words: RefCell::default(),
+            stops_at: RefCell::default(),
         })
     }
 
@@ -114,6 +117,7 @@
             .args(&self.program.arguments)
             .args(with_log)
             .env("GW_CONFIG", &file)
+            .envs(self.stops_at.borrow_mut().take().map(|point| ("EMBERPIN_STOP_AT", point)))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log_file)
@@ -248,6 +252,11 @@
         self.signal(Signal::SIGHUP);
     }
 
+    /// Its first life is to stand still at a point of its code: `POINT:N`, the Nth time that it is met.
+    pub fn stop_at(&self, point: &str) {
+        *self.stops_at.borrow_mut() = Some(point.into());
+    }
+
     /// SIGSTOP, or SIGCONT.
     pub fn pause(&self, on: bool) {
         self.signal(if on { Signal::SIGSTOP } else { Signal::SIGCONT });
--- a/crates/emberpin-site/src/scenario.rs
+++ b/crates/emberpin-site/src/scenario.rs
@@ -358,6 +358,17 @@
         /// How long.
         length: Micros,
     },
+    /// It stands still when it meets a point of its code for the Nth time, in its first life; test builds only.
+    LimiterStops {
+        /// Which.
+        limiter: usize,
+        /// The point and which time, as its environment has it.
+        point: String,
+        /// For how long.
+        length: Micros,
+        /// It is killed then and not woken, and starts again after so long.
+        back: Option<Micros>,
+    },
     /// kill -9 to the first limiters of a share at one instant; they start again.
     LimitersKilled {
         /// How many.
@@ -438,6 +449,7 @@
     share: Option<f64>,
     times: Option<f64>,
     delay_ms: Option<f64>,
+    point: Option<String>,
     how: Option<String>,
     way: Option<Way>,
     group: Option<Vec<usize>>,
@@ -466,6 +478,7 @@
     DiscoveryDead,
     DiscoveryTells,
     LimiterPaused,
+    LimiterStops,
     LimitersKilled,
     CallersKilled,
     LimiterHungUp,
@@ -710,6 +723,7 @@
             ("share", raw.share.is_some()),
             ("times", raw.times.is_some()),
             ("delay_ms", raw.delay_ms.is_some()),
+            ("point", raw.point.is_some()),
             ("how", raw.how.is_some()),
             ("way", raw.way.is_some()),
             ("group", raw.group.is_some()),
@@ -803,6 +817,12 @@
                 one(Fault::DiscoveryTells { how: of.how()?, group, length: of.length()? })
             }
             Kind::LimiterPaused => one(Fault::LimiterPaused { limiter: of.limiter()?, length: of.length()? }),
+            Kind::LimiterStops => {
+                let back = of.raw.back_s.is_some().then(|| of.back()).transpose()?;
+                let point = needed("point", of.raw.point.take())?;
+                let (limiter, length) = (of.limiter()?, of.length()?);
+                one(Fault::LimiterStops { limiter, point, length, back })
+            }
             Kind::LimitersKilled => {
                 let count = (of.share()? * site.limiters as f64).round() as usize;
                 one(Fault::LimitersKilled { count, back: of.back()? })
--- a/crates/emberpin-site/src/site.rs
+++ b/crates/emberpin-site/src/site.rs
@@ -249,7 +249,14 @@
             }
             let address = world.address().map_err(text("a limiter's port"))?;
             let recorder = recorder.clone();
-            limiters.push(Limiter::new(number, address, recorder, program, &folder.0, seed));
+            let limiter = Limiter::new(number, address, recorder, program, &folder.0, seed);
+            for fault in &world.scenario.faults {
+                match &fault.fault {
+                    Fault::LimiterStops { limiter: of, point, .. } if *of == number => limiter.stop_at(point),
+                    _ => {}
+                }
+            }
+            limiters.push(limiter);
         }
         let addresses: Vec<_> = limiters.iter().map(|limiter| limiter.address).collect();
         let clients = Clients::new(world.clone(), &addresses);
@@ -487,6 +494,21 @@
                 sleep(span(length)).await;
                 limiter.pause(false);
             }
+            Fault::LimiterStops { limiter: number, point, length, back } => {
+                let limiter = &self.limiters[*number];
+                while !limiter.is_paused() {
+                    if self.over.get() {
+                        return;
+                    }
+                    sleep(TICK).await;
+                }
+                self.note(format!("limiter {number} stands still at {point}"));
+                sleep(span(length)).await;
+                match back {
+                    Some(back) => self.clone().kill(*number, span(back)).await,
+                    None => limiter.pause(false),
+                }
+            }
             Fault::LimiterHungUp { limiter } => self.limiters[*limiter].hang_up(),
             Fault::CallersKilled { count, back } => {
                 let mut calls = self.discovery.calls();
@@ -594,6 +616,7 @@
         Fault::LimiterPaused { limiter, length } => {
             format!("limiter {limiter} paused for {:.1} s", seconds(*length))
         }
+        Fault::LimiterStops { limiter, point, .. } => format!("limiter {limiter} is to stop at {point}"),
         Fault::LimiterHungUp { limiter } => format!("limiter {limiter} hung up"),
         Fault::CallersKilled { count, back } => {
             format!(
--- a/crates/emberpin-site/tests/takeover.rs
+++ b/crates/emberpin-site/tests/takeover.rs
@@ -182,3 +182,69 @@
         assert_eq!(in_hand(&outcome).taken, 0, "seed {seed}");
     }
 }
+
+/// A limiter stands still when it meets a point of its code for the Nth time, and is killed there or woken.
+fn stops(limiter: usize, point: &str, length: f64, killed: bool) -> String {
+    let back = if killed { "back_s = 0.4\n" } else { "" };
+    format!(
+        "[[fault]]\nat_s = 0\nwhat = \"limiter-stops\"\nlimiter = {limiter}\npoint = \"{point}\"\nfor_s = {length}\n{back}"
+    )
+}
+
+/// Killed with a key granted and nothing sent, with an attempt asked for, noted, sent, answered, told to the holders, and
+/// as its client is told.
+#[test]
+fn a_claimant_killed_at_each_stage_of_its_work_lets_nothing_run_twice() {
+    for seed in seeds(5) {
+        for points in [
+            ["claim:16", "going:10", "gone:22"],
+            ["send:6", "answer:12", "store:20"],
+            ["reply:10", "gone:9", "gone:21"],
+        ] {
+            let faults: String =
+                points.iter().enumerate().map(|(limiter, point)| stops(limiter, point, 0.01, true)).collect();
+            let outcome = play(&both(), seed, &faults);
+            holds(&outcome);
+            let stood = stood_still(&outcome);
+            assert_eq!((stood.len(), killed(&outcome)), (3, 3), "seed {seed}, {points:?}: {stood:?}");
+        }
+    }
+}
+
+/// The one that takes over is killed with the work in its hands, before it sends it and when it has its answer.
+#[test]
+fn one_that_takes_over_killed_in_the_middle_lets_nothing_run_twice() {
+    for seed in seeds(6) {
+        for point in ["taken:1", "taken-answer:1"] {
+            let stop: String = (1..5).map(|limiter| stops(limiter, point, 0.02, true)).collect();
+            let outcome = play(&both(), seed, &format!("{}{stop}", kills(&[(0, 1.2), (1, 2.8)])));
+            holds(&outcome);
+            assert!(!stood_still(&outcome).is_empty(), "seed {seed}: one was killed at {point}");
+        }
+    }
+}
+
+/// The gap that no fence closes: it stands still when its keepers have let the attempt out and it is not written yet.
+#[test]
+fn a_claimant_that_stands_still_in_the_gap_and_wakes_lets_nothing_run_twice() {
+    for seed in seeds(7) {
+        let stop = [
+            stops(0, "gone:8", 0.4, false),
+            stops(1, "gone:10", 2.0, false),
+            stops(2, "going:6", 1.0, false),
+        ];
+        let outcome = play(&both(), seed, &stop.concat());
+        assert_eq!(Summary::of(&outcome).second_effects, 0, "seed {seed}");
+        assert_eq!(outcome.judgement.on(Rule::Effects).broken, 0, "seed {seed}");
+        assert_eq!(stood_still(&outcome).len(), 3, "seed {seed}: {:?}", stood_still(&outcome));
+    }
+}
+
+/// The limiters that stood still at a point.
+fn stood_still(outcome: &Outcome) -> Vec<&str> {
+    let named = outcome.events.iter().filter_map(|event| match &event.what {
+        What::Fault { name } => Some(name.as_str()),
+        _ => None,
+    });
+    named.filter(|name| name.contains("stands still at")).collect()
+}
--- a/crates/emberpin/src/operate/die.rs
+++ b/crates/emberpin/src/operate/die.rs
@@ -1,5 +1,6 @@
 //! Ends the process at a chosen point, for tests of what a kill there leaves: `EMBERPIN_DIE_AT=POINT:N` ends it when that
-//! point is met the Nth time. Only in builds with debug assertions; in a release build nothing of it is there.
+//! point is met the Nth time, and `EMBERPIN_STOP_AT` lets it stand still there, until it is woken or killed. Only in builds
+//! with debug assertions; in a release build nothing of it is there.
 
 use emberpin_log::{FileIdentity, Storage as Disk};
 use std::io;
@@ -7,20 +8,39 @@
 /// Meets a point by name.
 #[cfg(debug_assertions)]
 pub fn here(point: &str) {
-    use std::sync::atomic::{AtomicU32, Ordering};
     use std::sync::OnceLock;
-    static WHERE: OnceLock<Option<(String, u32)>> = OnceLock::new();
-    static MET: AtomicU32 = AtomicU32::new(0);
-    let chosen = WHERE.get_or_init(|| {
-        let text = std::env::var("EMBERPIN_DIE_AT").ok()?;
+    static END: OnceLock<Option<Place>> = OnceLock::new();
+    static STOP: OnceLock<Option<Place>> = OnceLock::new();
+    if END.get_or_init(|| Place::read("EMBERPIN_DIE_AT")).as_ref().is_some_and(|place| place.is_met(point)) {
+        // As kill -9: nothing is flushed, dropped or said.
+        std::process::abort();
+    }
+    if STOP.get_or_init(|| Place::read("EMBERPIN_STOP_AT")).as_ref().is_some_and(|place| place.is_met(point))
+    {
+        // As SIGSTOP from outside: no thread goes on.
+        _ = nix::sys::signal::raise(nix::sys::signal::Signal::SIGSTOP);
+    }
+}
+
+/// A point, and the time that it is met.
+#[cfg(debug_assertions)]
+struct Place {
+    point: String,
+    count: u32,
+    met: std::sync::atomic::AtomicU32,
+}
+
+#[cfg(debug_assertions)]
+impl Place {
+    fn read(variable: &str) -> Option<Place> {
+        let text = std::env::var(variable).ok()?;
         let (point, count) = text.split_once(':')?;
-        Some((point.to_string(), count.parse().ok()?))
-    });
-    if let Some((_, count)) = chosen.as_ref().filter(|(name, _)| name == point) {
-        if MET.fetch_add(1, Ordering::SeqCst) + 1 == *count {
-            // As kill -9: nothing is flushed, dropped or said.
-            std::process::abort();
-        }
+        Some(Place { point: point.into(), count: count.parse().ok()?, met: Default::default() })
+    }
+
+    fn is_met(&self, point: &str) -> bool {
+        use std::sync::atomic::Ordering;
+        self.point == point && self.met.fetch_add(1, Ordering::SeqCst) + 1 == self.count
     }
 }
 
