Let disks under the log lie in the site, and prove takeovers beside one that does

With one such disk among the holders, its limiter killed twice and another once, nothing runs twice and every rule holds, for each kind.

--- a/crates/emberpin-site/src/process.rs
+++ b/crates/emberpin-site/src/process.rs
@@ -70,6 +70,8 @@
     last_words: RefCell<String>,
     /// Where its first life stands still.
     stops_at: RefCell<Option<String>>,
+    /// How the disk under its log lies.
+    disk: RefCell<Option<String>>,
 }
 
 impl Limiter {
@@ -96,6 +98,7 @@
             ended: watch::Sender::new(true),
             last_words: RefCell::default(),
             stops_at: RefCell::default(),
+            disk: RefCell::default(),
         })
     }
 
@@ -118,6 +121,8 @@
             .args(with_log)
             .env("GW_CONFIG", &file)
             .envs(self.stops_at.borrow_mut().take().map(|point| ("EMBERPIN_STOP_AT", point)))
+            .envs(self.disk.borrow().clone().map(|lie| ("EMBERPIN_DISK", lie)))
+            .env("EMBERPIN_DISK_SAID", self.lie_said())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log_file)
@@ -257,6 +262,16 @@
         *self.stops_at.borrow_mut() = Some(point.into());
     }
 
+    /// The disk under its log is to lie: `KIND:N`, from the Nth append of each life on.
+    pub fn lie(&self, lie: &str) {
+        *self.disk.borrow_mut() = Some(lie.into());
+    }
+
+    /// The file that is there once its disk has lied.
+    pub fn lie_said(&self) -> PathBuf {
+        self.folder.join(format!("limiter-{}.lied", self.number))
+    }
+
     /// SIGSTOP, or SIGCONT.
     pub fn pause(&self, on: bool) {
         self.signal(if on { Signal::SIGSTOP } else { Signal::SIGCONT });
--- a/crates/emberpin-site/src/scenario.rs
+++ b/crates/emberpin-site/src/scenario.rs
@@ -369,6 +369,13 @@
         /// It is killed then and not woken, and starts again after so long.
         back: Option<Micros>,
     },
+    /// The disk under its log lies, in all its lives; test builds only.
+    DiskLies {
+        /// Which.
+        limiter: usize,
+        /// How, and from which append on, as its environment has it.
+        lie: String,
+    },
     /// kill -9 to the first limiters of a share at one instant; they start again.
     LimitersKilled {
         /// How many.
@@ -450,6 +457,7 @@
     times: Option<f64>,
     delay_ms: Option<f64>,
     point: Option<String>,
+    lie: Option<String>,
     how: Option<String>,
     way: Option<Way>,
     group: Option<Vec<usize>>,
@@ -479,6 +487,7 @@
     DiscoveryTells,
     LimiterPaused,
     LimiterStops,
+    DiskLies,
     LimitersKilled,
     CallersKilled,
     LimiterHungUp,
@@ -724,6 +733,7 @@
             ("times", raw.times.is_some()),
             ("delay_ms", raw.delay_ms.is_some()),
             ("point", raw.point.is_some()),
+            ("lie", raw.lie.is_some()),
             ("how", raw.how.is_some()),
             ("way", raw.way.is_some()),
             ("group", raw.group.is_some()),
@@ -817,6 +827,10 @@
                 one(Fault::DiscoveryTells { how: of.how()?, group, length: of.length()? })
             }
             Kind::LimiterPaused => one(Fault::LimiterPaused { limiter: of.limiter()?, length: of.length()? }),
+            Kind::DiskLies => {
+                let (limiter, lie) = (of.limiter()?, needed("lie", of.raw.lie.take())?);
+                one(Fault::DiskLies { limiter, lie })
+            }
             Kind::LimiterStops => {
                 let back = of.raw.back_s.is_some().then(|| of.back()).transpose()?;
                 let point = needed("point", of.raw.point.take())?;
--- a/crates/emberpin-site/src/site.rs
+++ b/crates/emberpin-site/src/site.rs
@@ -253,6 +253,7 @@
             for fault in &world.scenario.faults {
                 match &fault.fault {
                     Fault::LimiterStops { limiter: of, point, .. } if *of == number => limiter.stop_at(point),
+                    Fault::DiskLies { limiter: of, lie } if *of == number => limiter.lie(lie),
                     _ => {}
                 }
             }
@@ -494,6 +495,15 @@
                 sleep(span(length)).await;
                 limiter.pause(false);
             }
+            Fault::DiskLies { limiter, lie } => {
+                while !self.limiters[*limiter].lie_said().exists() {
+                    if self.over.get() {
+                        return;
+                    }
+                    sleep(TICK).await;
+                }
+                return self.note(format!("the disk of limiter {limiter} lies: {lie}"));
+            }
             Fault::LimiterStops { limiter: number, point, length, back } => {
                 let limiter = &self.limiters[*number];
                 while !limiter.is_paused() {
@@ -616,6 +626,7 @@
         Fault::LimiterPaused { limiter, length } => {
             format!("limiter {limiter} paused for {:.1} s", seconds(*length))
         }
+        Fault::DiskLies { limiter, lie } => format!("the disk of limiter {limiter} is to lie: {lie}"),
         Fault::LimiterStops { limiter, point, .. } => format!("limiter {limiter} is to stop at {point}"),
         Fault::LimiterHungUp { limiter } => format!("limiter {limiter} hung up"),
         Fault::CallersKilled { count, back } => {
--- a/crates/emberpin-site/tests/takeover.rs
+++ b/crates/emberpin-site/tests/takeover.rs
@@ -240,6 +240,21 @@
     }
 }
 
+/// One disk of three lies, its limiter is killed twice, and so are others: what it forgot the two others know.
+#[test]
+fn one_disk_that_lies_lets_nothing_run_twice() {
+    for seed in seeds(8) {
+        for lie in ["forgets:8", "tears:8", "flips:8", "fills:12", "stalls:12"] {
+            let lies = format!("[[fault]]\nat_s = 0\nwhat = \"disk-lies\"\nlimiter = 1\nlie = \"{lie}\"\n");
+            let kills = kills(&[(1, 1.2), (2, 2.2), (1, 3.2)]);
+            let outcome = play(&both(), seed, &format!("{lies}{kills}"));
+            holds(&outcome);
+            let lied = faults(&outcome, &format!("lies: {lie}"));
+            assert_eq!((lied, killed(&outcome)), (1, 3), "seed {seed}, {lie}");
+        }
+    }
+}
+
 /// The limiters that stood still at a point.
 fn stood_still(outcome: &Outcome) -> Vec<&str> {
     let named = outcome.events.iter().filter_map(|event| match &event.what {
--- a/crates/emberpin/src/operate/mod.rs
+++ b/crates/emberpin/src/operate/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod door;
 pub mod entry;
 pub(crate) mod figures;
+pub(crate) mod lies;
 pub mod operator;
 pub mod start;
 pub mod takeover;
--- a/crates/emberpin/src/stages/memory.rs
+++ b/crates/emberpin/src/stages/memory.rs
@@ -3,8 +3,8 @@
 
 use crate::messages::Answer;
 use crate::operate::config::Config;
-use crate::operate::die;
 use crate::operate::operator::Log as Settings;
+use crate::operate::{die, lies};
 use emberpin_idempotency::{Millis, Record};
 use emberpin_log::{
     boot_id, Files, Identity, Log, Note, Record as Written, Recovery, Service, Ticket, Unusable,
@@ -109,7 +109,7 @@
         };
         let began = boot_clock();
         let identity = identity(config)?;
-        let opened = Log::open(die::Storage(take(folder)?), &identity, visit);
+        let opened = Log::open(die::Storage(lies::of(take(folder)?)), &identity, visit);
         let (mut log, recovery) = opened.map_err(|problem: Unusable| format!("log {shown}: {problem}"))?;
         let Recovery { records, bytes, torn, lost } = recovery;
         let now = boot_clock();
