Read lists that come indented over several lines

The users' page says that lists may come indented; hold() in discovery.rs cut a watch's bytes at line ends and took each line of such a list for garbled, so that nothing in it was obeyed. A parser without I/O now cuts out whole listings, on one line or over several; what is cut off is still found at the end of its line. The stand-in list service can tell indented lists; the test over processes fails without the mend.

--- a/crates/emberpin-site/src/discovery.rs
+++ b/crates/emberpin-site/src/discovery.rs
@@ -337,7 +337,12 @@
             let news = agent.news.notified();
             if let Some((rev, told)) = line.take() {
                 known = rev;
-                let line = self.tell(limiter, rev, told).to_string();
+                let told = self.tell(limiter, rev, told);
+                let line = if self.world.scenario.site.list_indented {
+                    format!("{told:#}")
+                } else {
+                    told.to_string()
+                };
                 if write_line(wire, &line).await.is_err() {
                     return;
                 }
--- a/crates/emberpin-site/src/scenario.rs
+++ b/crates/emberpin-site/src/scenario.rs
@@ -67,6 +67,8 @@
     pub list_power: f64,
     /// A call that waits there for so long fails, and has cost as much as one that was answered, in seconds.
     pub list_patience_s: f64,
+    /// Lists come indented over several lines.
+    pub list_indented: bool,
     /// The list service itself has just started: from a quarter of its power it grows to all in so long, in seconds.
     pub list_warm_s: f64,
     /// A change of the list reaches a limiter between the first and the second of these, in milliseconds.
@@ -99,6 +101,7 @@
             told_limiters: 0,
             list_power: 0.0,
             list_patience_s: 2.0,
+            list_indented: false,
             list_warm_s: 0.0,
             notice_ms: [300.0, 1500.0],
             report_ms: 250.0,
--- a/crates/emberpin-site/tests/start.rs
+++ b/crates/emberpin-site/tests/start.rs
@@ -6,7 +6,7 @@
 use common::{answered, called_after, calls, count, holds, killed, listed, play, play_with, who};
 use emberpin_site::report::Summary;
 use emberpin_site::starts::Starts;
-use emberpin_site::trace::{Event, What, SECOND};
+use emberpin_site::trace::{Event, Standing, What, SECOND};
 use emberpin_start::snapshot::{decode, encode, Label};
 use nix::sys::stat::Mode;
 use nix::unistd::mkfifo;
@@ -314,6 +314,25 @@
     }
 }
 
+/// Once a list that came over several lines was taken for a garbled one, and no drain in it was obeyed.
+#[test]
+fn lists_that_come_indented_are_obeyed() {
+    let drains: String = [3, 5]
+        .iter()
+        .map(|server| {
+            format!("[[fault]]\nat_s = 2\nwhat = \"server-drained\"\nserver = {server}\nfor_s = 3\n")
+        })
+        .collect();
+    let site =
+        "[site]\nlimiters = 6\nservers = 8\nknown = false\nlist_indented = true\nnotice_ms = [1, 20]\n";
+    let outcome = play(&format!("seconds = 5\n{site}[load]\nrate = 60\nusage = 0.3\n{drains}"), 9);
+    holds(&outcome);
+    assert_eq!(listed(&outcome).len(), 6, "each was told");
+    assert!(Summary::of(&outcome).total.in_time * 10 > Summary::of(&outcome).total.asked * 9);
+    let drained = count(&outcome, |what| matches!(what, What::Told { standing: Standing::Draining, .. }));
+    assert_eq!(drained, 2 * 6);
+}
+
 /// Half of the fleet starts from nothing while the other half serves.
 #[test]
 fn half_of_the_fleet_starts_while_the_other_half_serves() {
--- a/crates/emberpin/src/upstream/discovery.rs
+++ b/crates/emberpin/src/upstream/discovery.rs
@@ -4,6 +4,7 @@
 use crate::upstream::asking::Asking;
 use crate::upstream::fed::Fed;
 use crate::upstream::listing::Listing;
+use crate::upstream::told::{Told, Watch};
 use bytes::Bytes;
 use emberpin_start::calls::Ended;
 use http_body_util::{BodyExt, Empty};
@@ -21,8 +22,6 @@
 use tokio::time::{timeout, Instant};
 
 const PATH: &str = "/registry/instances";
-/// Longest line; a watch that sends more is broken.
-const MAX_LINE: usize = 1 << 20;
 /// An idle watch sends an empty line every 2 s: silence for longer may be a dead connection.
 const SILENCE: Duration = Duration::from_millis(4_500);
 
@@ -173,30 +172,21 @@
             fed.watch(true);
         }
         let mut body = response.into_body();
-        let mut held = Vec::new();
+        let mut watch = Watch::default();
         while let Some(Some(Ok(frame))) = patient(body.frame()).await {
             let Ok(data) = frame.into_data() else { continue };
-            held.extend_from_slice(&data);
-            while let Some(end) = held.iter().position(|byte| *byte == b'\n') {
-                let line: Vec<u8> = held.drain(..=end).collect();
-                if line.iter().all(u8::is_ascii_whitespace) {
-                    // The service lives, and has nothing newer than what is held.
-                    watched.told = true;
-                    fed.inspect(|fed| fed.watch(true));
-                    continue;
-                }
-                // A garbled line may have held a drain: what it said is asked for again.
-                let Ok(listing) = serde_json::from_slice::<Listing>(&line) else { return };
-                let listing = Listing { place, ..listing };
-                (*since, watched.told) = (Some(listing.rev), true);
-                if inputs.send(Input::Listing(listing)).await.is_err() {
-                    return;
+            let Ok(all) = watch.take(&data) else { return };
+            for told in all {
+                watched.told = true;
+                if let Told::Listing(listing) = told {
+                    let listing = Listing { place, ..listing };
+                    *since = Some(listing.rev);
+                    if inputs.send(Input::Listing(listing)).await.is_err() {
+                        return;
+                    }
                 }
                 fed.inspect(|fed| fed.watch(true));
             }
-            if held.len() > MAX_LINE {
-                return;
-            }
         }
     };
     // The connection is driven here, so that leaving this function closes it.
--- a/crates/emberpin/src/upstream/mod.rs
+++ b/crates/emberpin/src/upstream/mod.rs
@@ -10,3 +10,4 @@
 pub(crate) mod listing;
 pub(crate) mod roster;
 pub(crate) mod servers;
+pub(crate) mod told;
