Take up a watch that fell silent within the 6 s after which its news binds

Cause: `Calls::pause` in calls.rs spaced the call after a watch that had been sound over 50 ms for each limiter of the group: up to 16 s for 318, after the 4.5 s in which silence shows, while what is missed binds after 6 s. Change: where what would be told binds (no `[start]`), that pause is 1.2 s at most, whatever the size; and a call that hung before a silent service is made again at once, twice, so that one is there when it speaks. Calls that fail otherwise back off as before.

--- a/crates/emberpin-start/src/calls.rs
+++ b/crates/emberpin-start/src/calls.rs
@@ -59,6 +59,15 @@
     },
 }
 
+/// Where what would be told binds 6 s after a watch fell silent, and its silence shows after 4.5 s, the next call comes so
+/// soon.
+const SOON: Duration = Duration::from_millis(1_200);
+/// A call that nobody answered for so long hung before a service that is silent, and cost it nothing: so often it is made
+/// again at once, so that one is there when the service speaks again.
+const HUNG: Duration = Duration::from_millis(4_000);
+const HELD: u32 = 2;
+const AT_ONCE: Duration = Duration::from_millis(200);
+
 /// The calls of one limiter's life.
 #[derive(Clone, Debug)]
 pub struct Calls {
@@ -70,12 +79,16 @@
     /// Peers heard before the first call: whether each started together with this one.
     heard: BTreeMap<u32, bool>,
     window: Duration,
+    /// What it would be told binds: it may not wait long.
+    bound: bool,
+    /// Calls that hung, one after the other.
+    hung: u32,
 }
 
 impl Calls {
     /// For a life whose first call does not wait: what it knows may be out of date, and what it would be told binds.
     pub fn at_once(place: Place) -> Calls {
-        Calls { slot: Duration::ZERO, ..Calls::new(place, None, 0.0) }
+        Calls { slot: Duration::ZERO, bound: true, ..Calls::new(place, None, 0.0) }
     }
 
     /// For a life that starts now and may wait for its first call. `power` is what the service answers, in calls a
@@ -90,7 +103,7 @@
         // within one by chance, as a size that is wrong gives several limiters the same slot.
         let part = (f64::from(spread(place.number, size)) + IN_SLOT * draw.clamp(0.0, 1.0)) / f64::from(size);
         let slot = if size == 1 { Duration::ZERO } else { round.mul_f64(part) };
-        Calls { place, round, slot, heard: BTreeMap::new(), window: EACH * size }
+        Calls { place, round, slot, heard: BTreeMap::new(), window: EACH * size, bound: false, hung: 0 }
     }
 
     /// A message of a peer came before the first call: whether its life began together with this one.
@@ -111,6 +124,11 @@
     pub fn pause(&mut self, ended: Ended, draw: f64) -> Duration {
         let first = EACH * self.place.size.max(1);
         let usual = (first * 2u32.pow(DOUBLINGS)).max(LONG);
+        let hung = matches!(ended, Ended::Failed { after } if after >= HUNG);
+        self.hung = if hung { self.hung.saturating_add(1) } else { 0 };
+        if self.bound && (1..=HELD).contains(&self.hung) {
+            return AT_ONCE.mul_f64(draw.clamp(0.0, 1.0));
+        }
         let (longest, least) = match ended {
             Ended::Told => (first, Duration::ZERO),
             // A dead service that comes back meets no more than it answers: half a window is a pause's mean.
@@ -126,7 +144,11 @@
             }
             Ended::Busy { .. } => (self.window * 2).min(longest).min(LONGEST_WAIT),
         };
-        least + self.window.mul_f64(draw.clamp(0.0, 1.0))
+        let window = match ended {
+            Ended::Told if self.bound => self.window.min(SOON),
+            _ => self.window,
+        };
+        least + window.mul_f64(draw.clamp(0.0, 1.0))
     }
 
     /// Forgets the failures of another address.
