End the stand-in wrong limiter without losing what comes as it ends

Change: while leaving its answers say Connection: close, and its listener is closed once what waits there is taken in.

--- a/crates/emberpin-site/src/bin/wrong-limiter.rs
+++ b/crates/emberpin-site/src/bin/wrong-limiter.rs
@@ -107,7 +107,8 @@
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address("listen")?)?;
-    spawn_local(limiter.clone().accept(socket.listen(512)?));
+    let (close, closes) = tokio::sync::watch::channel(false);
+    let accepting = spawn_local(limiter.clone().accept(socket.listen(512)?, closes));
     terminated.recv().await;
     if wrong == Wrong::LosesAtRestart {
         return Ok(());
@@ -115,6 +116,10 @@
     limiter.leaving.set(true);
     // The front has noticed by then; what is open is answered.
     sleep(Duration::from_millis(700)).await;
+    // What waits to be taken in is taken in, and what was taken in last has its time to ask.
+    close.send_replace(true);
+    _ = accepting.await;
+    sleep(Duration::from_millis(200)).await;
     while limiter.open.get() > 0 {
         sleep(Duration::from_millis(5)).await;
     }
@@ -122,8 +127,14 @@
 }
 
 impl Limiter {
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
+    async fn accept(self: Rc<Self>, listener: TcpListener, mut closes: tokio::sync::watch::Receiver<bool>) {
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                _ = closes.wait_for(|closes| *closes) => return,
+            };
+            let Ok((stream, _)) = accepted else { return };
             let limiter = self.clone();
             spawn_local(async move { limiter.client(Wire::new(stream)).await });
         }
@@ -174,7 +185,12 @@
             }
             self.open.set(self.open.get() + 1);
             let number = self.next.replace(self.next.get() + 1);
-            let answer = self.answer(&head, &body, number).await;
+            let mut answer = self.answer(&head, &body, number).await;
+            // Else the next request comes on this connection just as the process ends.
+            let line = answer.windows(2).position(|two| two == b"\r\n").filter(|_| self.leaving.get());
+            if let Some(end) = line {
+                answer.splice(end..end, *b"\r\nConnection: close");
+            }
             let written = wire.stream.write_all(&answer).await;
             self.open.set(self.open.get() - 1);
             if self.wrong == Wrong::AnswersTwice && number.is_multiple_of(EVERY) {
