--- /dev/null
+++ b/crates/emberpin-basin/src/lib.rs
@@ -0,0 +1,2 @@
+//! Scenarios as small text files, played on simulated time.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/emberpin-berth/src/lib.rs
@@ -0,0 +1,6 @@
+//! What the programs of the gateway share beneath their own concerns: the settings file, frames between processes, logs.
+#![forbid(unsafe_code)]
+
+pub mod frames;
+pub mod logs;
+pub mod settings;
--- /dev/null
+++ b/crates/emberpin-chart/src/item.rs
@@ -0,0 +1,38 @@
+//! What the configuration is made of.
+
+use serde::{Deserialize, Serialize};
+
+/// What an item is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// Who votes: the addresses of the stores. Written by the stores themselves, never by a call.
+    Roster,
+    /// A zone whose servers get nothing. Its versions are given by the stores.
+    Evacuation,
+    /// The bounds on what clients may send; there is one, with an empty name.
+    Limits,
+    /// A service.
+    Service,
+    /// A route.
+    Route,
+}
+
+/// The name of an item.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// What it is.
+    pub kind: Kind,
+    /// Its name among its kind.
+    pub name: String,
+}
+
+/// One version of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// Which.
+    pub key: Key,
+    /// Rises with each change, by uneven steps.
+    pub ver: u64,
+    /// Its JSON text, written in one way; a route's is `{"hostname": H, "loc": {...}}`. `None`: dropped (a tombstone).
+    pub body: Option<String>,
+}
--- /dev/null
+++ b/crates/emberpin-keeper/src/talk.rs
@@ -0,0 +1,59 @@
+//! What a registry and a store of configuration say to each other.
+
+use emberpin_chart::Item;
+use serde::{Deserialize, Serialize};
+use std::net::Ipv4Addr;
+
+/// From a registry to a store; the first message on a connection tells what the connection is for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// The body of `POST /config/patch`; one [`Told::Answer`] with the same number is owed.
+    Patch {
+        /// Names the answer.
+        id: u64,
+        /// As it came.
+        body: Vec<u8>,
+    },
+    /// `GET /config/get`; answered like [`Ask::Patch`].
+    Get {
+        /// Names the answer.
+        id: u64,
+    },
+    /// `POST /evac/ZONE/begin` or `finish`; answered like [`Ask::Patch`].
+    Evacuate {
+        /// Names the answer.
+        id: u64,
+        /// Which zone.
+        zone: String,
+        /// Begin, or finish.
+        begin: bool,
+    },
+    /// Wants all chosen items now and each change from then on, as [`Told::News`], and [`Told::Standing`] on the way.
+    Follow,
+}
+
+/// From a store to a registry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Told {
+    /// The answer to a call.
+    Answer {
+        /// Which call.
+        id: u64,
+        /// An HTTP status: 200, 4xx for what will never be taken, 503 for what may be sent again.
+        status: u16,
+        /// The answer's body; of a 4xx, one line that says where and why.
+        body: String,
+    },
+    /// Items that are chosen, drops among them. The first one after [`Ask::Follow`] holds all that there are.
+    News {
+        /// The items.
+        items: Vec<Item>,
+    },
+    /// How the store stands; comes at least twice a second.
+    Standing {
+        /// What it knows is no older than what a majority of the voters had a second ago.
+        settled: bool,
+        /// The machines whose stores vote.
+        voters: Vec<Ipv4Addr>,
+    },
+}
--- /dev/null
+++ b/crates/emberpin-lookout/src/main.rs
@@ -0,0 +1,2 @@
+//! Not begun.
+fn main() {}
--- /dev/null
+++ b/crates/emberpin-muster/src/lib.rs
@@ -0,0 +1,2 @@
+//! Ballots: which item is chosen, and who votes.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/emberpin-pilot/src/lib.rs
@@ -0,0 +1,2 @@
+//! The proxy: carries the traffic, decided by dillpass.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/emberpin-watch/src/lib.rs
@@ -0,0 +1,7 @@
+//! Who is there: lives of servers, sessions of limiters, and what control limiters tell each other of both.
+//!
+//! No I/O, no clock, no randomness.
+#![forbid(unsafe_code)]
+
+pub mod life;
+pub mod session;
--- /dev/null
+++ b/crates/emberpin-watch/src/session.rs
@@ -0,0 +1,72 @@
+//! What a limiter and a registry say to each other.
+
+use crate::life::Life;
+use emberpin_chart::Item;
+use serde::{Deserialize, Serialize};
+use std::net::Ipv4Addr;
+
+/// Where a limiter stands in a registry's log of changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Place {
+    /// The registry's life; places of another one mean nothing.
+    pub life: u64,
+    /// The number of the last change that was taken.
+    pub number: u64,
+}
+
+/// From a limiter to a registry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromLimiter {
+    /// The first message of a session.
+    Hello {
+        /// The limiter's life, drawn at its start.
+        life: u64,
+        /// The machine's name.
+        name: String,
+        /// Its zone.
+        zone: String,
+        /// Up to where it has followed this registry before, if it has.
+        from: Option<Place>,
+        /// The lives that it knows, told to a registry that knows less.
+        lives: Vec<Life>,
+    },
+    /// Comes twice a second; the session ends after a silence.
+    Pulse {
+        /// Up to where all changes are in force here.
+        at: Place,
+    },
+}
+
+/// From a registry to a limiter.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToLimiter {
+    /// All that there is. What a limiter knows beside it stays: lives that are not named are gone only if `complete`.
+    Snapshot {
+        /// The place that it stands for.
+        at: Place,
+        /// All items of the configuration, drops among them.
+        items: Vec<Item>,
+        /// All lives, also those that drain.
+        lives: Vec<Life>,
+        /// The registry has run for long enough to have heard of every server that lives.
+        complete: bool,
+    },
+    /// What has changed behind a place.
+    Changes {
+        /// The place that these lead to.
+        at: Place,
+        /// Items, drops among them.
+        items: Vec<Item>,
+        /// Lives, also such as are gone.
+        lives: Vec<Life>,
+    },
+    /// Comes twice a second; the session ends after a silence.
+    Pulse {
+        /// The registry and its store hear a majority of the others: what it told is no older than a second.
+        settled: bool,
+        /// How many limiters have a session with any registry.
+        limiters: u32,
+        /// The machines on which registries run.
+        registries: Vec<Ipv4Addr>,
+    },
+}
