--- a/crates/emberpin/src/front/answers.rs
+++ b/crates/emberpin/src/front/answers.rs
@@ -1,20 +1,14 @@
 //! How answers are worded for clients, beneath all who give one.
 
 use crate::front::stream::Content;
-use crate::messages::Answer;
+use crate::messages::{Answer, Head};
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 
 /// The answer as its client gets it.
 pub fn written(answer: Answer) -> Response<Content> {
     match answer {
-        Answer::Served(served) => {
-            let mut response = Response::new(Content::Whole(Some(served.body)));
-            if let Some(kind) = served.content_type {
-                response.headers_mut().insert(header::CONTENT_TYPE, kind);
-            }
-            response
-        }
+        Answer::Served(served) => headed(served.head, Content::Whole(Some(served.body))),
         Answer::Refused { retry_after } => {
             let mut response = plain(StatusCode::TOO_MANY_REQUESTS);
             let seconds = format!("{:.3}", retry_after / 1000.0);
@@ -27,6 +21,13 @@
     }
 }
 
+/// An answer that begins so, with this body.
+pub fn headed(head: Head, content: Content) -> Response<Content> {
+    let mut response = Response::new(content);
+    (*response.status_mut(), *response.headers_mut()) = (head.status, head.headers);
+    response
+}
+
 /// An answer of this status with nothing in it.
 pub fn plain(status: StatusCode) -> Response<Content> {
     let mut response = Response::new(Content::Whole(None));
--- a/crates/emberpin/src/front/clients.rs
+++ b/crates/emberpin/src/front/clients.rs
@@ -1,8 +1,9 @@
 //! The client side: takes requests off connections, asks the driver, writes the one answer.
 
 use crate::front::admission::{self, Admission, Admitted};
-use crate::front::answers::{plain, written};
-use crate::front::connections::{Connection, Connections, Place, Watched};
+use crate::front::answers::{headed, plain, written};
+use crate::front::connections::{ClientLimits, Connection};
+use crate::front::reception::{Desk, Phase, Reception};
 use crate::front::room::Room;
 use crate::front::stream::{Content, Passed, Passing, Upload};
 use crate::messages::{Answer, Call, Gate, Input, Outgoing, Reply, Upstreamed, MAX_BODY};
@@ -14,20 +15,14 @@
 use dillpass::RequestId;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::header::{self, HeaderMap, HeaderName};
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
-use std::convert::Infallible;
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{timeout, timeout_at, Instant};
 
@@ -44,11 +39,6 @@
 const RUN_OUT: Duration = Duration::from_secs(30);
 /// An answer that has begun waits so long for others to be passed on.
 const PASSING_WAIT: Duration = Duration::from_millis(1_500);
-/// Pause after a failed accept: out of descriptors, trying again at once would only spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// How often a connection on which a request is on its way is looked at when it is to end.
-const EXPECTING_LOOK: Duration = Duration::from_millis(10);
-const MAX_HEAD: usize = 16 * 1024;
 /// Headers that concern one connection only, or that are written anew.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -61,17 +51,6 @@
     header::UPGRADE,
 ];
 
-#[derive(Clone, Copy, PartialEq)]
-enum Phase {
-    /// Not ready yet, but answers what comes.
-    Starting,
-    Serving,
-    /// Not ready any more, but answers what still comes.
-    Leaving,
-    /// Takes no new connections and ends the idle ones.
-    Closing,
-}
-
 /// What all client connections share.
 pub struct Front {
     /// Where it is on: recognises repeats of keyed requests.
@@ -81,8 +60,7 @@
     next: Cell<u32>,
     /// The ids of the requests that are open here.
     open: RefCell<HashSet<String>>,
-    phase: watch::Sender<Phase>,
-    connections: Rc<Connections>,
+    pub reception: Rc<Reception>,
     /// Places for bodies that are passed on in pieces, requests' and answers'.
     uploads: Arc<Semaphore>,
     downloads: Arc<Semaphore>,
@@ -110,6 +88,24 @@
     }
 }
 
+impl Desk for Front {
+    async fn respond(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        connection: Rc<Connection>,
+    ) -> Response<Content> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/health/ready") => match self.reception.phase() {
+                Phase::Serving => plain(StatusCode::OK),
+                _ => plain(StatusCode::SERVICE_UNAVAILABLE),
+            },
+            (_, "/health/ready") => plain(StatusCode::METHOD_NOT_ALLOWED),
+            (_, "/api") => self.serve(request, &connection).await.unwrap_or_else(plain),
+            _ => plain(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
 impl Front {
     pub fn new(
         config: &Config,
@@ -118,131 +114,21 @@
         figures: Arc<Figures>,
         room: Rc<Room>,
     ) -> Rc<Front> {
+        // As the platform has it: ready at once.
+        let phase = if config.start.is_some() { Phase::Starting } else { Phase::Serving };
         Rc::new(Front {
             idempotency,
             admission: Admission::new(config),
             inputs,
             next: Cell::new(0),
             open: RefCell::default(),
-            // As the platform has it: ready at once.
-            phase: watch::Sender::new(if config.start.is_some() { Phase::Starting } else { Phase::Serving }),
-            connections: Rc::new(Connections::new(config.client_sockets, room)),
+            reception: Reception::new(phase, config.client_sockets, ClientLimits::default(), room),
             uploads: Arc::new(Semaphore::new(config.passing)),
             downloads: Arc::new(Semaphore::new(config.passing)),
             figures,
         })
     }
 
-    /// Ready from now on, if it was not leaving.
-    pub fn open(&self) {
-        self.phase.send_if_modified(|phase| {
-            let starts = *phase == Phase::Starting;
-            *phase = if starts { Phase::Serving } else { *phase };
-            starts
-        });
-    }
-
-    /// Readiness goes off; everything else goes on, on connections that close after their answer.
-    pub fn leave(&self) {
-        self.phase.send_replace(Phase::Leaving);
-    }
-
-    /// No new connections; those that there are end once idle.
-    pub fn close(&self) {
-        self.phase.send_replace(Phase::Closing);
-    }
-
-    /// Returns once no connection is left.
-    pub async fn empty(&self) {
-        self.connections.empty().await;
-    }
-
-    /// Accepts connections until told to close; or, where other processes listen on the same socket, until told to
-    /// leave: they take those that still come.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, shared: bool) {
-        spawn_local(self.connections.clone().sweep());
-        let mut phase = self.phase.subscribe();
-        loop {
-            self.connections.room().await;
-            let accepted = tokio::select! {
-                biased;
-                accepted = listener.accept() => accepted,
-                _ = phase.wait_for(|phase| *phase == Phase::Closing || shared && *phase == Phase::Leaving) => break,
-            };
-            match accepted {
-                Ok((stream, _)) => {
-                    drop(spawn_local(self.clone().connection(stream, self.connections.enter())))
-                }
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-            }
-        }
-        // Closed with its backlog empty: whatever the machine had accepted was taken off above.
-        drop(listener);
-        std::future::pending().await
-    }
-
-    async fn connection(self: Rc<Self>, stream: TcpStream, place: Place) {
-        _ = stream.set_nodelay(true);
-        let service = service_fn(|request| {
-            let (front, connection) = (self.clone(), place.connection.clone());
-            async move {
-                let response = front.respond(request, &connection).await;
-                if let Content::Whole(_) = response.body() {
-                    connection.close();
-                }
-                Ok::<_, Infallible>(response)
-            }
-        });
-        let stream = TokioIo::new(Watched { stream, connection: place.connection.clone() });
-        let mut served = pin!(http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(stream, service));
-        let mut must_go = pin!(place.connection.must_go());
-        tokio::select! {
-            biased;
-            _ = served.as_mut() => return,
-            () = must_go.as_mut() => return,
-            () = self.ends_idle(&place.connection) => {}
-        }
-        served.as_mut().graceful_shutdown();
-        tokio::select! {
-            biased;
-            _ = served => {}
-            () = must_go => {}
-        }
-    }
-
-    /// Returns when the connection is to end once idle: not while a request is on its way on it.
-    async fn ends_idle(&self, connection: &Connection) {
-        _ = self.phase.subscribe().wait_for(|phase| *phase == Phase::Closing).await;
-        while connection.is_expecting() {
-            tokio::time::sleep(EXPECTING_LOOK).await;
-        }
-    }
-
-    async fn respond(
-        self: &Rc<Self>,
-        request: Request<Incoming>,
-        connection: &Rc<Connection>,
-    ) -> Response<Content> {
-        connection.open();
-        let mut response = match (request.method(), request.uri().path()) {
-            (&Method::GET, "/health/ready") => match *self.phase.borrow() {
-                Phase::Serving => plain(StatusCode::OK),
-                _ => plain(StatusCode::SERVICE_UNAVAILABLE),
-            },
-            (_, "/health/ready") => plain(StatusCode::METHOD_NOT_ALLOWED),
-            (_, "/api") => self.serve(request, connection).await.unwrap_or_else(plain),
-            _ => plain(StatusCode::NOT_FOUND),
-        };
-        // What follows a body that was not taken in is no request.
-        let spoilt = connection.is_doubtful()
-            || matches!(response.status(), StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT);
-        let crowded = connection.is_first_request() && self.connections.are_crowded();
-        if spoilt || crowded || matches!(*self.phase.borrow(), Phase::Leaving | Phase::Closing) {
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
-        response
-    }
-
     /// One request of a client: checked, taken in as far as it is held, and answered.
     async fn serve(
         self: &Rc<Self>,
@@ -412,7 +298,7 @@
 }
 
 /// As much of a body as is held: all of it, or its beginning and what brings the rest.
-async fn take_in(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), StatusCode> {
+pub async fn take_in(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), StatusCode> {
     let by = Instant::now() + BODY_LIMIT;
     let mut pieces: Vec<Bytes> = Vec::new();
     let mut size = 0;
@@ -439,25 +325,20 @@
 }
 
 /// Lets a body that nobody wants run out.
-async fn run_out(mut body: Incoming) {
+pub async fn run_out(mut body: Incoming) {
     let over = async { while let Ok(Some(Ok(_))) = timeout(UPLOAD_SILENCE, body.frame()).await {} };
     _ = timeout(RUN_OUT, over).await;
 }
 
 /// The answer that a server has begun, for its client.
-fn passed_on(
+pub fn passed_on(
     mut passing: Passing,
     active: Active,
     connection: Rc<Connection>,
     room: OwnedSemaphorePermit,
 ) -> Response<Content> {
-    let content_type = passing.content_type.take();
-    let mut response =
-        Response::new(Content::Passing(Box::new(Passed { passing, active, connection, _room: room })));
-    if let Some(kind) = content_type {
-        response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    }
-    response
+    let head = std::mem::take(&mut passing.head);
+    headed(head, Content::Passing(Box::new(Passed { passing, active, connection, _room: room })))
 }
 
 /// Where the ids of requests that were taken over begin: clients' requests have those below.
--- a/crates/emberpin/src/front/connections.rs
+++ b/crates/emberpin/src/front/connections.rs
@@ -14,11 +14,25 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::{interval, Instant, MissedTickBehavior};
 
-/// From its first byte a head is whole by then, as clients may take 2 s; or by the second time if it still grows.
-const HEAD_LIMIT: Duration = Duration::from_millis(2_500);
-const HEAD_MOST: Duration = Duration::from_secs(4);
-/// A connection's first request begins by then.
-const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// How much of a connection's time a client may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ClientLimits {
+    /// From its first byte a head is whole by the first time; or by the second if it still grows.
+    pub head: (Duration, Duration),
+    /// A connection's first request begins by then.
+    pub silence: Duration,
+    /// Between an answer and the next request, where that is bounded.
+    pub idle: Option<Duration>,
+}
+
+impl Default for ClientLimits {
+    /// The platform's clients take up to 2 s, and stay between requests as long as they like.
+    fn default() -> ClientLimits {
+        let head = (Duration::from_millis(2_500), Duration::from_secs(4));
+        ClientLimits { head, silence: Duration::from_secs(2), idle: None }
+    }
+}
+
 /// With less than this part of the places left, a connection ends with its first answer: idle ones are not
 /// closed before their time, so a crowd that asks once and stays would fill the places faster than they go.
 const CROWDED_PART: usize = 8;
@@ -118,11 +132,13 @@
     }
 
     /// Guards against silent connections and endless heads. A connection that has had an answer may stay idle.
-    fn is_overdue(&self) -> bool {
+    fn is_overdue(&self, limits: &ClientLimits) -> bool {
         let since = self.since.get().elapsed();
+        let (head, most) = limits.head;
         match self.stage.get() {
-            Stage::Head => since >= HEAD_MOST || since >= HEAD_LIMIT && self.moved.get().elapsed() >= SWEEP,
-            Stage::Idle => !self.asked() && since >= SILENCE_LIMIT,
+            Stage::Head => since >= most || since >= head && self.moved.get().elapsed() >= SWEEP,
+            Stage::Idle if self.asked() => limits.idle.is_some_and(|idle| since >= idle),
+            Stage::Idle => since >= limits.silence,
             Stage::Open => false,
         }
     }
@@ -143,6 +159,7 @@
 /// All of them.
 pub struct Connections {
     most: usize,
+    limits: Cell<ClientLimits>,
     /// What another process of this limiter holds of them.
     room: Rc<Room>,
     list: RefCell<Vec<Rc<Connection>>>,
@@ -150,8 +167,14 @@
 }
 
 impl Connections {
-    pub fn new(most: usize, room: Rc<Room>) -> Connections {
-        Connections { most, room, list: RefCell::default(), count: watch::Sender::new(0) }
+    pub fn new(most: usize, limits: ClientLimits, room: Rc<Room>) -> Connections {
+        let limits = Cell::new(limits);
+        Connections { most, limits, room, list: RefCell::default(), count: watch::Sender::new(0) }
+    }
+
+    /// Other limits hold from now on.
+    pub fn limit(&self, limits: ClientLimits) {
+        self.limits.set(limits);
     }
 
     fn most(&self) -> usize {
@@ -212,7 +235,12 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            self.list.borrow().iter().filter(|connection| connection.is_overdue()).for_each(|c| c.end());
+            let limits = self.limits.get();
+            self.list
+                .borrow()
+                .iter()
+                .filter(|connection| connection.is_overdue(&limits))
+                .for_each(|c| c.end());
         }
     }
 }
--- a/crates/emberpin/src/front/mod.rs
+++ b/crates/emberpin/src/front/mod.rs
@@ -6,5 +6,6 @@
 pub(crate) mod connections;
 pub(crate) mod framing;
 pub(crate) mod passed;
+pub(crate) mod reception;
 pub(crate) mod room;
 pub(crate) mod stream;
--- a/crates/emberpin/src/front/stream.rs
+++ b/crates/emberpin/src/front/stream.rs
@@ -2,10 +2,10 @@
 //! before.
 
 use crate::front::connections::Connection;
+use crate::messages::Head;
 use crate::operate::figures::{Active, Ending};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::pin::Pin;
@@ -131,7 +131,7 @@
 
 /// An answer that is passed on in pieces: nothing is read from its server before its client has taken what came.
 pub struct Passing {
-    pub content_type: Option<HeaderValue>,
+    pub head: Head,
     pub pieces: Box<dyn Pieces>,
 }
 
--- a/crates/emberpin/src/limiter.rs
+++ b/crates/emberpin/src/limiter.rs
@@ -28,6 +28,7 @@
 use crate::upstream::fed::{spoken_to, Fed};
 use crate::upstream::kept::Kept;
 use crate::upstream::servers::Pool;
+use crate::upstream::wire::PlatformWire;
 use emberpin_upgrade::process::Process;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -124,8 +125,9 @@
         takeover.run_with(take_over(inputs.clone()));
     }
     let front = Front::new(&config, idempotency, inputs.clone(), figures.clone(), room.clone());
-    let accepting = spawn_local(front.clone().accept(listener, shared));
-    let pool = Pool::new(&config, figures.clone(), room);
+    let reception = front.reception.clone();
+    let accepting = spawn_local(reception.clone().accept(front, listener, shared));
+    let pool = Pool::new(config.pool_limits(), Rc::new(PlatformWire), figures.clone(), room);
     spawn_local(pool.clone().share());
     let callers = Callers { orders, pairings };
     let driver = Driver::new(
@@ -138,7 +140,7 @@
         if let Some(believed) = believed {
             believed.ready().await;
         }
-        front.open();
+        reception.open();
         ready.store(true, Ordering::Release);
         std::future::pending::<()>().await;
     };
@@ -152,12 +154,12 @@
     }
     ready.store(false, Ordering::Release);
     upgrade.terminate().await;
-    front.leave();
+    reception.leave();
     tokio::time::sleep(leaving).await;
-    front.close();
+    reception.close();
     // What was taken is answered within the longest deadline: a client that has sent half a request must
     // not keep the process for ever.
-    _ = tokio::time::timeout(longest, front.empty()).await;
+    _ = tokio::time::timeout(longest, reception.empty()).await;
     Ok(())
 }
 
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -5,8 +5,8 @@
 use crate::upstream::listing::Listing;
 use bytes::Bytes;
 use dillpass::{ClassId, CustomerId, GatewayId, Millis, Outcome, PlanId, Ran, Report, RequestId, ServerId};
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, Uri};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
+use hyper::{Method, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::pin::Pin;
@@ -64,10 +64,25 @@
     Passing(Passing),
 }
 
-/// A server's good answer.
+/// How an answer begins, as its client gets it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Head {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+}
+
+impl Head {
+    /// A good answer of which only the type of its body is passed on.
+    pub fn of_type(content_type: Option<HeaderValue>) -> Head {
+        let headers = content_type.map(|kind| (CONTENT_TYPE, kind)).into_iter().collect();
+        Head { status: StatusCode::OK, headers }
+    }
+}
+
+/// A server's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Served {
-    pub content_type: Option<HeaderValue>,
+    pub head: Head,
     pub body: Bytes,
 }
 
@@ -78,13 +93,25 @@
     pub report: Report,
     pub metered: Option<f64>,
     pub served: Option<Reply>,
+    /// What the server said where that is no good answer: its client gets it if no attempt brings a better one.
+    pub told: Option<Reply>,
+    /// Another server answered than the one that was meant.
+    pub misdirected: bool,
 }
 
 impl Ended {
     /// One that never began.
     pub fn unsent() -> Ended {
         let report = Report::default();
-        Ended { outcome: Outcome::Moot, elapsed: 0.0, report, metered: None, served: None }
+        Ended {
+            outcome: Outcome::Moot,
+            elapsed: 0.0,
+            report,
+            metered: None,
+            served: None,
+            told: None,
+            misdirected: false,
+        }
     }
 }
 
@@ -127,8 +154,8 @@
 impl From<Answer> for Carried {
     fn from(answer: Answer) -> Carried {
         match answer {
-            Answer::Served(Served { content_type, body }) => Carried::Served {
-                content_type: content_type.map(|value| value.as_bytes().to_vec()),
+            Answer::Served(Served { head, body }) => Carried::Served {
+                content_type: head.headers.get(CONTENT_TYPE).map(|value| value.as_bytes().to_vec()),
                 body: body.to_vec(),
             },
             Answer::Refused { retry_after } => Carried::Refused { retry_after },
@@ -141,7 +168,7 @@
     fn from(carried: Carried) -> Answer {
         match carried {
             Carried::Served { content_type, body } => Answer::Served(Served {
-                content_type: content_type.and_then(|bytes| HeaderValue::from_bytes(&bytes).ok()),
+                head: Head::of_type(content_type.and_then(|bytes| HeaderValue::from_bytes(&bytes).ok())),
                 body: body.into(),
             }),
             Carried::Refused { retry_after } => Answer::Refused { retry_after },
--- a/crates/emberpin/src/operate/config.rs
+++ b/crates/emberpin/src/operate/config.rs
@@ -1,10 +1,12 @@
 //! The configuration that `GW_CONFIG` names, checked and in the program's own types.
 
+use crate::messages::MAX_BODY;
 use crate::operate::door;
 use crate::operate::operator::{Connections, Idempotency, Link, Log, Operator};
 use crate::operate::start::Start;
 use crate::operate::takeover::Takeover;
 use crate::upstream::listing::Listing;
+use crate::upstream::servers::PoolLimits;
 use dillpass::settings::{Conf, Names};
 use dillpass::Settings;
 use serde::Deserialize;
@@ -117,6 +119,17 @@
         self.start.as_ref().is_some_and(|start| start.callers.is_some())
     }
 
+    /// What connections to servers are held to.
+    pub(crate) fn pool_limits(&self) -> PoolLimits {
+        PoolLimits {
+            connect: self.connect_timeout,
+            idle: self.idle_limit,
+            most_idle: self.connections.idle_per_server,
+            sockets: self.server_sockets,
+            hold: MAX_BODY,
+        }
+    }
+
     /// No client waits for an answer longer than this.
     pub(crate) fn longest_deadline(&self) -> Duration {
         let longest = self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
--- a/crates/emberpin/src/operate/entry.rs
+++ b/crates/emberpin/src/operate/entry.rs
@@ -4,7 +4,7 @@
 use crate::front::admission::Admission;
 use crate::front::answers::written;
 use crate::front::clients::strip;
-use crate::messages::{Answer, Served};
+use crate::messages::{Answer, Head, Served};
 use crate::operate::config::Config;
 use crate::operate::operator::Operator;
 use crate::upstream::listing::Entry as Listed;
@@ -100,6 +100,6 @@
             units: None,
             metered: None,
         }));
-        written(Answer::Served(Served { content_type: None, body: Bytes::new() })).status()
+        written(Answer::Served(Served { head: Head::default(), body: Bytes::new() })).status()
     }
 }
--- a/crates/emberpin/src/upstream/driver.rs
+++ b/crates/emberpin/src/upstream/driver.rs
@@ -1,15 +1,16 @@
-//! The only owner of the decision module: feeds it what happened and carries out what it says. Keeps
-//! its timers and the table of requests and attempts. No decision is taken here.
+//! The only owner of the decision module: takes inputs, the list of servers, orders by hand and what another process
+//! tells, and gives them to the engine that hosts it. No decision is taken here.
 
 use crate::between::handover::{Given, Pairing, Shared};
 use crate::between::peers::Peers;
-use crate::messages::{Answer, Call, Ended, Input, Outgoing, Reply};
+use crate::messages::Input;
 use crate::operate::clock::Clock;
 use crate::operate::config::Config;
 use crate::operate::door::{Order, Unknown};
 use crate::operate::figures::Figures;
 use crate::upstream::asking::Asking;
 use crate::upstream::believed::Believed;
+use crate::upstream::engine::Engine;
 use crate::upstream::fed::Fed;
 use crate::upstream::listing::{server_id, Entry, Listing, State, Teller};
 use crate::upstream::roster::Roster;
@@ -17,44 +18,19 @@
 use dillpass::settings::Names;
 use dillpass::*;
 use emberpin_start::trust::{List, Verdict};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
 
-/// A request that is owed an answer or still has an attempt out.
-struct Held {
-    outgoing: Rc<Outgoing>,
-    expires: Instant,
-    answer: Option<oneshot::Sender<Reply>>,
-    attempts: u32,
-    /// The attempt that is out.
-    out: Option<Out>,
-}
-
-/// An attempt that is out until its end was heard; the sender, once dropped, cancels it.
-struct Out {
-    cancel: Option<oneshot::Sender<()>>,
-}
-
 pub struct Driver {
-    gateway: Gateway,
-    clock: Clock,
+    engine: Engine,
     names: Names,
     pool: Rc<Pool>,
     roster: Roster,
-    /// The ways to servers that may get something new.
-    upstreams: BTreeMap<ServerId, Rc<Upstream>>,
     figures: Arc<Figures>,
-    requests: BTreeMap<RequestId, Held>,
-    timers: BinaryHeap<Reverse<(Instant, u64)>>,
-    /// Events that carrying out an action brought about at once.
-    pending: VecDeque<Event>,
-    inputs: mpsc::Sender<Input>,
     peers: Option<Rc<Peers>>,
     asking: Rc<Asking>,
     refetch: Rc<Notify>,
@@ -112,19 +88,13 @@
         };
         let mut driver = Driver {
             pool,
-            gateway,
+            engine: Engine::new(gateway, clock, inputs),
             rev: known.rev,
             place: 0,
             other: None,
-            clock,
             names: config.names,
             roster,
-            upstreams: BTreeMap::new(),
             figures,
-            requests: BTreeMap::new(),
-            timers: BinaryHeap::new(),
-            pending: VecDeque::new(),
-            inputs,
             peers,
             asking,
             believed,
@@ -140,7 +110,7 @@
         let timer = sleep_until(Instant::now());
         tokio::pin!(timer);
         loop {
-            let due = self.timers.peek().map(|Reverse((at, _))| *at);
+            let due = self.engine.due();
             if let Some(due) = due.filter(|due| *due != timer.deadline()) {
                 timer.as_mut().reset(due);
             }
@@ -151,7 +121,10 @@
                 Some(pairing) = callers.pairings.recv() => self.pair(pairing),
                 () = timer.as_mut(), if due.is_some() => self.fire(),
                 input = inputs.recv() => match input {
-                    Some(input) => self.take(input),
+                    Some(input) => {
+                        self.take(input);
+                        self.carry_on();
+                    }
                     None => return,
                 },
             }
@@ -159,17 +132,14 @@
     }
 
     fn fire(&mut self) {
-        let now = Instant::now();
-        while let Some(Reverse((_, token))) = self.timers.peek().filter(|due| due.0 .0 <= now).copied() {
-            self.timers.pop();
-            self.feed(Event::Timer { token });
-        }
+        self.engine.fire();
+        self.carry_on();
         self.show_pool();
     }
 
     /// The module's timer comes often enough for figures that may be half a second late.
     fn show_pool(&self) {
-        let (listed, avoided) = self.gateway.pool(self.clock.now());
+        let (listed, avoided) = self.engine.gateway.pool(self.engine.clock.now());
         self.figures.pool_size.set(listed as i64);
         self.figures.pool_ejected.set(avoided as i64);
     }
@@ -193,7 +163,7 @@
     }
 
     fn maintain(&mut self, server: ServerId, name: &str, out: bool) {
-        if self.gateway.is_banned(server) != out {
+        if self.engine.gateway.is_banned(server) != out {
             eprintln!(
                 "server {name} {} by hand",
                 if out { "taken out of service" } else { "put back into service" }
@@ -211,7 +181,7 @@
                 self.other = Some(other);
                 self.feed(Event::Paired { on: true });
                 let (targets, names) = self.roster.all();
-                let (clock, gateway) = (self.clock.now(), self.gateway.hand_over());
+                let (clock, gateway) = (self.engine.clock.now(), self.engine.gateway.hand_over());
                 // Nobody waits for it any more if the next process has died: its end is told, too.
                 _ = give.send(Given::new(clock, self.rev, &targets, names, gateway));
             }
@@ -236,16 +206,12 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Call(call) => self.call(call),
-            Input::Gone(request) => {
-                let Some(held) = self.requests.get_mut(&request) else { return };
-                if held.answer.take().is_some() {
-                    self.feed(Event::Abandoned { request });
-                    self.release(request);
-                }
+            Input::Call(call) => self.engine.call(call),
+            Input::Gone(request) => self.engine.gone(request),
+            Input::Ended { request, attempt, server, ended } => {
+                self.engine.ended(request, attempt, server, ended, true);
             }
-            Input::Ended { request, attempt, server, ended } => self.ended(request, attempt, server, ended),
-            Input::Probed { server, ended } => self.feed(Event::Probed {
+            Input::Probed { server, ended } => self.engine.feed(Event::Probed {
                 server,
                 outcome: ended.outcome,
                 elapsed: ended.elapsed,
@@ -259,174 +225,33 @@
         }
     }
 
-    fn call(&mut self, call: Call) {
-        let held = Held {
-            outgoing: call.outgoing,
-            expires: call.expires,
-            answer: Some(call.answer),
-            attempts: 0,
-            out: None,
-        };
-        self.requests.insert(call.id, held);
-        self.feed(Event::Request(Request {
-            id: call.id,
-            class: call.class,
-            plan: call.plan,
-            customer: call.customer,
-            remaining: call.patience.min(left(call.expires)).as_secs_f64() * 1000.0,
-            units: call.units,
-            set_size: call.set_size,
-            set_first: call.set_first,
-            ran: call.ran,
-        }));
-    }
-
-    fn ended(&mut self, request: RequestId, attempt: u32, server: ServerId, ended: Ended) {
-        let Some(held) = self.requests.get_mut(&request) else { return };
-        held.out = None;
-        if let Some(served) = ended.served {
-            if let Some(answer) = held.answer.take() {
-                _ = answer.send(served);
-            }
-        }
-        let event = Event::Attempt(Attempt {
-            request,
-            attempt,
-            server,
-            outcome: ended.outcome,
-            elapsed: ended.elapsed,
-            ended: held.answer.is_none(),
-            repeatable: held.outgoing.is_held(),
-            report: ended.report,
-            units: None,
-            metered: ended.metered,
-        });
-        self.feed(event);
-        self.release(request);
-    }
-
-    /// Forgets a request that owes nothing and waits for nothing.
-    fn release(&mut self, request: RequestId) {
-        if self.requests.get(&request).is_some_and(|held| held.answer.is_none() && held.out.is_none()) {
-            self.requests.remove(&request);
-        }
-    }
-
-    /// Gives the module an event and does what it says, also about the events that come of that.
+    /// Gives the module an event and does what it says.
     fn feed(&mut self, event: Event) {
-        self.pending.push_back(event);
-        let mut actions = Vec::new();
-        while let Some(event) = self.pending.pop_front() {
-            self.gateway.handle(self.clock.now(), event, &mut actions);
-            for action in actions.drain(..) {
-                self.carry_out(action);
-            }
-        }
+        self.engine.feed(event);
+        self.carry_on();
     }
 
-    fn carry_out(&mut self, action: Action) {
-        match action {
-            Action::Send { request, server, timeout } => self.send(request, server, timeout),
-            Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused { retry_after }),
-            Action::Fail { request } => self.answer(request, Answer::Failed),
-            Action::Cancel { request, attempt } => {
-                let held = self.requests.get_mut(&request).filter(|held| held.attempts == attempt + 1);
-                if let Some(out) = held.and_then(|held| held.out.as_mut()) {
-                    out.cancel = None;
+    /// Does what the module wants that concerns no request.
+    fn carry_on(&mut self) {
+        self.engine.sent.clear();
+        for action in std::mem::take(&mut self.engine.beyond) {
+            match action {
+                Action::Tell { to, bytes } => {
+                    if let Some(peers) = &self.peers {
+                        peers.tell(to, &bytes);
+                    }
                 }
-            }
-            Action::Probe { server } => {
-                let Some(upstream) = self.upstreams.get(&server).cloned() else { return };
-                let inputs = self.inputs.clone();
-                spawn_local(async move {
-                    let ended = upstream.probe().await;
-                    _ = inputs.send(Input::Probed { server, ended }).await;
-                });
-            }
-            Action::Close { server } => {
-                if let Some(upstream) = self.upstreams.get(&server) {
-                    upstream.close_idle();
-                }
-            }
-            Action::Schedule { delay, token } => {
-                let delay = Duration::try_from_secs_f64(delay / 1000.0).unwrap_or_default();
-                self.timers.push(Reverse((Instant::now() + delay, token)));
-            }
-            Action::Tell { to, bytes } => {
-                if let Some(peers) = &self.peers {
-                    peers.tell(to, &bytes);
+                Action::FetchServers => self.refetch.notify_one(),
+                Action::Share(spent) => {
+                    // A line that is full is that of a process that does not read: its end is told soon.
+                    if let Some(other) = &self.other {
+                        _ = other.try_send(Shared::Spent(spent));
+                    }
                 }
+                // The watch is always on, and the rest was carried out.
+                _ => {}
             }
-            Action::FetchServers => self.refetch.notify_one(),
-            // The watch is always on.
-            Action::WatchServers { .. } => {}
-            // No deployment of the real limiter has the counter service.
-            Action::Count { name, .. } => self.pending.push_back(Event::Counted { name, total: None }),
-            Action::Share(spent) => {
-                // A line that is full is that of a process that does not read: its end is told soon.
-                if let Some(other) = &self.other {
-                    _ = other.try_send(Shared::Spent(spent));
-                }
-            }
-            Action::Log(text) => eprintln!("{text}"),
-        }
-    }
-
-    fn send(&mut self, request: RequestId, server: ServerId, timeout: Millis) {
-        let Some(held) = self.requests.get_mut(&request) else { return };
-        let attempt = held.attempts;
-        held.attempts += 1;
-        let upstream = self.upstreams.get(&server).filter(|upstream| upstream.is_open());
-        // Guards rules 1 to 3 whatever is asked for: nothing goes out for a request that is answered or
-        // has an attempt out, nor to a server that drains.
-        let (Some(upstream), true, None) = (upstream, held.answer.is_some(), &held.out) else {
-            self.pending.push_back(Event::Attempt(Attempt {
-                request,
-                attempt,
-                server,
-                outcome: Outcome::Moot,
-                elapsed: 0.0,
-                ended: held.answer.is_none(),
-                repeatable: held.outgoing.is_held(),
-                report: Report::default(),
-                units: None,
-                metered: None,
-            }));
-            return;
-        };
-        let timeout = Duration::try_from_secs_f64(timeout / 1000.0).unwrap_or_default();
-        let (cancel, cancelled) = oneshot::channel();
-        held.out = Some(Out { cancel: Some(cancel) });
-        let outgoing = held.outgoing.clone();
-        let place = self.gateway.place(server).unwrap_or_default();
-        let (upstream, timeout) = (upstream.clone(), timeout.min(left(held.expires)));
-        let inputs = self.inputs.clone();
-        spawn_local(async move {
-            let asked = Instant::now();
-            let may_go = match &outgoing.gate {
-                None => true,
-                // The way may have been shut meanwhile.
-                Some(gate) => gate.opens(attempt, place, timeout).await && upstream.is_open(),
-            };
-            let left = timeout.saturating_sub(asked.elapsed());
-            let ended = match may_go && !left.is_zero() {
-                true => upstream.attempt(outgoing, left, cancelled).await,
-                false => Ended::unsent(),
-            };
-            _ = inputs.send(Input::Ended { request, attempt, server, ended }).await;
-        });
-    }
-
-    fn answer(&mut self, request: RequestId, answer: Answer) {
-        let Some(held) = self.requests.get_mut(&request) else { return };
-        // Guards rule 1: nothing is out for a request once it is answered.
-        if let Some(out) = &mut held.out {
-            out.cancel = None;
-        }
-        if let Some(client) = held.answer.take() {
-            _ = client.send(Reply::Answer(answer));
         }
-        self.release(request);
     }
 
     /// Discovery has told something: where lists may be doubted, it holds as far as it is believed.
@@ -478,7 +303,7 @@
         if listing.whole {
             self.roster.keep(|id| named.contains(id));
             let missing: Vec<ServerId> =
-                self.upstreams.keys().filter(|id| !named.contains(id)).copied().collect();
+                self.engine.upstreams.keys().filter(|id| !named.contains(id)).copied().collect();
             missing.into_iter().for_each(|id| self.reach(id));
         }
         self.feed(Event::Membership(match listing.whole {
@@ -486,26 +311,22 @@
             false => Membership::Changes(lines),
         }));
         if let Some(believed) = &self.believed {
-            believed.see(self.upstreams.len());
+            believed.see(self.engine.upstreams.len());
         }
     }
 
     /// Opens or shuts the way to a server, by the list and by hand; a new life or address of it starts without
     /// connections.
     fn reach(&mut self, id: ServerId) {
-        let place = self.roster.place(id).filter(|_| !self.gateway.is_banned(id));
-        if place.is_some() && self.upstreams.get(&id).map(|upstream| upstream.place) == place {
+        let place = self.roster.place(id).filter(|_| !self.engine.gateway.is_banned(id));
+        if place.is_some() && self.engine.upstreams.get(&id).map(|upstream| upstream.place) == place {
             return;
         }
-        if let Some(known) = self.upstreams.remove(&id) {
+        if let Some(known) = self.engine.upstreams.remove(&id) {
             known.shut();
         }
         if let Some(place) = place {
-            self.upstreams.insert(id, Upstream::new(place, self.pool.clone()));
+            self.engine.upstreams.insert(id, Upstream::new(place, self.pool.clone()));
         }
     }
 }
-
-fn left(expires: Instant) -> Duration {
-    expires.saturating_duration_since(Instant::now())
-}
--- /dev/null
+++ b/crates/emberpin/src/upstream/engine.rs
@@ -0,0 +1,274 @@
+//! Hosts one decision module: feeds it what happened and carries out what it says about requests and attempts. Keeps its
+//! timers and the table of requests. No decision is taken here.
+
+use crate::messages::{Answer, Call, Ended, Input, Outgoing, Reply};
+use crate::operate::clock::Clock;
+use crate::upstream::servers::Upstream;
+use dillpass::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+/// A request that is owed an answer or still has an attempt out.
+struct Held {
+    outgoing: Rc<Outgoing>,
+    expires: Instant,
+    answer: Option<oneshot::Sender<Reply>>,
+    attempts: u32,
+    /// The attempt that is out.
+    out: Option<Out>,
+    /// Some attempt may have run.
+    ran: bool,
+    /// What a server said of it that is no good answer.
+    told: Option<Reply>,
+}
+
+/// An attempt that is out until its end was heard; the sender, once dropped, cancels it.
+struct Out {
+    cancel: Option<oneshot::Sender<()>>,
+}
+
+/// One decision module and what it decides about.
+pub struct Engine {
+    /// The decisions.
+    pub gateway: Gateway,
+    /// Their clock.
+    pub clock: Clock,
+    /// The ways to servers that may get something new.
+    pub upstreams: BTreeMap<ServerId, Rc<Upstream>>,
+    /// What the module wants that concerns no request: the owner carries it out.
+    pub beyond: Vec<Action>,
+    /// Attempts that were sent since the owner last looked: of which request, the attempt's number, and where to.
+    pub sent: Vec<(RequestId, u32, ServerId)>,
+    /// A refusal promises that nothing has run: what may have run fails instead.
+    pub refusals_promise: bool,
+    requests: BTreeMap<RequestId, Held>,
+    timers: BinaryHeap<Reverse<(Instant, u64)>>,
+    /// Events that carrying out an action brought about at once.
+    pending: VecDeque<Event>,
+    inputs: mpsc::Sender<Input>,
+}
+
+impl Engine {
+    /// Ends of attempts come as inputs, and are to be given to [`Engine::ended`].
+    pub fn new(gateway: Gateway, clock: Clock, inputs: mpsc::Sender<Input>) -> Engine {
+        Engine {
+            gateway,
+            clock,
+            upstreams: BTreeMap::new(),
+            beyond: Vec::new(),
+            sent: Vec::new(),
+            refusals_promise: false,
+            requests: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            pending: VecDeque::new(),
+            inputs,
+        }
+    }
+
+    /// When the module's next timer is due.
+    pub fn due(&self) -> Option<Instant> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Tells the module of the timers that are due.
+    pub fn fire(&mut self) {
+        let now = Instant::now();
+        while let Some(Reverse((_, token))) = self.timers.peek().filter(|due| due.0 .0 <= now).copied() {
+            self.timers.pop();
+            self.feed(Event::Timer { token });
+        }
+    }
+
+    /// Whether this request is owed an answer or has an attempt out here.
+    pub fn holds(&self, request: RequestId) -> bool {
+        self.requests.contains_key(&request)
+    }
+
+    /// A client's request: one answer is owed.
+    pub fn call(&mut self, call: Call) {
+        let held = Held {
+            outgoing: call.outgoing,
+            expires: call.expires,
+            answer: Some(call.answer),
+            attempts: 0,
+            out: None,
+            ran: call.ran.is_some(),
+            told: None,
+        };
+        self.requests.insert(call.id, held);
+        self.feed(Event::Request(Request {
+            id: call.id,
+            class: call.class,
+            plan: call.plan,
+            customer: call.customer,
+            remaining: call.patience.min(left(call.expires)).as_secs_f64() * 1000.0,
+            units: call.units,
+            set_size: call.set_size,
+            set_first: call.set_first,
+            ran: call.ran,
+        }));
+    }
+
+    /// Its client has gone.
+    pub fn gone(&mut self, request: RequestId) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        if held.answer.take().is_some() {
+            self.feed(Event::Abandoned { request });
+            self.release(request);
+        }
+    }
+
+    /// An attempt has ended; where `again` is not set, no other one follows it.
+    pub fn ended(&mut self, request: RequestId, attempt: u32, server: ServerId, ended: Ended, again: bool) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        held.out = None;
+        held.ran |= !ended.outcome.never_ran();
+        if ended.told.is_some() {
+            held.told = ended.told;
+        }
+        if let Some(served) = ended.served {
+            if let Some(answer) = held.answer.take() {
+                _ = answer.send(served);
+            }
+        }
+        let event = Event::Attempt(Attempt {
+            request,
+            attempt,
+            server,
+            outcome: ended.outcome,
+            elapsed: ended.elapsed,
+            ended: held.answer.is_none(),
+            repeatable: again && held.outgoing.is_held(),
+            report: ended.report,
+            units: None,
+            metered: ended.metered,
+        });
+        self.feed(event);
+        self.release(request);
+    }
+
+    /// Forgets a request that owes nothing and waits for nothing.
+    fn release(&mut self, request: RequestId) {
+        if self.requests.get(&request).is_some_and(|held| held.answer.is_none() && held.out.is_none()) {
+            self.requests.remove(&request);
+        }
+    }
+
+    /// Gives the module an event and does what it says, also about the events that come of that.
+    pub fn feed(&mut self, event: Event) {
+        self.pending.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.pending.pop_front() {
+            self.gateway.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { request, server, timeout } => self.send(request, server, timeout),
+            Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused { retry_after }),
+            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Cancel { request, attempt } => {
+                let held = self.requests.get_mut(&request).filter(|held| held.attempts == attempt + 1);
+                if let Some(out) = held.and_then(|held| held.out.as_mut()) {
+                    out.cancel = None;
+                }
+            }
+            Action::Probe { server } => {
+                let Some(upstream) = self.upstreams.get(&server).cloned() else { return };
+                let inputs = self.inputs.clone();
+                spawn_local(async move {
+                    let ended = upstream.probe().await;
+                    _ = inputs.send(Input::Probed { server, ended }).await;
+                });
+            }
+            Action::Close { server } => {
+                if let Some(upstream) = self.upstreams.get(&server) {
+                    upstream.close_idle();
+                }
+            }
+            Action::Schedule { delay, token } => {
+                let delay = Duration::try_from_secs_f64(delay / 1000.0).unwrap_or_default();
+                self.timers.push(Reverse((Instant::now() + delay, token)));
+            }
+            // No deployment has the counter service.
+            Action::Count { name, .. } => self.pending.push_back(Event::Counted { name, total: None }),
+            Action::Log(text) => eprintln!("{text}"),
+            beyond => self.beyond.push(beyond),
+        }
+    }
+
+    fn send(&mut self, request: RequestId, server: ServerId, timeout: Millis) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        let attempt = held.attempts;
+        held.attempts += 1;
+        let upstream = self.upstreams.get(&server).filter(|upstream| upstream.is_open());
+        // Guards rules 1 to 3 whatever is asked for: nothing goes out for a request that is answered or
+        // has an attempt out, nor to a server that drains.
+        let (Some(upstream), true, None) = (upstream, held.answer.is_some(), &held.out) else {
+            self.pending.push_back(Event::Attempt(Attempt {
+                request,
+                attempt,
+                server,
+                outcome: Outcome::Moot,
+                elapsed: 0.0,
+                ended: held.answer.is_none(),
+                repeatable: held.outgoing.is_held(),
+                report: Report::default(),
+                units: None,
+                metered: None,
+            }));
+            return;
+        };
+        let timeout = Duration::try_from_secs_f64(timeout / 1000.0).unwrap_or_default();
+        let (cancel, cancelled) = oneshot::channel();
+        held.out = Some(Out { cancel: Some(cancel) });
+        self.sent.push((request, attempt, server));
+        let outgoing = held.outgoing.clone();
+        let place = self.gateway.place(server).unwrap_or_default();
+        let (upstream, timeout) = (upstream.clone(), timeout.min(left(held.expires)));
+        let inputs = self.inputs.clone();
+        spawn_local(async move {
+            let asked = Instant::now();
+            let may_go = match &outgoing.gate {
+                None => true,
+                // The way may have been shut meanwhile.
+                Some(gate) => gate.opens(attempt, place, timeout).await && upstream.is_open(),
+            };
+            let left = timeout.saturating_sub(asked.elapsed());
+            let ended = match may_go && !left.is_zero() {
+                true => upstream.attempt(outgoing, left, cancelled).await,
+                false => Ended::unsent(),
+            };
+            _ = inputs.send(Input::Ended { request, attempt, server, ended }).await;
+        });
+    }
+
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        // Guards rule 1: nothing is out for a request once it is answered.
+        if let Some(out) = &mut held.out {
+            out.cancel = None;
+        }
+        if let Some(client) = held.answer.take() {
+            let answer = match answer {
+                Answer::Refused { .. } if held.ran && self.refusals_promise => Answer::Failed,
+                answer => answer,
+            };
+            _ = client.send(held.told.take().unwrap_or(Reply::Answer(answer)));
+        }
+        self.release(request);
+    }
+}
+
+fn left(expires: Instant) -> Duration {
+    expires.saturating_duration_since(Instant::now())
+}
--- a/crates/emberpin/src/upstream/servers.rs
+++ b/crates/emberpin/src/upstream/servers.rs
@@ -2,21 +2,18 @@
 
 use crate::front::room::Room;
 use crate::front::stream::{Cut, Passing, Pieces, Upload};
-use crate::messages::{Answer, Ended, Outgoing, Reply, Served, Upstreamed, MAX_BODY};
-use crate::operate::config::Config;
+use crate::messages::{Answer, Ended, Outgoing, Reply, Served, Upstreamed};
 use crate::operate::figures::Figures;
 use crate::upstream::lifetimes::Lifetimes;
 use crate::upstream::roster::Place;
+use crate::upstream::wire::{Described, Wire};
 use bytes::Bytes;
-use dillpass::settings::report_field;
-use dillpass::{Outcome, Report};
+use dillpass::Outcome;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{
-    HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING,
-};
-use hyper::{Request, Response, StatusCode, Uri, Version};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::{Request, Response, Uri, Version};
 use hyper_util::rt::TokioIo;
 use prometheus::IntCounter;
 use socket2::SockRef;
@@ -53,12 +50,9 @@
 
 /// What all servers share: limits on time and on sockets, and the connections that wait for work.
 pub struct Pool {
-    connect_timeout: Duration,
-    idle_limit: Duration,
-    /// Most idle connections to one server.
-    most_idle: usize,
+    limits: PoolLimits,
+    wire: Rc<dyn Wire>,
     sockets: Arc<Semaphore>,
-    all_sockets: usize,
     room: Rc<Room>,
     /// The longest idle first.
     idle: RefCell<Vec<Idle>>,
@@ -68,6 +62,21 @@
     figures: Arc<Figures>,
 }
 
+/// Limits on time and on sockets.
+#[derive(Clone, Debug)]
+pub struct PoolLimits {
+    /// A connection comes up within this time.
+    pub connect: Duration,
+    /// Idle connections go after this time, or sooner where a server has said so.
+    pub idle: Duration,
+    /// Most idle connections to one server.
+    pub most_idle: usize,
+    /// Most connections in all.
+    pub sockets: usize,
+    /// Bytes of an answer that are held whole: one that breaks off before its end may become another attempt.
+    pub hold: usize,
+}
+
 struct Idle {
     key: u64,
     conn: Conn,
@@ -75,13 +84,12 @@
 }
 
 impl Pool {
-    pub fn new(config: &Config, figures: Arc<Figures>, room: Rc<Room>) -> Rc<Pool> {
+    /// No connection yet; requests and answers are worded as `wire` has it.
+    pub fn new(limits: PoolLimits, wire: Rc<dyn Wire>, figures: Arc<Figures>, room: Rc<Room>) -> Rc<Pool> {
         Rc::new(Pool {
-            connect_timeout: config.connect_timeout,
-            idle_limit: config.idle_limit,
-            most_idle: config.connections.idle_per_server,
-            sockets: Arc::new(Semaphore::new(config.server_sockets)),
-            all_sockets: config.server_sockets,
+            sockets: Arc::new(Semaphore::new(limits.sockets)),
+            limits,
+            wire,
             room,
             idle: RefCell::default(),
             lifetimes: RefCell::default(),
@@ -95,7 +103,7 @@
         let mut changes = self.room.changes();
         let mut held: Option<OwnedSemaphorePermit> = None;
         loop {
-            let wanted = self.room.servers_elsewhere().min(self.all_sockets.saturating_sub(LEAST_SOCKETS));
+            let wanted = self.room.servers_elsewhere().min(self.limits.sockets.saturating_sub(LEAST_SOCKETS));
             let has = held.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
             if wanted < has {
                 // What is split off goes back.
@@ -114,7 +122,7 @@
                 }
             }
             let reserved = held.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
-            self.room.hold_servers(self.all_sockets - reserved - self.sockets.available_permits());
+            self.room.hold_servers(self.limits.sockets - reserved - self.sockets.available_permits());
             // While there is nobody to tell there is nothing to do.
             let paired = changes.borrow_and_update().is_some();
             let changed = async {
@@ -143,7 +151,8 @@
 
     fn is_fresh(&self, idle: &Idle) -> bool {
         let (now, since) = (Instant::now(), idle.since.elapsed());
-        since < self.idle_limit && self.lifetimes.borrow().lasts(now, since)
+        let stated = idle.conn.stated.map_or(self.limits.idle, |stated| stated.min(self.limits.idle));
+        since < stated && self.lifetimes.borrow().lasts(now, since)
     }
 
     /// A request went out on a connection that had been idle for so long, and was lost with it or answered.
@@ -165,7 +174,7 @@
 
     fn keep(&self, key: u64, conn: Conn) {
         let mut idle = self.idle.borrow_mut();
-        if idle.iter().filter(|idle| idle.key == key).count() < self.most_idle {
+        if idle.iter().filter(|idle| idle.key == key).count() < self.limits.most_idle {
             idle.push(Idle { key, conn, since: Instant::now() });
         }
     }
@@ -187,6 +196,8 @@
 /// One life of one server.
 pub struct Upstream {
     pub place: Place,
+    /// What tells this life of it from another, where requests say which one they are meant for.
+    instance: Option<HeaderValue>,
     pool: Rc<Pool>,
     /// Its name in the pool.
     key: u64,
@@ -202,15 +213,23 @@
     closed: bool,
     stream: Rc<RefCell<TcpStream>>,
     progress: Rc<Progress>,
+    /// For how long the server has said that it keeps it idle, less a part for safety.
+    stated: Option<Duration>,
     /// How long it stood idle before this use.
     idle: Duration,
     _socket: OwnedSemaphorePermit,
 }
 
 impl Upstream {
+    /// The way to a server at this place.
     pub fn new(place: Place, pool: Rc<Pool>) -> Rc<Upstream> {
+        Upstream::of_instance(place, None, pool)
+    }
+
+    /// The way to this life of a server.
+    pub fn of_instance(place: Place, instance: Option<HeaderValue>, pool: Rc<Pool>) -> Rc<Upstream> {
         let key = pool.next.replace(pool.next.get() + 1);
-        Rc::new(Upstream { place, pool, key, open: Cell::new(true) })
+        Rc::new(Upstream { place, instance, pool, key, open: Cell::new(true) })
     }
 
     pub fn is_open(&self) -> bool {
@@ -244,7 +263,7 @@
             _ = cancelled => ((Outcome::Cancelled, None), Duration::ZERO),
             ended = self.exchange(request, true, outgoing.may_pass, started, timeout) => ended,
         };
-        describe(started + late, ended)
+        self.describe(started + late, ended)
     }
 
     /// Asks whether the server lives.
@@ -253,7 +272,29 @@
         let mut request = Request::new(Upstreamed::Whole(Bytes::new()));
         *request.uri_mut() = Uri::from_static("/health/live");
         request.headers_mut().insert(HOST, HeaderValue::from_static("service.internal"));
-        describe(started, self.exchange(request, false, false, started, self.pool.connect_timeout).await.0)
+        let limit = self.pool.limits.connect;
+        self.describe(started, self.exchange(request, false, false, started, limit).await.0)
+    }
+
+    /// What came of an exchange, in the terms of whoever asked for it.
+    fn describe(&self, started: Instant, (outcome, answer): (Outcome, Option<Exchanged>)) -> Ended {
+        let elapsed = Instant::now().saturating_duration_since(started).as_secs_f64() * 1000.0;
+        let (response, body) = match answer {
+            None => return Ended { outcome, elapsed, ..Ended::unsent() },
+            Some(Exchanged::Whole(response, bytes)) => (response, Ok(bytes)),
+            Some(Exchanged::Passing(response, passing)) => (response, Err(passing)),
+        };
+        let Described { head, report, metered, misdirected, stands } =
+            self.pool.wire.describe(outcome, response);
+        let reply = match body {
+            Ok(body) => Reply::Answer(Answer::Served(Served { head, body })),
+            Err(passing) => Reply::Passing(Passing { head, pieces: Box::new(passing) }),
+        };
+        let (served, told) = match outcome {
+            Outcome::Ok => (Some(reply), None),
+            _ => (None, Some(reply).filter(|_| stands)),
+        };
+        Ended { outcome, elapsed, report, metered, served, told, misdirected }
     }
 
     /// What decides between "never ran" and "may have run": an attempt never ran if no connection came
@@ -269,7 +310,7 @@
         timeout: Duration,
     ) -> ((Outcome, Option<Exchanged>), Duration) {
         let nothing = |outcome| ((outcome, None), Duration::ZERO);
-        let connecting = timeout_at(started + timeout.min(self.pool.connect_timeout), self.connect());
+        let connecting = timeout_at(started + timeout.min(self.pool.limits.connect), self.connect());
         let conn = match connecting.await {
             Ok(Ok(conn)) => conn,
             Ok(Err(Refused::NoSocket)) => return nothing(Outcome::Moot),
@@ -289,9 +330,10 @@
             None => deadline.saturating_duration_since(Instant::now()),
             Some(_) => timeout,
         };
-        if let Ok(value) = HeaderValue::try_from(format!("{:.3}", left.as_secs_f64())) {
-            request.headers_mut().insert("req-deadline", value);
-        }
+        let wire = self.pool.wire.clone();
+        wire.address(request.headers_mut(), left, self.instance.as_ref());
+        let mark = wire.mark(request.headers());
+        let spoken = Spoken { wire: &*wire, mark: mark.as_ref(), may_pass, hold: self.pool.limits.hold };
         let (progress, idle) = (conn.progress.clone(), conn.idle);
         let request = request.map(|body| Payload::new(body, progress.clone()));
         progress.begin(counts.then(|| self.pool.figures.tries.clone()), request.body().is_end_stream());
@@ -304,7 +346,7 @@
         };
         let result = tokio::select! {
             biased;
-            result = conn.converse(request, may_pass) => Some(result),
+            result = conn.converse(request, spoken) => Some(result),
             () = over => None,
         };
         let late = match coming {
@@ -321,7 +363,7 @@
         let ended = match result {
             Some(Ok((response, body))) => {
                 // What it said before the request was whole stands; the connection carries no other.
-                let outcome = judge(&response);
+                let outcome = wire.judge(mark.as_ref(), &response);
                 let body = match body {
                     Conversed::Whole(bytes, conn) => {
                         if let Some(conn) = conn.filter(|_| self.is_open() && !never_ran) {
@@ -366,12 +408,23 @@
             closed: false,
             stream,
             progress,
+            stated: None,
             idle: Duration::ZERO,
             _socket: socket,
         })
     }
 }
 
+/// What an exchange is worded in, and how much of its answer is held.
+#[derive(Clone, Copy)]
+struct Spoken<'a> {
+    wire: &'a dyn Wire,
+    /// What the answer must carry to be this request's.
+    mark: Option<&'a HeaderValue>,
+    may_pass: bool,
+    hold: usize,
+}
+
 enum Refused {
     NoSocket,
     Failed,
@@ -422,7 +475,7 @@
     async fn converse(
         mut self,
         request: Request<Payload>,
-        may_pass: bool,
+        spoken: Spoken<'_>,
     ) -> Result<(Response<()>, Conversed), Broken> {
         let answering = self.sender.send_request(request);
         let response: Response<Incoming> = self.drive(answering).await?;
@@ -432,14 +485,18 @@
             return Err(Broken::Spoilt);
         }
         let head = Response::from_parts(parts, ());
-        let may_pass = may_pass && judge(&head) == Outcome::Ok;
-        let too_long = length.is_some_and(|length| length > MAX_BODY as u64);
+        if !spoken.wire.belongs(spoken.mark, head.headers()) {
+            return Err(Broken::Spoilt);
+        }
+        self.stated = spoken.wire.keeps_idle(head.headers());
+        let may_pass = spoken.may_pass && spoken.wire.judge(spoken.mark, &head) == Outcome::Ok;
+        let too_long = length.is_some_and(|length| length > spoken.hold as u64);
         if too_long && !may_pass || length.is_some_and(|length| length > LONGEST_ANSWER) {
             return Err(Broken::Spoilt);
         }
         let (mut held, mut size) = (VecDeque::new(), 0);
         let hold = Instant::now() + HOLD;
-        while !too_long && size <= MAX_BODY {
+        while !too_long && size <= spoken.hold {
             let frame = match length {
                 None if may_pass => timeout_at(hold, self.drive(body.frame())).await,
                 _ => Ok(self.drive(body.frame()).await),
@@ -593,46 +650,6 @@
     }
 }
 
-fn judge(response: &Response<()>) -> Outcome {
-    let declined = response.headers().get("srv-declined").is_some_and(|value| value == "1");
-    match response.status() {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Outcome::Full,
-        _ => Outcome::Error,
-    }
-}
-
-fn describe(started: Instant, (outcome, answer): (Outcome, Option<Exchanged>)) -> Ended {
-    let elapsed = Instant::now().saturating_duration_since(started).as_secs_f64() * 1000.0;
-    let (response, body) = match answer {
-        None => return Ended { outcome, elapsed, report: Report::default(), metered: None, served: None },
-        Some(Exchanged::Whole(response, bytes)) => (response, Ok(bytes)),
-        Some(Exchanged::Passing(response, passing)) => (response, Err(passing)),
-    };
-    let all = |name: &str| response.headers().get_all(name).iter().filter_map(|value| value.to_str().ok());
-    // What cannot be read is passed over.
-    let used = all("x-ratelimit-used").find_map(number);
-    let mut report = Report::default();
-    for (name, value) in
-        all("srv-load").flat_map(|text| text.split(',')).filter_map(|pair| pair.split_once('='))
-    {
-        // Of two readable values the first counts.
-        if let Some(field) = report_field(&mut report, name.trim()).filter(|field| field.is_none()) {
-            *field = number(value);
-        }
-    }
-    let content_type = response.headers().get(CONTENT_TYPE).cloned();
-    let served = (outcome == Outcome::Ok).then(|| match body {
-        Ok(body) => Reply::Answer(Answer::Served(Served { content_type, body })),
-        Err(passing) => Reply::Passing(Passing { content_type, pieces: Box::new(passing) }),
-    });
-    Ended { outcome, elapsed, report, metered: used.map(|percent| percent / 100.0), served }
-}
-
-fn number(text: &str) -> Option<f64> {
-    text.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)
-}
-
 /// How far a request is written on its connection.
 ///
 /// It is whole once its body was handed over to its end and the HTTP library has flushed after that: a flush comes only
