--- a/crates/emberpin/src/front/connections.rs
+++ b/crates/emberpin/src/front/connections.rs
@@ -92,6 +92,7 @@
         self.cut.set(true);
     }
 
+    /// Whether no other request came on it before this one.
     pub fn is_first_request(&self) -> bool {
         self.requests.get() == 1
     }
--- a/crates/emberpin/src/front/reception.rs
+++ b/crates/emberpin/src/front/reception.rs
@@ -29,6 +29,7 @@
 pub enum Phase {
     /// Not ready yet, but answers what comes.
     Starting,
+    /// Ready.
     Serving,
     /// Not ready any more, but answers what still comes.
     Leaving,
--- a/crates/emberpin/src/front/room.rs
+++ b/crates/emberpin/src/front/room.rs
@@ -29,10 +29,12 @@
         Room { own: Cell::default(), elsewhere: watch::Sender::new(elsewhere) }
     }
 
+    /// So many connections with clients are held here.
     pub fn hold_clients(&self, clients: usize) {
         self.own.set(Held { clients, ..self.own.get() });
     }
 
+    /// So many connections with servers are held here.
     pub fn hold_servers(&self, servers: usize) {
         self.own.set(Held { servers, ..self.own.get() });
     }
--- a/crates/emberpin/src/front/stream.rs
+++ b/crates/emberpin/src/front/stream.rs
@@ -29,6 +29,7 @@
 /// A client's body that is passed on while it comes. What came first is held, so that an attempt that broke before
 /// anything else went out can be followed by another.
 pub struct Upload {
+    /// What came first.
     pub held: Bytes,
     /// The whole length, where the client told it.
     pub length: Option<u64>,
@@ -46,6 +47,7 @@
 }
 
 impl Upload {
+    /// A body of which this has come, and `rest` brings what follows.
     pub fn new(held: Bytes, length: Option<u64>, rest: Incoming, room: OwnedSemaphorePermit) -> Upload {
         Upload {
             held,
@@ -131,7 +133,9 @@
 
 /// An answer that is passed on in pieces: nothing is read from its server before its client has taken what came.
 pub struct Passing {
+    /// How it begins.
     pub head: Head,
+    /// What it is made of.
     pub pieces: Box<dyn Pieces>,
 }
 
--- /dev/null
+++ b/crates/emberpin/src/host.rs
@@ -0,0 +1,16 @@
+//! What another program needs to host decisions on the same sockets: the reception of clients, the pool of connections
+//! to servers, the engine of a decision module, and the types that they share.
+
+pub use crate::front::answers::{headed, plain, written};
+pub use crate::front::clients::{passed_on, run_out, strip, take_in};
+pub use crate::front::connections::{ClientLimits, Connection};
+pub use crate::front::reception::{Desk, Phase, Reception};
+pub use crate::front::room::Room;
+pub use crate::front::stream::{Content, Passing, Upload};
+pub use crate::messages::{Answer, Call, Ended, Head, Input, Outgoing, Reply, Served, Upstreamed};
+pub use crate::operate::clock::Clock;
+pub use crate::operate::figures::{Active, Ending, Figures};
+pub use crate::upstream::engine::Engine;
+pub use crate::upstream::roster::Place;
+pub use crate::upstream::servers::{Pool, PoolLimits, Upstream};
+pub use crate::upstream::wire::{Described, Wire};
--- a/crates/emberpin/src/lib.rs
+++ b/crates/emberpin/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod between;
 mod front;
+pub mod host;
 pub mod limiter;
 mod messages;
 pub mod operate;
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -30,9 +30,13 @@
 
 /// A client's request as it goes on to servers.
 pub struct Outgoing {
+    /// As the client wrote it.
     pub method: Method,
+    /// As the client wrote it.
     pub uri: Uri,
+    /// Without those that concern the client's connection.
     pub headers: HeaderMap,
+    /// What it carries.
     pub body: Upstreamed,
     /// Answers that are too long to be held may be passed on in pieces.
     pub may_pass: bool,
@@ -43,6 +47,7 @@
 /// A request's body.
 #[derive(Clone)]
 pub enum Upstreamed {
+    /// All of it is here.
     Whole(Bytes),
     /// It is still coming.
     Coming(Rc<Upload>),
@@ -60,14 +65,18 @@
 
 /// What a client is told: the one final answer, or the beginning of one that is passed on in pieces.
 pub enum Reply {
+    /// All of it.
     Answer(Answer),
+    /// Its beginning, and what brings the rest.
     Passing(Passing),
 }
 
 /// How an answer begins, as its client gets it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Head {
+    /// Its status.
     pub status: StatusCode,
+    /// Its headers, without those that concern one connection.
     pub headers: HeaderMap,
 }
 
@@ -82,16 +91,23 @@
 /// A server's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Served {
+    /// How it begins.
     pub head: Head,
+    /// All of its body.
     pub body: Bytes,
 }
 
 /// How an attempt or a probe ended. Its connection is closed or back in the pool by then.
 pub struct Ended {
+    /// How.
     pub outcome: Outcome,
+    /// How long it took.
     pub elapsed: Millis,
+    /// What the server said of its load.
     pub report: Report,
+    /// The customer's metered use as a share of its rate.
     pub metered: Option<f64>,
+    /// The good answer, if it is one.
     pub served: Option<Reply>,
     /// What the server said where that is no good answer: its client gets it if no attempt brings a better one.
     pub told: Option<Reply>,
@@ -103,6 +119,7 @@
     /// One that never began.
     pub fn unsent() -> Ended {
         let report = Report::default();
+        /// An attempt ended.
         Ended {
             outcome: Outcome::Moot,
             elapsed: 0.0,
@@ -117,12 +134,19 @@
 
 /// A request that a client made; dropping its answer's receiver says nothing, [`Input::Gone`] does.
 pub struct Call {
+    /// Names it at this limiter.
     pub id: RequestId,
+    /// Its class.
     pub class: ClassId,
+    /// Its customer's plan.
     pub plan: PlanId,
+    /// Its customer.
     pub customer: CustomerId,
+    /// What it draws from the quota.
     pub units: f64,
+    /// How many limiters the customer comes through.
     pub set_size: u32,
+    /// The first of them.
     pub set_first: GatewayId,
     /// Where it may have run, if it is taken over from another limiter.
     pub ran: Option<Ran>,
@@ -130,7 +154,9 @@
     pub patience: Duration,
     /// When the last byte of its answer must be out; far off while its body is still coming.
     pub expires: Instant,
+    /// What goes on to a server.
     pub outgoing: Rc<Outgoing>,
+    /// Who waits for the one answer.
     pub answer: oneshot::Sender<Reply>,
 }
 
@@ -138,8 +164,14 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(from = "Carried", into = "Carried")]
 pub enum Answer {
+    /// What a server said.
     Served(Served),
-    Refused { retry_after: Millis },
+    /// It has not run; the client may come back.
+    Refused {
+        /// After how long; 0 for no advice.
+        retry_after: Millis,
+    },
+    /// Nothing is promised.
     Failed,
 }
 
@@ -179,22 +211,35 @@
 
 /// What the driver hears of.
 pub enum Input {
+    /// A request came.
     Call(Call),
     /// A client went away without its answer.
     Gone(RequestId),
+    /// An attempt ended.
     Ended {
+        /// Of which request.
         request: RequestId,
+        /// The attempt's number within the request.
         attempt: u32,
+        /// At which server.
         server: ServerId,
+        /// How.
         ended: Ended,
     },
+    /// A probe ended.
     Probed {
+        /// At which server.
         server: ServerId,
+        /// How.
         ended: Ended,
     },
+    /// News of the list of servers.
     Listing(Listing),
+    /// A message of another limiter.
     Peer {
+        /// The sender.
         from: GatewayId,
+        /// Its bytes.
         bytes: Vec<u8>,
     },
 }
--- a/crates/emberpin/src/operate/clock.rs
+++ b/crates/emberpin/src/operate/clock.rs
@@ -14,6 +14,7 @@
 }
 
 impl Clock {
+    /// Begins now.
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { begun: Instant::now(), at_begin: unix.as_secs_f64() * 1000.0 }
--- a/crates/emberpin/src/operate/figures.rs
+++ b/crates/emberpin/src/operate/figures.rs
@@ -40,9 +40,11 @@
     active: IntGauge,
     /// Servers that the list names, and those of them that get nothing now.
     pub pool_size: IntGauge,
+    /// Those of them that get nothing now.
     pub pool_ejected: IntGauge,
     /// Configurations that were read again and taken, or not.
     pub config_applied: IntCounter,
+    /// The same that were not taken.
     pub config_rejected: IntCounter,
 }
 
--- a/crates/emberpin/src/upstream/roster.rs
+++ b/crates/emberpin/src/upstream/roster.rs
@@ -13,7 +13,9 @@
 /// Where a life of a server is reached.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Place {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// When it started, in Unix milliseconds; 0 where that is not told.
     pub boot_ms: f64,
 }
 
--- a/crates/emberpin/src/upstream/servers.rs
+++ b/crates/emberpin/src/upstream/servers.rs
@@ -195,6 +195,7 @@
 
 /// One life of one server.
 pub struct Upstream {
+    /// Where it is.
     pub place: Place,
     /// What tells this life of it from another, where requests say which one they are meant for.
     instance: Option<HeaderValue>,
@@ -232,6 +233,7 @@
         Rc::new(Upstream { place, instance, pool, key, open: Cell::new(true) })
     }
 
+    /// Whether anything new may go there.
     pub fn is_open(&self) -> bool {
         self.open.get()
     }
@@ -242,6 +244,7 @@
         self.close_idle();
     }
 
+    /// Closes the connections that wait for work.
     pub fn close_idle(&self) {
         self.pool.close(self.key);
     }
