Decide where a request goes: routes, splits, tries, budgets, cold servers, zones

The proxy needs one place without I/O that says which route and service a request takes, whether it may go out again, how often in all, and which servers may get it now.

A tree of path segments per host, weighted splits, verdicts, a budget of further arrivals, shares of cold servers, the table of lives, and the question asked right before the first byte.

--- a/crates/emberpin-fairway/src/lib.rs
+++ b/crates/emberpin-fairway/src/lib.rs
@@ -1,2 +1,21 @@
 //! Where a request goes: routes, splits, tries, budgets, cold servers, zones.
+//!
+//! No I/O, no clock, no randomness: times are milliseconds of one steady clock, draws lie in [0, 1).
 #![forbid(unsafe_code)]
+
+pub mod budget;
+pub mod cold;
+pub mod fleet;
+pub mod matcher;
+pub mod pick;
+pub mod route;
+pub mod split;
+pub mod verdict;
+
+pub use budget::Budget;
+pub use cold::{Cold, Coldness};
+pub use fleet::{Change, Fleet, Warmth, Work};
+pub use matcher::Matcher;
+pub use pick::{ColdRule, Fairway};
+pub use route::{Route, RouteKind};
+pub use verdict::{Next, Verdict};
