--- a/crates/emberpin-fairway/src/route.rs
+++ b/crates/emberpin-fairway/src/route.rs
@@ -1,7 +1,9 @@
 //! Routes as they are read here, until the configuration's own types are there.
 
+use std::time::Duration;
+
 /// What may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
     /// May run more than once.
     Readonly,
@@ -12,7 +14,7 @@
 }
 
 /// A route in force.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
     /// Its name.
     pub name: String,
@@ -22,8 +24,16 @@
     pub prefix: String,
     /// What may be repeated.
     pub kind: RouteKind,
+    /// The longest that a request is held.
+    pub timeout: Duration,
+    /// Within which an answer earns its full worth.
+    pub target_time: Duration,
+    /// 0 is the highest.
+    pub prio: u32,
     /// Services and their weights.
     pub targets: Vec<(String, u32)>,
+    /// The most servers to which one request may be sent.
+    pub tries: u32,
     /// Rises with each change.
     pub ver: u64,
 }
--- /dev/null
+++ b/crates/emberpin-fairway/tests/common/mod.rs
@@ -0,0 +1,36 @@
+//! What the tests build on.
+#![allow(dead_code)]
+
+use emberpin_fairway::{Route, RouteKind};
+use emberpin_watch::life::{Life, Standing};
+use std::time::Duration;
+
+/// A route to one service, `s`.
+pub fn route(name: &str, hostname: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        hostname: hostname.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Readonly,
+        timeout: Duration::from_millis(1_500),
+        target_time: Duration::from_millis(250),
+        prio: 1,
+        targets: vec![("s".into(), 1)],
+        tries: 2,
+        ver: 1,
+    }
+}
+
+/// A life of the service `s` in the zone `umea` that is not cold.
+pub fn life(id: &str, standing: Standing, seq: u64) -> Life {
+    Life {
+        id: id.into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "umea".into(),
+        slots: 2,
+        standing,
+        seq,
+        cold_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/emberpin-fairway/tests/matcher.rs
@@ -0,0 +1,110 @@
+//! Which route a request takes.
+#![allow(missing_docs)]
+
+mod common;
+
+use common::route;
+use emberpin_fairway::{Matcher, Route};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::rc::Rc;
+
+fn name<'a>(matcher: &'a Matcher, host: &str, path: &str) -> Option<&'a str> {
+    matcher.find(host, path).map(|route| route.name.as_str())
+}
+
+#[gtest]
+fn the_longest_prefix_of_a_host_wins() {
+    let matcher = Matcher::new(vec![
+        route("all", "a.example", "/"),
+        route("short", "a.example", "/leny950/"),
+        route("long", "a.example", "/leny950/2f/"),
+        route("other", "b.example", "/leny950/2f/"),
+    ]);
+    expect_that!(name(&matcher, "a.example", "/leny950/2f"), some(eq("short")));
+    expect_that!(name(&matcher, "a.example", "/leny950/2f/x"), some(eq("long")));
+    // Holds `or(longest)`: a node on the way to a longer prefix has no route of its own.
+    expect_that!(name(&matcher, "a.example", "/leny950/2g/x"), some(eq("short")));
+    expect_that!(name(&matcher, "a.example", "/x"), some(eq("all")));
+    expect_that!(name(&matcher, "b.example", "/leny950/2f"), none());
+    expect_that!(name(&matcher, "c.example", "/leny950/2f"), none());
+}
+
+/// Holds `or(longest)`: the nodes between two prefixes have no route.
+#[gtest]
+fn a_node_without_a_route_does_not_hide_the_shorter_prefix() {
+    let matcher = Matcher::new(vec![route("short", "a", "/x/"), route("long", "a", "/x/y/z/")]);
+    expect_that!(name(&matcher, "a", "/x/y/w"), some(eq("short")));
+}
+
+/// Holds `split_once('/')` in `find`: a last segment without a slash is no part of a prefix.
+#[gtest]
+fn a_prefix_without_its_slash_does_not_match() {
+    let matcher = Matcher::new(vec![route("r", "a", "/leny950/")]);
+    expect_that!(name(&matcher, "a", "/leny950/2f"), some(eq("r")));
+    expect_that!(name(&matcher, "a", "/leny950/"), some(eq("r")));
+    expect_that!(name(&matcher, "a", "/leny950"), none());
+    expect_that!(name(&matcher, "a", "/leny9500/"), none());
+    expect_that!(name(&matcher, "a", "leny950/2f"), none());
+    expect_that!(name(&matcher, "a", "*"), none());
+    expect_that!(name(&matcher, "a", ""), none());
+}
+
+/// Holds `plain` in `find` and in `replace`.
+#[gtest]
+fn hosts_are_compared_without_case_and_port() {
+    let matcher = Matcher::new(vec![route("r", "Hulo84.example", "/"), route("six", "[::1]", "/")]);
+    for host in ["hulo84.example", "HULO84.Example", "hulo84.example:8080"] {
+        expect_that!(name(&matcher, host, "/x"), some(eq("r")), "{host}");
+    }
+    expect_that!(name(&matcher, "[::1]:80", "/"), some(eq("six")));
+    expect_that!(name(&matcher, "[::1]", "/"), some(eq("six")));
+    expect_that!(name(&matcher, "hulo84.example:x", "/"), none());
+}
+
+/// Holds `self.hosts.clear()`, and the arm that keeps a route that is as it was.
+#[gtest]
+fn a_replacement_drops_what_is_not_named_and_keeps_what_is_the_same() {
+    let mut matcher = Matcher::new(vec![route("keep", "a", "/x/"), route("drop", "a", "/y/")]);
+    let kept = matcher.find("a", "/x/").cloned();
+    let before = matcher.generation();
+    let changed = Route { ver: 2, ..route("new", "a", "/z/") };
+    matcher.replace(vec![route("keep", "a", "/x/"), changed]);
+    expect_that!(matcher.generation(), gt(before));
+    expect_that!(name(&matcher, "a", "/y/"), none());
+    expect_that!(name(&matcher, "a", "/z/"), some(eq("new")));
+    let (Some(kept), Some(now)) = (kept, matcher.find("a", "/x/")) else { panic!("a route is missing") };
+    expect_true!(Rc::ptr_eq(&kept, now));
+    matcher.replace(vec![Route { ver: 3, ..route("keep", "a", "/x/") }]);
+    expect_that!(matcher.find("a", "/x/").map(|route| route.ver), some(eq(3)));
+}
+
+/// Holds the check of the last slash: such a prefix is no valid one, and must not match half of itself.
+#[gtest]
+fn a_prefix_that_does_not_end_with_a_slash_matches_nothing() {
+    let matcher = Matcher::new(vec![route("r", "a", "/x/y")]);
+    expect_that!(name(&matcher, "a", "/x/y"), none());
+    expect_that!(name(&matcher, "a", "/x/"), none());
+}
+
+/// What the pages say, word for word: of the routes of that host, the one whose prefix begins the path and is
+/// longest.
+fn by_scan<'a>(routes: &'a [Route], host: &str, path: &str) -> Option<&'a str> {
+    let fits = |route: &&Route| route.hostname == host && path.starts_with(&route.prefix);
+    routes.iter().filter(fits).max_by_key(|route| route.prefix.len()).map(|route| route.name.as_str())
+}
+
+proptest! {
+    #[test]
+    fn the_tree_finds_what_a_scan_finds(
+        prefixes in proptest::collection::btree_set(("[ab]", "/([ab]{0,2}/){0,3}"), 0..30),
+        asked in proptest::collection::vec(("[abc]", "/?([ab]{0,2}/?){0,4}"), 1..30),
+    ) {
+        let named = prefixes.iter().enumerate();
+        let routes: Vec<Route> = named.map(|(k, (host, prefix))| route(&format!("r{k}"), host, prefix)).collect();
+        let matcher = Matcher::new(routes.clone());
+        for (host, path) in &asked {
+            prop_assert_eq!(name(&matcher, host, path), by_scan(&routes, host, path), "{} {}", host, path);
+        }
+    }
+}
