--- a/crates/emberpin-fairway/src/lib.rs
+++ b/crates/emberpin-fairway/src/lib.rs
@@ -8,14 +8,13 @@
 pub mod fleet;
 pub mod matcher;
 pub mod pick;
-pub mod route;
 pub mod split;
 pub mod verdict;
 
 pub use budget::Budget;
 pub use cold::{Cold, Coldness};
+pub use emberpin_chart::{Route, RouteKind};
 pub use fleet::{Change, Fleet, Warmth, Work};
 pub use matcher::Matcher;
 pub use pick::{ColdRule, Fairway};
-pub use route::{Route, RouteKind};
 pub use verdict::{Next, Verdict};
