--- a/crates/dillpass/src/lib.rs
+++ b/crates/dillpass/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod brain;
+mod classes;
 pub mod gossip;
 pub mod handover;
 pub mod interface;
--- a/crates/emberpin-fairway/src/pick.rs
+++ b/crates/emberpin-fairway/src/pick.rs
@@ -72,7 +72,8 @@
         self.fleet.work(id) == Work::Usable && self.fleet.life(id).is_some_and(|life| life.service == service)
     }
 
-    fn bears(&mut self, service: &str, id: &str, now: f64) -> bool {
+    /// Whether this limiter may send to this life now, as far as its coldness goes.
+    pub fn bears(&mut self, service: &str, id: &str, now: f64) -> bool {
         if !self.fleet.cold(now, id) {
             return true;
         }
--- /dev/null
+++ b/crates/emberpin-pilot/src/helm.rs
@@ -0,0 +1,479 @@
+//! The one owner of the routes, the servers, the budget and the modules: works through a queue of commands.
+
+use crate::desk::own;
+use crate::service::Service;
+use dillpass::{CustomerId, GatewayId, PlanId, RequestId, ServerId};
+use emberpin::host::{
+    Answer, Call, ClientLimits, Ended, Input, Outgoing, Pool, Reception, Reply, Upstreamed,
+};
+use emberpin_berth::settings::Settings;
+use emberpin_chart::{routes_in_force, Chart, Item, Kind, Limits, Service as Listed};
+use emberpin_fairway::{split, Budget, ColdRule, Fairway, Route, Warmth};
+use emberpin_watch::life::Life;
+use emberpin_watch::session::ToLimiter;
+use hyper::StatusCode;
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{interval, sleep_until, Instant, MissedTickBehavior};
+
+/// A deadline counts from the client's sending: so much earlier the answer must be on its way.
+const MARGIN: Duration = Duration::from_millis(12);
+/// A body that is still coming: its request's time counts from its last byte, which comes within this.
+const UPLOAD_LIMIT: Duration = Duration::from_secs(900);
+/// Where no server of a service is known, a client may come back after so many milliseconds.
+const NO_SERVER: f64 = 300.0;
+/// And where nothing is known of the configuration.
+const NO_ROUTES: f64 = 500.0;
+/// How often it is looked at whether cold servers may get something again.
+const COLD_LOOK: Duration = Duration::from_millis(100);
+/// Most ends of attempts that wait.
+const INPUTS: usize = 1024;
+/// The longest body where the configuration does not say.
+const BODY_MAX: u64 = 64 << 20;
+/// Heads may take so much longer than the limit says, as the client counts from its own sending; twice if they grow.
+const HEAD_SLACK: Duration = Duration::from_millis(500);
+/// Idle connections stay so much longer than the limit says: a request may be on its way.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+
+/// What the desk reads without asking.
+pub struct View {
+    ready: Cell<bool>,
+    leaving: Cell<bool>,
+    body_max: Cell<u64>,
+}
+
+impl View {
+    /// Whether new connections are wanted.
+    pub fn is_ready(&self) -> bool {
+        self.ready.get() && !self.leaving.get()
+    }
+
+    /// No new connections are wanted any more.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// The longest body that a client may send.
+    pub fn body_max(&self) -> u64 {
+        self.body_max.get()
+    }
+}
+
+/// A request that a client made.
+pub struct Ask {
+    /// Names it here.
+    pub id: RequestId,
+    /// The host that it is for.
+    pub host: String,
+    /// What goes on to a server.
+    pub outgoing: Rc<Outgoing>,
+    /// When its head had come.
+    pub arrived: Instant,
+    /// For how long the client waits, if it says.
+    pub deadline: Option<Duration>,
+    /// Who waits for the one answer.
+    pub answer: oneshot::Sender<Reply>,
+}
+
+/// What the helm works through.
+pub enum Command {
+    /// A client's request.
+    Ask(Box<Ask>),
+    /// Its client has gone.
+    Gone(RequestId),
+    /// A registry has told something, in this session.
+    News { session: usize, message: ToLimiter },
+    /// A session has ended.
+    Lost { session: usize },
+    /// Wants all lives that are known.
+    Lives(oneshot::Sender<Vec<Life>>),
+}
+
+/// A request that is owed an answer or has an attempt out.
+struct Going {
+    route: Rc<Route>,
+    service: String,
+    /// How often it went out.
+    sends: u32,
+}
+
+/// The owner.
+pub struct Helm {
+    begun: Instant,
+    fairway: Fairway,
+    chart: Chart,
+    budget: Budget,
+    limiters: u32,
+    services: BTreeMap<String, Service>,
+    requests: BTreeMap<RequestId, Going>,
+    /// Lives that were cold when last looked at.
+    cold: BTreeSet<String>,
+    zones: Vec<String>,
+    /// Sessions that have told all that there is.
+    told: BTreeSet<usize>,
+    random: oorandom::Rand64,
+    view: Rc<View>,
+    reception: Rc<Reception>,
+    pool: Rc<Pool>,
+    inputs: mpsc::Sender<Input>,
+    ends: mpsc::Receiver<Input>,
+}
+
+impl Helm {
+    /// Knows nothing but its settings.
+    pub fn new(settings: &Settings, pool: Rc<Pool>, reception: Rc<Reception>) -> Helm {
+        let bounds = &settings.bounds;
+        let millis = |time: Duration| time.as_secs_f64() * 1000.0;
+        let rule = ColdRule { excess: bounds.warm_excess, extra: bounds.warm_extra };
+        let (inputs, ends) = mpsc::channel(INPUTS);
+        let mut zones: Vec<String> = vec![settings.zone.clone()];
+        zones.extend(settings.zones.keys().filter(|zone| **zone != settings.zone).cloned());
+        Helm {
+            begun: Instant::now(),
+            fairway: Fairway::new(0.0, &settings.nodename, rule, millis(settings.beat)),
+            chart: Chart::new(),
+            budget: Budget::new(0.0, bounds.retry_ratio, millis(bounds.retry_win), bounds.retry_extra),
+            limiters: 0,
+            services: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            cold: BTreeSet::new(),
+            zones,
+            told: BTreeSet::new(),
+            random: oorandom::Rand64::new(u128::from(drawn())),
+            view: Rc::new(View {
+                ready: Cell::new(false),
+                leaving: Cell::new(false),
+                body_max: Cell::new(BODY_MAX),
+            }),
+            reception,
+            pool,
+            inputs,
+            ends,
+        }
+    }
+
+    /// What the desk reads.
+    pub fn view(&self) -> Rc<View> {
+        self.view.clone()
+    }
+
+    /// Works for as long as there is anybody to send commands.
+    pub async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
+        let timer = sleep_until(Instant::now());
+        tokio::pin!(timer);
+        let mut looks = interval(COLD_LOOK);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let due = self.services.values().filter_map(|service| service.engine.due()).min();
+            if let Some(due) = due.filter(|due| *due != timer.deadline()) {
+                timer.as_mut().reset(due);
+            }
+            tokio::select! {
+                biased;
+                () = timer.as_mut(), if due.is_some() => self.fire(),
+                Some(input) = self.ends.recv() => self.end(input),
+                command = commands.recv() => match command {
+                    Some(command) => self.take(command),
+                    None => return,
+                },
+                _ = looks.tick(), if !self.cold.is_empty() => self.look_at_cold(),
+            }
+        }
+    }
+
+    fn now(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn fire(&mut self) {
+        let now = Instant::now();
+        let due: Vec<String> = self
+            .services
+            .iter()
+            .filter(|(_, service)| service.engine.due().is_some_and(|due| due <= now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            if let Some(service) = self.services.get_mut(&name) {
+                service.engine.fire();
+            }
+            self.follow_up(&name);
+        }
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Ask(ask) => self.ask(*ask),
+            Command::Gone(request) => {
+                let Some(going) = self.requests.get(&request) else { return };
+                let name = going.service.clone();
+                if let Some(service) = self.services.get_mut(&name) {
+                    service.engine.gone(request);
+                }
+                self.follow_up(&name);
+                self.forget(request);
+            }
+            Command::News { session, message } => self.hear(session, message),
+            Command::Lost { session } => _ = self.told.remove(&session),
+            Command::Lives(answer) => _ = answer.send(self.fairway.fleet.lives(self.now())),
+        }
+    }
+
+    // ---- Requests ----
+
+    fn ask(&mut self, ask: Ask) {
+        let now = self.now();
+        let refuse = |retry_after| Reply::Answer(Answer::Refused { retry_after });
+        let Some(route) = self.fairway.matcher.find(&ask.host, ask.outgoing.uri.path()).cloned() else {
+            // Guards requests that come before the configuration: nobody has said that there is no such route.
+            let unknown = self.chart.is_empty();
+            _ = ask.answer.send(if unknown { refuse(NO_ROUTES) } else { own(StatusCode::NOT_FOUND) });
+            return;
+        };
+        let fleet = &self.fairway.fleet;
+        let draw = self.random.rand_float();
+        let target = split::target(&route.targets, draw, |service| fleet.usable(service));
+        let Some(name) = target.map(str::to_string) else {
+            _ = ask.answer.send(refuse(NO_SERVER));
+            return;
+        };
+        let Some(service) = self.services.get_mut(&name) else {
+            _ = ask.answer.send(refuse(NO_SERVER));
+            return;
+        };
+        self.budget.request(now, &name);
+        let whole = ask.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+        let patience = whole.saturating_sub(MARGIN).max(whole / 2);
+        let expires = match &ask.outgoing.body {
+            Upstreamed::Whole(_) => ask.arrived + patience,
+            Upstreamed::Coming(_) => Instant::now() + UPLOAD_LIMIT,
+        };
+        let call = Call {
+            id: ask.id,
+            class: service.class(&route),
+            plan: PlanId(0),
+            customer: CustomerId(0),
+            units: 1.0,
+            set_size: 1,
+            set_first: GatewayId(0),
+            ran: None,
+            patience,
+            expires,
+            outgoing: ask.outgoing,
+            answer: ask.answer,
+        };
+        self.requests.insert(ask.id, Going { route, service: name.clone(), sends: 0 });
+        service.engine.call(call);
+        self.follow_up(&name);
+        self.forget(ask.id);
+    }
+
+    fn end(&mut self, input: Input) {
+        let Input::Ended { request, attempt, server, ended } = input else { return };
+        let Some(going) = self.requests.get(&request) else { return };
+        let (now, name) = (self.now(), going.service.clone());
+        let again = going.sends < going.route.tries && self.budget.may(now, &name, self.limiters);
+        let misdirected = ended.misdirected;
+        let Some(service) = self.services.get_mut(&name) else { return };
+        if misdirected {
+            if let Some(life) = service.life(server) {
+                self.fairway.fleet.wrong_instance(life);
+            }
+            // Before the module chooses again, so that it does not choose that one.
+            self.apply_changes();
+        }
+        self.ended(&name, request, attempt, server, ended, again);
+    }
+
+    fn ended(
+        &mut self,
+        name: &str,
+        request: RequestId,
+        attempt: u32,
+        server: ServerId,
+        ended: Ended,
+        again: bool,
+    ) {
+        if let Some(service) = self.services.get_mut(name) {
+            service.engine.ended(request, attempt, server, ended, again);
+        }
+        self.follow_up(name);
+        self.forget(request);
+    }
+
+    /// Books what a service's module has just sent.
+    fn follow_up(&mut self, name: &str) {
+        let Some(service) = self.services.get_mut(name) else { return };
+        service.engine.beyond.clear();
+        for (request, _, life) in service.sent() {
+            let now = self.now();
+            if let Some(going) = self.requests.get_mut(&request) {
+                going.sends += 1;
+                if going.sends > 1 {
+                    self.budget.spend(now, name);
+                }
+            }
+            self.fairway.sent(now, &life);
+            if self.cold.contains(&life) {
+                self.look_at(&life);
+            }
+        }
+    }
+
+    fn forget(&mut self, request: RequestId) {
+        let Some(going) = self.requests.get(&request) else { return };
+        if !self.services.get(&going.service).is_some_and(|service| service.engine.holds(request)) {
+            self.requests.remove(&request);
+        }
+    }
+
+    // ---- News ----
+
+    fn hear(&mut self, session: usize, message: ToLimiter) {
+        match message {
+            ToLimiter::Snapshot { items, lives, .. } => {
+                self.learn(items, &lives);
+                self.told.insert(session);
+            }
+            ToLimiter::Changes { items, lives, .. } => self.learn(items, &lives),
+            ToLimiter::Pulse { settled, limiters, .. } => {
+                if !settled {
+                    return;
+                }
+                self.limiters = limiters;
+                self.fairway.told(self.now(), limiters);
+                // Guards a new life against serving what is older than a majority's word.
+                let knows = !self.chart.is_empty() && !self.services.is_empty();
+                if self.told.contains(&session) && knows && !self.view.ready.replace(true) {
+                    log::info!("ready, with {} items", self.chart.len());
+                }
+            }
+        }
+    }
+
+    fn learn(&mut self, items: Vec<Item>, lives: &[Life]) {
+        let mut changed = false;
+        for item in items {
+            changed |= self.chart.merge(item);
+        }
+        if changed {
+            self.configure();
+        }
+        let now = self.now();
+        // What a registry does not name is kept: it may be behind another one. Who is gone is told by name.
+        self.fairway.fleet.tell(now, lives);
+        self.apply_changes();
+        for life in lives.iter().filter(|life| life.cold_ms > 0) {
+            self.look_at(&life.id);
+        }
+    }
+
+    /// The configuration has changed.
+    fn configure(&mut self) {
+        let routes: Vec<Route> = routes_in_force(&self.chart);
+        self.fairway.matcher.replace(routes);
+        let mut warmth = HashMap::new();
+        let mut evacuated = BTreeSet::new();
+        for item in self.chart.live() {
+            match item.key.kind {
+                Kind::Service => {
+                    if let Ok(listed) = Listed::from_item(item) {
+                        let warmup_ms = listed.warmup.as_secs_f64() * 1000.0;
+                        warmth.insert(listed.name, Warmth { warmup_ms, per_s: listed.warmup_per_s });
+                    }
+                }
+                Kind::Evacuation => _ = evacuated.insert(item.key.name.clone()),
+                Kind::Limits => {
+                    if let Ok(limits) = Limits::from_item(item) {
+                        self.view.body_max.set(limits.body_max_bytes);
+                        let head = limits.hdr_read + HEAD_SLACK;
+                        let idle = limits.idle + IDLE_SLACK;
+                        self.reception.limit(ClientLimits {
+                            head: (head, head + HEAD_SLACK * 2),
+                            silence: idle,
+                            idle: Some(idle),
+                        });
+                    }
+                }
+                Kind::Route | Kind::Roster => {}
+            }
+        }
+        self.fairway.fleet.warmth(warmth);
+        self.fairway.fleet.evacuated(self.now(), evacuated);
+        self.apply_changes();
+        let now = self.now();
+        // A zone that has come back is cold.
+        let lives: Vec<String> = self.fairway.fleet.lives(now).into_iter().map(|life| life.id).collect();
+        for id in lives {
+            if self.fairway.fleet.cold(now, &id) {
+                self.look_at(&id);
+            }
+        }
+    }
+
+    /// Tells the modules what has changed about servers.
+    fn apply_changes(&mut self) {
+        for change in self.fairway.fleet.changes() {
+            let now = self.now();
+            let bears = self.fairway.bears(&change.service, &change.id, now);
+            if self.fairway.fleet.cold(now, &change.id) {
+                self.cold.insert(change.id.clone());
+            }
+            let zone = self.zone(&change.zone);
+            let name = change.service.clone();
+            if !self.services.contains_key(&name) {
+                let service = Service::new(self.pool.clone(), self.inputs.clone(), drawn());
+                self.services.insert(name.clone(), service);
+            }
+            if let Some(service) = self.services.get_mut(&name) {
+                service.change(change, zone, bears);
+            }
+            self.follow_up(&name);
+        }
+    }
+
+    /// The number of a zone, this limiter's own being 0.
+    fn zone(&mut self, name: &str) -> usize {
+        if let Some(at) = self.zones.iter().position(|zone| zone == name) {
+            return at;
+        }
+        self.zones.push(name.to_string());
+        self.zones.len() - 1
+    }
+
+    fn look_at_cold(&mut self) {
+        for id in self.cold.clone() {
+            self.look_at(&id);
+        }
+    }
+
+    /// Whether a server may get something from here, if it is or was cold.
+    fn look_at(&mut self, id: &str) {
+        let now = self.now();
+        if self.fairway.fleet.cold(now, id) {
+            self.cold.insert(id.to_string());
+        } else {
+            self.cold.remove(id);
+        }
+        let Some(life) = self.fairway.fleet.life(id) else { return };
+        let name = life.service.clone();
+        let bears = self.fairway.bears(&name, id, now);
+        let known = self.services.get(&name).and_then(|service| service.told(id));
+        let Some(change) = known.filter(|(_, bore)| *bore != bears).map(|(change, _)| change.clone()) else {
+            return;
+        };
+        let zone = self.zone(&change.zone);
+        if let Some(service) = self.services.get_mut(&name) {
+            service.change(change, zone, bears);
+        }
+    }
+}
+
+/// Drawn from the system; a fixed number where that fails, as only spread is wanted.
+pub fn drawn() -> u64 {
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes).map_or(0x9e37_79b9_7f4a_7c15, |()| u64::from_le_bytes(bytes))
+}
--- /dev/null
+++ b/crates/emberpin-pilot/src/service.rs
@@ -0,0 +1,177 @@
+//! One service: the module that decides about its requests, and the ways to its servers.
+
+use dillpass::{
+    Class, ClassId, Condition, Effect, Event, Gateway, GatewayId, Membership, Plan, RequestId, Rules, Server,
+    ServerId, Settings,
+};
+use emberpin::host::{Clock, Engine, Input, Place, Pool, Upstream};
+use emberpin_fairway::{Change, Route, RouteKind, Work};
+use hyper::header::HeaderValue;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// The module may choose so often for one request; how often one goes out is its route's.
+const TRIES: u32 = 8;
+/// The longest time to come back that a client is told, in milliseconds.
+const MAX_RETRY_AFTER: f64 = 2_000.0;
+/// Most classes of one service: beyond, requests share the last one's figures.
+const CLASSES: usize = 256;
+
+/// What of a route the module goes by.
+#[derive(PartialEq, Eq, Hash)]
+struct Sort {
+    /// More than one run does no harm.
+    repeatable: bool,
+    aim_ms: u128,
+    timeout_ms: u128,
+}
+
+/// One service.
+pub struct Service {
+    /// Hosts the module.
+    pub engine: Engine,
+    pool: Rc<Pool>,
+    classes: HashMap<Sort, ClassId>,
+    /// The lives that were told to the module, and what it may do with them.
+    lives: BTreeMap<String, (Change, ServerId, bool)>,
+    names: BTreeMap<ServerId, String>,
+    next: u32,
+}
+
+impl Service {
+    /// Of which nothing is known yet; ends of its attempts come as inputs.
+    pub fn new(pool: Rc<Pool>, inputs: mpsc::Sender<Input>, seed: u64) -> Service {
+        let clock = Clock::start();
+        let settings = Settings {
+            me: GatewayId(0),
+            group_size: 1,
+            zone: 0,
+            classes: Vec::new(),
+            // The configuration names no rates: there is no quota.
+            plans: vec![Plan {
+                rate: 0.0,
+                burst: 0.0,
+                open: 0.0,
+                ceiling_rate: 0.0,
+                ceiling_burst: 0.0,
+                price: 1.0,
+                over_worth: 0.0,
+                over_cost: 0.0,
+            }],
+            // Cold servers are the fairway's: their bound is in requests a second over all limiters.
+            rules: Rules { cold_from: 1.0, warm_after: 0.0, fall_multiple: 1.0, fall_time: 1_000.0 },
+            try_limit: TRIES,
+            second_copies: false,
+            max_retry_after: MAX_RETRY_AFTER,
+            mail_per_s: 0.0,
+            ask_for_servers: false,
+            cancel: true,
+            probes: false,
+            settles: false,
+            meter_period: 0.0,
+            shared_counter: false,
+            price_cross_zone: 0.0,
+            price_peer: 0.0,
+        };
+        let gateway = Gateway::new(settings, seed, clock.now());
+        let mut engine = Engine::new(gateway, clock, inputs);
+        engine.refusals_promise = true;
+        let lives = BTreeMap::new();
+        Service { engine, pool, classes: HashMap::new(), lives, names: BTreeMap::new(), next: 0 }
+    }
+
+    /// The class of requests on this route.
+    pub fn class(&mut self, route: &Route) -> ClassId {
+        let sort = Sort {
+            repeatable: route.kind != RouteKind::Mutating,
+            aim_ms: route.target_time.as_millis(),
+            timeout_ms: route.timeout.as_millis(),
+        };
+        if let Some(known) = self.classes.get(&sort) {
+            return *known;
+        }
+        if self.classes.len() >= CLASSES {
+            return ClassId(CLASSES - 1);
+        }
+        let effect = if sort.repeatable { Effect::Safe } else { Effect::Unsafe };
+        let class = self.engine.gateway.add_class(Class {
+            aim: (sort.aim_ms as f64).max(1.0),
+            deadline: sort.timeout_ms as f64,
+            worth: 1.0,
+            late_worth: 0.0,
+            effect,
+        });
+        self.classes.insert(sort, class);
+        class
+    }
+
+    /// A server changed; `bears`: it is warm, or this limiter may send to it while it is cold. `zone` is the number of
+    /// its zone.
+    pub fn change(&mut self, change: Change, zone: usize, bears: bool) {
+        let known = self.lives.get(&change.id);
+        if change.work == Work::Gone && known.is_none() {
+            return;
+        }
+        let id = known.map_or_else(
+            || {
+                self.next += 1;
+                ServerId(self.next)
+            },
+            |(_, id, _)| *id,
+        );
+        let usable = change.work == Work::Usable;
+        let moved = known.is_some_and(|(known, ..)| known.address != change.address);
+        if !usable || moved {
+            if let Some(upstream) = self.engine.upstreams.remove(&id) {
+                upstream.shut();
+            }
+        }
+        if usable && !self.engine.upstreams.contains_key(&id) {
+            let place = Place { address: change.address, boot_ms: 0.0 };
+            // An id that no header can carry cannot be asked for, and is never sent to.
+            if let Ok(instance) = HeaderValue::try_from(change.id.as_str()) {
+                let upstream = Upstream::of_instance(place, Some(instance), self.pool.clone());
+                self.engine.upstreams.insert(id, upstream);
+            }
+        }
+        let line = Server {
+            id,
+            zone,
+            kind: 0,
+            cell: 0,
+            size: f64::from(change.slots.max(1)),
+            started: None,
+            condition: match change.work {
+                Work::Usable if bears => Condition::InService,
+                Work::Usable | Work::Held => Condition::Draining,
+                Work::Gone => Condition::Gone,
+            },
+        };
+        if change.work == Work::Gone {
+            self.lives.remove(&change.id);
+            self.names.remove(&id);
+        } else {
+            self.names.insert(id, change.id.clone());
+            self.lives.insert(change.id.clone(), (change, id, bears));
+        }
+        self.engine.feed(Event::Membership(Membership::Changes(vec![line])));
+    }
+
+    /// Which life the module knows by this number.
+    pub fn life(&self, server: ServerId) -> Option<&str> {
+        self.names.get(&server).map(String::as_str)
+    }
+
+    /// A life that is told to the module, and whether it bears requests of this limiter.
+    pub fn told(&self, id: &str) -> Option<(&Change, bool)> {
+        self.lives.get(id).map(|(change, _, bears)| (change, *bears))
+    }
+
+    /// Attempts that went out since this was asked last: of which request, which attempt, to which life.
+    pub fn sent(&mut self) -> Vec<(RequestId, u32, String)> {
+        let sent = std::mem::take(&mut self.engine.sent);
+        let named = |(request, attempt, server)| Some((request, attempt, self.names.get(&server)?.clone()));
+        sent.into_iter().filter_map(named).collect()
+    }
+}
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -119,7 +119,6 @@
     /// One that never began.
     pub fn unsent() -> Ended {
         let report = Report::default();
-        /// An attempt ended.
         Ended {
             outcome: Outcome::Moot,
             elapsed: 0.0,
