Decide by ballots which items are chosen, and who votes

The store needs one content for a name and version, and a roster that changes safely. One register, decided by ballots, takes sets of items; each call is judged on all that is or may be chosen.

--- /dev/null
+++ b/crates/emberpin-muster/src/call.rs
@@ -0,0 +1,82 @@
+//! Calls, and what becomes of them on top of everything that is chosen.
+
+use crate::copies::{roster_item, roster_key, voters};
+use emberpin_chart::{judge, read_patch, write_all, Chart, Item, Judgement, Key, Kind};
+use std::net::Ipv4Addr;
+
+/// What is asked of a store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Takes the items in this body.
+    Patch(Vec<u8>),
+    /// The whole configuration.
+    Get,
+    /// Evacuates a zone, or ends that.
+    Evacuate {
+        /// Which zone.
+        zone: String,
+        /// Begin, or end.
+        begin: bool,
+    },
+}
+
+/// What a store does for a caller, or for itself.
+#[derive(Clone, Debug)]
+pub(crate) enum Work {
+    Call {
+        id: u64,
+        call: Call,
+    },
+    /// Replaces the roster of this version.
+    Roster {
+        ver: u64,
+        voters: Vec<Ipv4Addr>,
+    },
+}
+
+/// What becomes of a call.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Verdict {
+    /// These items are to be chosen before it is acknowledged.
+    Choose(Vec<Item>),
+    /// Nothing is left to do; the body of the 200.
+    Done(String),
+    /// Refused with this status and line.
+    Refuse(u16, String),
+}
+
+impl Work {
+    /// Judges it on top of these items.
+    pub fn judge(&self, newest: &Chart) -> Verdict {
+        match self {
+            Work::Call { call: Call::Get, .. } => Verdict::Done(write_all(newest)),
+            Work::Call { call: Call::Patch(body), .. } => {
+                let patch = match read_patch(body) {
+                    Ok(patch) => patch,
+                    Err(wrong) => return Verdict::Refuse(400, wrong.to_string()),
+                };
+                match judge(newest, &patch) {
+                    Judgement::Apply(items) => Verdict::Choose(items),
+                    Judgement::Known => Verdict::Done(String::new()),
+                    Judgement::Stale(wrong) => Verdict::Refuse(409, wrong.to_string()),
+                    Judgement::Invalid(wrong) => Verdict::Refuse(400, wrong.to_string()),
+                }
+            }
+            Work::Call { call: Call::Evacuate { zone, begin }, .. } => {
+                let key = Key { kind: Kind::Evacuation, name: zone.clone() };
+                let held = newest.get(&key);
+                if held.is_some_and(|item| item.body.is_some()) == *begin {
+                    return Verdict::Done(String::new());
+                }
+                let ver = held.map_or(1, |item| item.ver + 1);
+                Verdict::Choose(vec![Item { key, ver, body: begin.then(|| "{}".into()) }])
+            }
+            Work::Roster { ver, voters: new } => match newest.get(&roster_key()) {
+                Some(held) if held.ver == *ver && voters(held) != *new => {
+                    Verdict::Choose(vec![roster_item(ver + 1, new)])
+                }
+                _ => Verdict::Done(String::new()),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/emberpin-muster/src/copies.rs
@@ -0,0 +1,123 @@
+//! A store's copies of the items that are chosen, and digests to compare them by.
+
+use emberpin_chart::{Chart, Item, Key, Kind};
+use std::net::Ipv4Addr;
+
+/// So many buckets share the names.
+pub(crate) const BUCKETS: usize = 64;
+
+/// The newest version known of each name; only rises.
+#[derive(Clone, Debug)]
+pub struct Copies {
+    chart: Chart,
+    digests: Vec<u64>,
+}
+
+impl Default for Copies {
+    fn default() -> Copies {
+        Copies { chart: Chart::new(), digests: vec![0; BUCKETS] }
+    }
+}
+
+impl Copies {
+    /// Takes what is newer, and says whether it was.
+    pub fn learn(&mut self, item: &Item) -> bool {
+        if self.covers(item) {
+            return false;
+        }
+        let bucket = usize::from(bucket(&item.key));
+        let old = self.get(&item.key).map_or(0, digest);
+        self.digests[bucket] = self.digests[bucket].wrapping_sub(old).wrapping_add(digest(item));
+        self.chart.merge(item.clone())
+    }
+
+    /// Whether this version or a newer one of the name is here.
+    pub fn covers(&self, item: &Item) -> bool {
+        self.get(&item.key).is_some_and(|held| held.ver >= item.ver)
+    }
+
+    /// The newest version of a name.
+    pub fn get(&self, key: &Key) -> Option<&Item> {
+        self.chart.get(key)
+    }
+
+    /// All items, drops among them.
+    pub fn iter(&self) -> impl Iterator<Item = &Item> {
+        self.chart.iter()
+    }
+
+    /// Who votes, once that is known.
+    pub fn roster(&self) -> Option<&Item> {
+        self.get(&roster_key())
+    }
+
+    pub(crate) fn chart(&self) -> &Chart {
+        &self.chart
+    }
+
+    pub(crate) fn digests(&self) -> &[u64] {
+        &self.digests
+    }
+
+    pub(crate) fn digest(&self) -> u64 {
+        self.digests.iter().fold(0, |all, one| mixed(all ^ one).wrapping_add(1))
+    }
+
+    /// Which buckets differ from these.
+    pub(crate) fn differing(&self, digests: &[u64]) -> Vec<u8> {
+        let differs =
+            |bucket: &u8| digests.get(usize::from(*bucket)) != self.digests.get(usize::from(*bucket));
+        (0..BUCKETS as u8).filter(differs).collect()
+    }
+
+    pub(crate) fn in_buckets(&self, buckets: &[u8]) -> Vec<Item> {
+        if buckets.is_empty() {
+            return Vec::new();
+        }
+        self.iter().filter(|item| buckets.contains(&bucket(&item.key))).cloned().collect()
+    }
+}
+
+/// The name of the roster.
+pub(crate) fn roster_key() -> Key {
+    Key { kind: Kind::Roster, name: String::new() }
+}
+
+/// A roster as an item.
+pub(crate) fn roster_item(ver: u64, voters: &[Ipv4Addr]) -> Item {
+    let voters: Vec<String> = voters.iter().map(|voter| format!("\"{voter}\"")).collect();
+    Item { key: roster_key(), ver, body: Some(format!("[{}]", voters.join(","))) }
+}
+
+/// The addresses in a roster; the stores alone write it.
+pub(crate) fn voters(roster: &Item) -> Vec<Ipv4Addr> {
+    let body = roster.body.as_deref().unwrap_or_default();
+    let parts = body.split(['[', ']', ',', '"', ' ']);
+    parts.filter_map(|part| part.parse().ok()).collect()
+}
+
+/// Which bucket a name belongs to.
+pub(crate) fn bucket(key: &Key) -> u8 {
+    (mixed(hashed(key_bytes(key))) % BUCKETS as u64) as u8
+}
+
+fn key_bytes(key: &Key) -> impl Iterator<Item = u8> + '_ {
+    std::iter::once(key.kind as u8).chain(key.name.bytes()).chain(std::iter::once(0xff))
+}
+
+fn digest(item: &Item) -> u64 {
+    let body = item.body.as_deref().map(|body| std::iter::once(1).chain(body.bytes()));
+    mixed(hashed(key_bytes(&item.key).chain(item.ver.to_be_bytes()).chain(body.into_iter().flatten())))
+}
+
+/// FNV-1a.
+fn hashed(bytes: impl Iterator<Item = u8>) -> u64 {
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+}
+
+/// The end of splitmix64: spreads every bit.
+pub(crate) fn mixed(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- /dev/null
+++ b/crates/emberpin-muster/src/message.rs
@@ -0,0 +1,126 @@
+//! What stores of configuration say to each other.
+
+use emberpin_chart::Item;
+use serde::{Deserialize, Serialize};
+
+/// Names a round; the higher one prevails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ballot {
+    /// Above all that the proposer has heard of.
+    pub counter: u64,
+    /// The proposer's address.
+    pub node: u32,
+    /// Drawn at each start of the proposer: a store that forgot its ballots must not use one twice.
+    pub life: u32,
+}
+
+/// Items that a voter has accepted and that it doesn't know to be chosen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pending {
+    /// The round that proposed them.
+    pub ballot: Ballot,
+    /// All that this round proposed.
+    pub items: Vec<Item>,
+}
+
+/// One message; each may be lost, late, or come twice.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for a promise.
+    Prepare {
+        /// The round.
+        ballot: Ballot,
+        /// The newest roster that the proposer knows to be chosen.
+        roster: Item,
+        /// Of the proposer's chosen items, by bucket.
+        digests: Vec<u64>,
+    },
+    /// Accepts nothing of a lower ballot from now on.
+    Promise {
+        /// The round.
+        ballot: Ballot,
+        /// What the voter has accepted and that may be chosen.
+        pending: Option<Pending>,
+        /// In which buckets the voter's chosen items differ from the proposer's.
+        buckets: Vec<u8>,
+        /// The voter's chosen items in these buckets.
+        chosen: Vec<Item>,
+    },
+    /// Proposes.
+    Accept {
+        /// The round.
+        ballot: Ballot,
+        /// As in [`Message::Prepare`].
+        roster: Item,
+        /// Chosen items that some voter lacked.
+        chosen: Vec<Item>,
+        /// The items that are proposed, those of earlier rounds that may be chosen among them.
+        items: Vec<Item>,
+    },
+    /// The voter has it on its disk.
+    Accepted {
+        /// The round.
+        ballot: Ballot,
+    },
+    /// The voter has promised a higher ballot.
+    Refused {
+        /// The round.
+        ballot: Ballot,
+        /// What was promised.
+        promised: Ballot,
+    },
+    /// The store lost its disk and has not caught up: it counts in no quorum.
+    NotVoting {
+        /// The round.
+        ballot: Ballot,
+    },
+    /// The round went by a roster that has been replaced.
+    Roster {
+        /// The round.
+        ballot: Ballot,
+        /// The newer one; it is chosen.
+        roster: Item,
+    },
+    /// These items are chosen.
+    Chosen {
+        /// The items.
+        items: Vec<Item>,
+    },
+    /// Compares what is chosen; also tells that the sender lives.
+    Exchange {
+        /// Names the answer.
+        seq: u64,
+        /// Of all the sender's chosen items.
+        digest: u64,
+    },
+    /// Answers [`Message::Exchange`]: nothing differs.
+    Same {
+        /// Which.
+        seq: u64,
+        /// Whether the sender counts in quorums.
+        voting: bool,
+    },
+    /// Answers [`Message::Exchange`]: something differs.
+    Differ {
+        /// Which.
+        seq: u64,
+        /// By bucket.
+        digests: Vec<u64>,
+    },
+    /// Wants the chosen items of these buckets.
+    Fetch {
+        /// Names the answer.
+        seq: u64,
+        /// Which buckets.
+        buckets: Vec<u8>,
+    },
+    /// Answers [`Message::Fetch`].
+    Items {
+        /// Which.
+        seq: u64,
+        /// The items.
+        items: Vec<Item>,
+        /// Whether the sender counts in quorums.
+        voting: bool,
+    },
+}
--- /dev/null
+++ b/crates/emberpin-muster/src/round.rs
@@ -0,0 +1,120 @@
+//! One round: a ballot, who has promised it, and what it proposes.
+
+use crate::call::Work;
+use crate::copies::{bucket, voters, Copies};
+use crate::message::{Ballot, Pending};
+use emberpin_chart::{Item, Key};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+/// Something to do, and until when its caller waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    pub work: Work,
+    pub until: u64,
+    /// Items of it went out in a proposal, so that it may be chosen.
+    pub proposed: bool,
+}
+
+/// The answer to a task that is told once the round's items are chosen.
+#[derive(Debug)]
+pub(crate) struct Outcome {
+    pub task: Task,
+    pub status: u16,
+    pub body: String,
+}
+
+/// What a voter told with its promise: the buckets in which it differed, and its versions there.
+#[derive(Debug)]
+pub(crate) struct Promised {
+    pub buckets: Vec<u8>,
+    pub versions: BTreeMap<Key, u64>,
+}
+
+/// A round that is under way.
+#[derive(Debug)]
+pub(crate) struct Round {
+    pub ballot: Ballot,
+    pub since: u64,
+    /// The roster that it goes by.
+    pub roster: Item,
+    pub voters: Vec<Ipv4Addr>,
+    /// The roster that is to replace it, whose majorities are needed too.
+    pub next: Option<Item>,
+    pub joining: Vec<Ipv4Addr>,
+    /// The round of a store that lost its disk: it only reads, and the store itself doesn't count.
+    pub recovers: bool,
+    pub promises: BTreeMap<Ipv4Addr, Promised>,
+    /// Of what was accepted in earlier rounds, the latest.
+    pub latest: Option<Pending>,
+    /// What the proposer learned since it sent its digests.
+    pub learned: BTreeSet<Key>,
+    /// What it proposes, once it does.
+    pub proposal: Option<Vec<Item>>,
+    pub accepted: BTreeSet<Ipv4Addr>,
+    pub outcomes: Vec<Outcome>,
+}
+
+impl Round {
+    pub fn new(ballot: Ballot, since: u64, roster: Item, next: Option<Item>) -> Round {
+        Round {
+            ballot,
+            since,
+            voters: voters(&roster),
+            joining: next.as_ref().map(voters).unwrap_or_default(),
+            roster,
+            next,
+            recovers: false,
+            promises: BTreeMap::new(),
+            latest: None,
+            learned: BTreeSet::new(),
+            proposal: None,
+            accepted: BTreeSet::new(),
+            outcomes: Vec::new(),
+        }
+    }
+
+    /// Whom it talks to.
+    pub fn targets(&self) -> BTreeSet<Ipv4Addr> {
+        self.voters.iter().chain(&self.joining).copied().collect()
+    }
+
+    /// Whether enough have promised.
+    pub fn promised(&self, me: Ipv4Addr) -> bool {
+        let enough = |voters: &[Ipv4Addr]| {
+            let (mut need, others) = (majority(voters), voters.iter().filter(|voter| **voter != me).count());
+            if self.recovers {
+                // What is chosen is on a majority, and of that only this store's copy is lost.
+                need = need.min(others);
+            }
+            voters.iter().filter(|voter| self.promises.contains_key(voter)).count() >= need
+        };
+        enough(&self.voters) && (self.joining.is_empty() || enough(&self.joining))
+    }
+
+    /// Whether enough have accepted: a majority, and more than may be lost at once.
+    pub fn chosen(&self, tolerated: usize) -> bool {
+        let enough = |voters: &[Ipv4Addr]| {
+            let need = majority(voters).max((tolerated + 1).min(voters.len()));
+            voters.iter().filter(|voter| self.accepted.contains(voter)).count() >= need
+        };
+        enough(&self.voters) && (self.joining.is_empty() || enough(&self.joining))
+    }
+
+    /// The chosen items that some voter which promised doesn't have; all, where a roster joins.
+    pub fn lacking(&self, copies: &Copies) -> Vec<Item> {
+        let lacks = |item: &&Item| {
+            let (bucket, learned) = (bucket(&item.key), self.learned.contains(&item.key));
+            self.promises.values().any(|promised| {
+                let told = learned || promised.buckets.contains(&bucket);
+                told && promised.versions.get(&item.key).is_none_or(|ver| *ver < item.ver)
+            })
+        };
+        copies.iter().filter(|item| !self.joining.is_empty() || lacks(item)).cloned().collect()
+    }
+}
+
+/// How many of the voters are more than half.
+pub(crate) fn majority(voters: &[Ipv4Addr]) -> usize {
+    voters.len() / 2 + 1
+}
--- /dev/null
+++ b/crates/emberpin-muster/src/voter.rs
@@ -0,0 +1,115 @@
+//! A voter: what it has promised and accepted, and what it knows to be chosen.
+
+use crate::copies::Copies;
+use crate::message::{Ballot, Message, Pending};
+use emberpin_chart::Item;
+
+/// What a store finds on its disk at its start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    /// Chosen items.
+    pub chosen: Vec<Item>,
+    /// The highest ballot that was promised.
+    pub promised: Ballot,
+    /// What was accepted last and was not known to be chosen.
+    pub pending: Option<Pending>,
+    /// Whether it counts in quorums.
+    pub voting: bool,
+}
+
+/// What is to be written to the disk, in the order in which it is given, each wholly or not at all.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Write {
+    /// Chosen items.
+    pub chosen: Vec<Item>,
+    /// Replaces the promise.
+    pub promised: Ballot,
+    /// Replaces what is pending, if it changed.
+    pub pending: Option<Option<Pending>>,
+    /// Whether the store counts in quorums.
+    pub voting: bool,
+    /// It and all before it must be synced before it is said to be persisted.
+    pub sync: bool,
+}
+
+/// Parts that can be left out, to show that a test sees it.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Guards {
+    /// A store that lost its disk doesn't vote before it caught up.
+    pub amnesia: bool,
+    /// A voter keeps its promises.
+    pub promise: bool,
+    /// What may be chosen is proposed again.
+    pub carry: bool,
+    /// A change of the roster needs majorities of both.
+    pub joint: bool,
+    /// Nothing is said before it is on the disk.
+    pub sync: bool,
+    /// Chosen items that a voter lacks go along with what is proposed.
+    pub lacking: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Guards {
+        Guards { amnesia: true, promise: true, carry: true, joint: true, sync: true, lacking: true }
+    }
+}
+
+/// The part of a store that votes.
+#[derive(Debug)]
+pub(crate) struct Voter {
+    pub copies: Copies,
+    pub promised: Ballot,
+    pub pending: Option<Pending>,
+    pub voting: bool,
+    pub guards: Guards,
+}
+
+impl Voter {
+    pub fn new(kept: Kept, guards: Guards) -> Voter {
+        let mut copies = Copies::default();
+        kept.chosen.iter().for_each(|item| _ = copies.learn(item));
+        let voting = kept.voting || !guards.amnesia;
+        Voter { copies, promised: kept.promised, pending: kept.pending, voting, guards }
+    }
+
+    /// What the voter answers; nothing has to be written if it isn't a promise.
+    pub fn prepare(&mut self, ballot: Ballot, digests: &[u64]) -> Message {
+        if !self.voting {
+            return Message::NotVoting { ballot };
+        }
+        if ballot <= self.promised && self.guards.promise {
+            return Message::Refused { ballot, promised: self.promised };
+        }
+        self.promised = ballot;
+        let buckets = self.copies.differing(digests);
+        let chosen = self.copies.in_buckets(&buckets);
+        Message::Promise { ballot, pending: self.pending.clone(), buckets, chosen }
+    }
+
+    /// What the voter answers; the caller has it learn the chosen items that come along.
+    pub fn accept(&mut self, ballot: Ballot, items: Vec<Item>) -> Message {
+        if !self.voting {
+            return Message::NotVoting { ballot };
+        }
+        if ballot < self.promised && self.guards.promise {
+            return Message::Refused { ballot, promised: self.promised };
+        }
+        self.promised = ballot;
+        // A late copy of the message must not bring back what is known to be chosen.
+        let open = items.iter().any(|item| !self.copies.covers(item));
+        self.pending = open.then_some(Pending { ballot, items });
+        Message::Accepted { ballot }
+    }
+
+    /// Takes chosen items; returns those that were new.
+    pub fn learn(&mut self, items: &[Item]) -> Vec<Item> {
+        let new: Vec<Item> = items.iter().filter(|item| self.copies.learn(item)).cloned().collect();
+        let copies = &self.copies;
+        if self.pending.as_ref().is_some_and(|open| open.items.iter().all(|item| copies.covers(item))) {
+            self.pending = None;
+        }
+        new
+    }
+}
