Run the store of configuration: disk, connections, and its process

The registry needs stores that take calls and tell news. A thin host around the custodian: fjall on disk, one sync for all that came in together, postcard frames between stores and towards registries.

--- /dev/null
+++ b/crates/emberpin-keeper/src/host.rs
@@ -0,0 +1,263 @@
+//! The loop around a custodian: events in, actions out.
+
+use crate::connections::{call, listen, Counts, Links, Outbox, Registry};
+use crate::disk::{Disk, Unusable};
+use crate::talk::{Ask, ToKeeper, Told};
+use emberpin_berth::frames;
+use emberpin_berth::settings::Settings;
+use emberpin_muster::{Action, Call, Custodian, Event, Message, Options};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+
+/// Events that wait for the loop.
+const WAITING: usize = 256;
+/// So many are taken at once, so that they share a sync.
+const AT_ONCE: usize = 32;
+/// How often followers are told how the store stands.
+const STANDING: u64 = 450;
+/// How often links that nobody uses are ended.
+const PRUNE: u64 = 10_000;
+/// The shortest sleep: timers are in milliseconds.
+const NAP: u64 = 2;
+
+/// What comes in.
+pub enum Input {
+    /// From another store.
+    Message {
+        /// Who.
+        from: Ipv4Addr,
+        /// What.
+        message: Message,
+    },
+    /// From a registry.
+    Ask {
+        /// Which connection.
+        connection: u64,
+        /// What.
+        ask: Ask,
+        /// Where it is told.
+        outbox: Outbox,
+    },
+    /// A connection ended.
+    Closed {
+        /// Which.
+        connection: u64,
+    },
+}
+
+/// Why a store ends.
+#[derive(Debug, thiserror::Error)]
+pub enum Ended {
+    /// Its disk.
+    #[error(transparent)]
+    Disk(#[from] Unusable),
+    /// Its place on the network.
+    #[error("{0}: {1}")]
+    Listen(SocketAddrV4, io::Error),
+    /// Something that the system refused.
+    #[error("{0}")]
+    System(#[from] io::Error),
+    /// The settings name no disk.
+    #[error("self.datadir: is missing")]
+    NoDisk,
+    /// No random bytes.
+    #[error("no random bytes: {0}")]
+    Random(#[from] getrandom::Error),
+}
+
+/// Runs a store until it is told to end.
+///
+/// # Errors
+///
+/// [`Ended`], at the start or when the disk fails.
+pub async fn run(settings: &Settings) -> Result<(), Ended> {
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    // Nothing in the settings changes for a store while it runs.
+    let mut hup = signal(SignalKind::hangup())?;
+    let (disk, kept) = Disk::open(settings.datadir.as_deref().ok_or(Ended::NoDisk)?, settings.ip)?;
+    let place = SocketAddrV4::new(settings.ip, settings.keeper_port());
+    let listener = TcpListener::bind(place).await.map_err(|error| Ended::Listen(place, error))?;
+    let mut seed = [0; 8];
+    getrandom::fill(&mut seed)?;
+    let seeds = settings.seeds.iter().filter_map(|seed| match seed.ip() {
+        IpAddr::V4(ip) => Some(ip),
+        IpAddr::V6(_) => None,
+    });
+    let options = Options {
+        me: settings.ip,
+        seeds: seeds.collect(),
+        bootstrap: settings.bootstrap,
+        tolerated: settings.tolerated_nodes,
+        seed: u64::from_be_bytes(seed),
+    };
+    let mut actions = Vec::new();
+    let custodian = Custodian::new(0, options, kept, &mut actions);
+    let mut host = Host {
+        began: Instant::now(),
+        settings,
+        custodian,
+        disk,
+        links: Links::new(settings.keeper_port()),
+        registries: BTreeMap::new(),
+        calls: BTreeMap::new(),
+        next_call: 0,
+        standing: (false, Vec::new()),
+        standing_at: 0,
+        prune_at: PRUNE,
+    };
+    host.act(actions)?;
+    let (inputs, mut waiting) = mpsc::channel(WAITING);
+    tokio::spawn(listen(listener, inputs, Arc::<Counts>::default()));
+    loop {
+        tokio::select! {
+            biased;
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => {}
+            input = waiting.recv() => {
+                let Some(input) = input else { break };
+                let mut actions = Vec::new();
+                host.take(input, &mut actions);
+                for _ in 1..AT_ONCE {
+                    let Ok(input) = waiting.try_recv() else { break };
+                    host.take(input, &mut actions);
+                }
+                host.act(actions)?;
+            }
+            () = tokio::time::sleep(host.pause()) => {
+                let mut actions = Vec::new();
+                host.custodian.handle(host.now(), Event::Wake, &mut actions);
+                host.act(actions)?;
+            }
+        }
+        host.stand();
+    }
+    Ok(host.disk.sync()?)
+}
+
+struct Host<'a> {
+    began: Instant,
+    settings: &'a Settings,
+    custodian: Custodian,
+    disk: Disk,
+    links: Links,
+    registries: BTreeMap<u64, Registry>,
+    /// Which connection a call came on, and its number there.
+    calls: BTreeMap<u64, (u64, u64)>,
+    next_call: u64,
+    standing: (bool, Vec<Ipv4Addr>),
+    standing_at: u64,
+    prune_at: u64,
+}
+
+impl Host<'_> {
+    fn now(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn pause(&self) -> Duration {
+        let at = self.custodian.wake_at().min(self.standing_at);
+        Duration::from_millis(at.saturating_sub(self.now()).max(NAP))
+    }
+
+    fn take(&mut self, input: Input, actions: &mut Vec<Action>) {
+        match input {
+            Input::Message { from, message } => {
+                self.custodian.handle(self.now(), Event::Message { from, message }, actions);
+            }
+            Input::Closed { connection } => {
+                self.registries.remove(&connection);
+                self.calls.retain(|_, (from, _)| *from != connection);
+            }
+            Input::Ask { connection, ask, outbox } => self.ask(connection, ask, outbox, actions),
+        }
+    }
+
+    fn ask(&mut self, connection: u64, ask: Ask, outbox: Outbox, actions: &mut Vec<Action>) {
+        self.registries.entry(connection).or_insert(Registry { outbox, follows: false });
+        let Some((id, call)) = call(ask) else {
+            let items = self.custodian.copies().iter().cloned().collect();
+            if let Some(registry) = self.registries.get_mut(&connection) {
+                registry.follows = true;
+            }
+            self.tell(connection, &Told::News { items });
+            let (settled, voters) = self.standing.clone();
+            return self.tell(connection, &Told::Standing { settled, voters });
+        };
+        if let Call::Evacuate { zone, .. } = &call {
+            if !self.settings.zones.contains_key(zone) {
+                let body = format!("zone {zone:?}: is not known");
+                return self.tell(connection, &Told::Answer { id, status: 404, body });
+            }
+        }
+        self.next_call += 1;
+        self.calls.insert(self.next_call, (connection, id));
+        self.custodian.handle(self.now(), Event::Call { id: self.next_call, call }, actions);
+    }
+
+    /// One that doesn't read what it is told is let go: it comes again, and is told everything.
+    fn tell(&mut self, connection: u64, told: &Told) {
+        if self.registries.get(&connection).is_some_and(|registry| !registry.tell(told)) {
+            self.registries.remove(&connection);
+        }
+    }
+
+    fn tell_followers(&mut self, told: &Told) {
+        self.registries.retain(|_, registry| !registry.follows || registry.tell(told));
+    }
+
+    /// Does what is to be done; one sync is enough for all that was to be written.
+    fn act(&mut self, mut actions: Vec<Action>) -> Result<(), Unusable> {
+        while !actions.is_empty() {
+            let mut synced = None;
+            for action in actions.drain(..) {
+                match action {
+                    Action::Persist { token, write } => {
+                        self.disk.write(&write)?;
+                        synced = write.sync.then_some(token).or(synced);
+                    }
+                    Action::Send { to, message } => {
+                        let frame = frames::frame(&ToKeeper::Muster { from: self.settings.ip, message });
+                        match frame {
+                            Ok(frame) => self.links.send(to, Arc::new(frame)),
+                            Err(error) => log::warn!("nothing sent to {to}: {error}"),
+                        }
+                    }
+                    Action::Answer { id, status, body } => {
+                        if let Some((connection, id)) = self.calls.remove(&id) {
+                            self.tell(connection, &Told::Answer { id, status, body });
+                        }
+                    }
+                    Action::News { items } => self.tell_followers(&Told::News { items }),
+                }
+            }
+            if let Some(token) = synced {
+                self.disk.sync()?;
+                self.custodian.handle(self.now(), Event::Persisted { token }, &mut actions);
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells followers how the store stands, when it is due and when it changes.
+    fn stand(&mut self) {
+        let now = self.now();
+        let standing = (self.custodian.settled(now), self.custodian.voters());
+        if now >= self.standing_at || standing != self.standing {
+            self.standing_at = now + STANDING;
+            self.standing = standing.clone();
+            let (settled, voters) = standing;
+            self.tell_followers(&Told::Standing { settled, voters });
+        }
+        if now >= self.prune_at {
+            self.prune_at = now + PRUNE;
+            self.links.prune();
+        }
+    }
+}
--- a/crates/emberpin-keeper/src/main.rs
+++ b/crates/emberpin-keeper/src/main.rs
@@ -1,2 +1,8 @@
-//! Not begun.
-fn main() {}
+//! The store's program; everything is in the library.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    emberpin_keeper::program::main(std::env::args_os().skip(1))
+}
--- a/crates/emberpin-keeper/src/talk.rs
+++ b/crates/emberpin-keeper/src/talk.rs
@@ -4,7 +4,21 @@
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
 
-/// From a registry to a store; the first message on a connection tells what the connection is for.
+/// Every frame towards a store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToKeeper {
+    /// From a registry; what it is told comes back on the same connection, as [`Told`].
+    Ask(Ask),
+    /// From another store; nothing comes back on this connection.
+    Muster {
+        /// The sender's address, by which it is known on the roster.
+        from: Ipv4Addr,
+        /// What it says.
+        message: emberpin_muster::Message,
+    },
+}
+
+/// From a registry to a store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Ask {
     /// The body of `POST /config/patch`; one [`Told::Answer`] with the same number is owed.
--- /dev/null
+++ b/crates/emberpin-keeper/tests/processes.rs
@@ -0,0 +1,250 @@
+//! Stores as processes on addresses of this machine: calls, news, the loss of all processes, of a disk, of a machine.
+
+use emberpin_berth::frames;
+use emberpin_chart::{Item, Kind};
+use emberpin_keeper::talk::{Ask, ToKeeper, Told};
+use googletest::prelude::*;
+use std::net::{Ipv4Addr, TcpListener};
+use std::path::Path;
+use std::process::{Child, Command};
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
+
+/// All that is waited for comes well before.
+const LONG: Duration = Duration::from_secs(30);
+
+/// A machine with a disk, and its store.
+struct Machine {
+    ip: Ipv4Addr,
+    port: u16,
+    folder: TempDir,
+    seeds: Vec<Ipv4Addr>,
+    store: Option<Child>,
+}
+
+impl Machine {
+    fn start(&mut self, bootstrap: bool) {
+        let file = self.folder.path().join("boot.toml");
+        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}:1\"")).collect();
+        let text = format!(
+            "[self]\nnodename = \"core\"\nip = \"{ip}\"\naz = \"z1\"\nrgn = \"r\"\nbootstrap = {bootstrap}\n\
+             datadir = \"{data}\"\n[self.limits]\nmem_mb = 256\nnofile = 1024\n\
+             [network]\nport_range = [{port},{last}]\nseeds = [{seeds}]\n[network.listen]\n\
+             [network.zones]\nz1 = \"r\"\nz2 = \"r\"\n[infra]\nhb = \"1s\"\n[defs.tolerance]\nnodes = 1\n\
+             [defs.bounds]\ndrain = \"2s\"\ngrace = \"6s\"\napply = \"2s\"\nevac = \"2s\"\nack = \"5s\"\n\
+             contact = \"3s\"\nretry_ratio = 0.2\nretry_win = \"10s\"\nretry_extra = 60\nwarm_excess = 1.5\n\
+             warm_extra = 5\n",
+            ip = self.ip,
+            port = self.port,
+            last = self.port + 1,
+            seeds = seeds.join(","),
+            data = self.data().display(),
+        );
+        std::fs::write(&file, text).expect("a settings file");
+        let store = Command::new(env!("CARGO_BIN_EXE_emberpin-keeper"))
+            .env("EMBERPIN_NODE_FILE", &file)
+            .spawn()
+            .expect("a store");
+        self.store = Some(store);
+    }
+
+    fn data(&self) -> std::path::PathBuf {
+        self.folder.path().join("data")
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut store) = self.store.take() {
+            _ = store.kill();
+            _ = store.wait();
+        }
+    }
+
+    fn lose_disk(&mut self) {
+        self.kill();
+        std::fs::remove_dir_all(self.data()).expect("a folder to remove");
+    }
+
+    /// A connection, as soon as the store takes one.
+    async fn connect(&self) -> TcpStream {
+        let until = Instant::now() + LONG;
+        loop {
+            if let Ok(stream) = TcpStream::connect((self.ip, self.port)).await {
+                return stream;
+            }
+            assert!(Instant::now() < until, "{} takes no connections", self.ip);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// The answer to one call, sent again as the operator does.
+    async fn call(&self, ask: Ask) -> (u16, String) {
+        let until = Instant::now() + LONG;
+        loop {
+            let mut stream = self.connect().await;
+            if frames::write(&mut stream, &ToKeeper::Ask(ask.clone())).await.is_ok() {
+                if let Ok(Ok(Told::Answer { status, body, .. })) =
+                    timeout(LONG, frames::read(&mut stream)).await
+                {
+                    if status != 503 {
+                        return (status, body);
+                    }
+                }
+            }
+            assert!(Instant::now() < until, "no answer");
+        }
+    }
+
+    async fn patch(&self, body: &str) -> u16 {
+        self.call(Ask::Patch { id: 7, body: body.into() }).await.0
+    }
+
+    async fn get(&self) -> String {
+        self.call(Ask::Get { id: 8 }).await.1
+    }
+
+    /// Waits until a follower is told what is looked for.
+    async fn follow<T>(&self, mut look: impl FnMut(Told) -> Option<T>) -> T {
+        let mut stream = self.connect().await;
+        frames::write(&mut stream, &ToKeeper::Ask(Ask::Follow)).await.expect("a store that hears");
+        let found = async {
+            loop {
+                let told = frames::read(&mut stream).await.expect("a store that tells");
+                if let Some(found) = look(told) {
+                    return found;
+                }
+            }
+        };
+        timeout(LONG, found).await.expect("not told in time")
+    }
+
+    async fn voters(&self, wanted: &[Ipv4Addr]) {
+        self.follow(|told| match told {
+            Told::Standing { settled: true, voters } if voters == wanted => Some(()),
+            _ => None,
+        })
+        .await;
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Machines on addresses of their own; the first three are the seeds.
+fn machines(net: u8, count: u8) -> Vec<Machine> {
+    let seeds: Vec<Ipv4Addr> = (1..=3).map(|host| Ipv4Addr::new(127, 9, net, host)).collect();
+    let free = TcpListener::bind((seeds[0], 0)).expect("a port");
+    let port = free.local_addr().expect("an address").port();
+    let machine = |host| Machine {
+        ip: Ipv4Addr::new(127, 9, net, host),
+        port,
+        folder: tempfile::tempdir().expect("a folder"),
+        seeds: seeds.clone(),
+        store: None,
+    };
+    (1..=count).map(machine).collect()
+}
+
+fn service(name: &str, ver: u64) -> String {
+    format!(
+        "{{\"upsert\":{{\"svcs\":[{{\"name\":\"{name}\",\"hcheck\":\"/h\",\"maxconn\":9,\"proto\":\"h1\",\
+         \"tls\":false,\"warmup\":\"3s\",\"warmup_per_s\":10.0,\"ver\":{ver}}}]}}}}"
+    )
+}
+
+fn run(test: impl std::future::Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(test);
+}
+
+#[gtest]
+fn a_call_is_told_everywhere_and_outlasts_the_end_of_all_processes() {
+    run(async {
+        let mut machines = machines(1, 3);
+        machines.iter_mut().for_each(|machine| machine.start(true));
+        expect_that!(machines[0].patch(&service("a", 7)).await, eq(200));
+        expect_that!(machines[1].patch(&service("a", 7)).await, eq(200));
+        expect_that!(machines[2].patch(&service("a", 6)).await, eq(409));
+        expect_that!(machines[2].patch("{\"upsert\":").await, eq(400));
+        let evacuate = |begin| Ask::Evacuate { id: 1, zone: "z2".into(), begin };
+        expect_that!(machines[1].call(evacuate(true)).await.0, eq(200));
+        let nowhere = Ask::Evacuate { id: 1, zone: "z9".into(), begin: true };
+        expect_that!(machines[1].call(nowhere).await.0, eq(404));
+        for machine in &machines {
+            let mut seen: Vec<Item> = Vec::new();
+            machine
+                .follow(|told| {
+                    if let Told::News { items } = told {
+                        seen.extend(items);
+                    }
+                    let has = |kind| seen.iter().any(|item| item.key.kind == kind && item.body.is_some());
+                    (has(Kind::Service) && has(Kind::Evacuation)).then_some(())
+                })
+                .await;
+        }
+        machines.iter_mut().for_each(Machine::kill);
+        machines.iter_mut().for_each(|machine| machine.start(false));
+        expect_that!(machines[2].get().await, contains_substring("\"name\":\"a\""));
+        expect_that!(machines[0].call(evacuate(true)).await.0, eq(200));
+    });
+}
+
+#[gtest]
+fn what_was_acknowledged_outlasts_a_lost_disk() {
+    run(async {
+        let mut machines = machines(2, 3);
+        machines.iter_mut().for_each(|machine| machine.start(true));
+        expect_that!(machines[0].patch(&service("a", 1)).await, eq(200));
+        machines[2].kill();
+        expect_that!(machines[0].patch(&service("b", 1)).await, eq(200));
+        machines[0].lose_disk();
+        machines[1].kill();
+        machines.iter_mut().for_each(|machine| machine.start(false));
+        expect_that!(machines[0].get().await, contains_substring("\"name\":\"b\""));
+        expect_that!(machines[2].get().await, contains_substring("\"name\":\"b\""));
+    });
+}
+
+#[gtest]
+fn a_machine_at_another_address_takes_the_place_of_one_that_is_gone() {
+    run(async {
+        let mut machines = machines(3, 4);
+        machines[..3].iter_mut().for_each(|machine| machine.start(true));
+        expect_that!(machines[0].patch(&service("a", 1)).await, eq(200));
+        machines[1].kill();
+        machines[3].start(false);
+        let voters = [machines[0].ip, machines[2].ip, machines[3].ip];
+        machines[3].voters(&voters).await;
+        machines[2].kill();
+        expect_that!(machines[3].patch(&service("b", 1)).await, eq(200));
+        expect_that!(machines[0].get().await, contains_substring("\"name\":\"b\""));
+    });
+}
+
+#[gtest]
+fn another_machines_disk_is_refused() {
+    let mut machines = machines(4, 2);
+    run(async {
+        machines[0].start(true);
+        machines[0].follow(|told| matches!(told, Told::News { .. }).then_some(())).await;
+    });
+    machines[0].kill();
+    copy(&machines[0].data(), &machines[1].data());
+    machines[1].start(false);
+    let mut store = machines[1].store.take().expect("a store");
+    expect_that!(store.wait().expect("an end").code(), some(eq(2)));
+}
+
+fn copy(from: &Path, to: &Path) {
+    std::fs::create_dir_all(to).expect("a folder");
+    for entry in std::fs::read_dir(from).expect("a folder") {
+        let entry = entry.expect("an entry");
+        match entry.file_type().expect("a type").is_dir() {
+            true => copy(&entry.path(), &to.join(entry.file_name())),
+            false => _ = std::fs::copy(entry.path(), to.join(entry.file_name())).expect("a copy"),
+        }
+    }
+}
