--- a/crates/emberpin-keeper/src/talk.rs
+++ b/crates/emberpin-keeper/src/talk.rs
@@ -46,13 +46,6 @@
     Follow,
 }
 
-/// To a store.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum ToKeeper {
-    /// From a registry.
-    Ask(Ask),
-}
-
 /// From a store to a registry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Told {
