--- a/crates/dillpass/src/brain/balancing.rs
+++ b/crates/dillpass/src/brain/balancing.rs
@@ -75,7 +75,8 @@
         let picked = if warmth < 1.0 { self.cold_limit(now, server, all_cold).1 } else { f64::INFINITY };
         let stands_for = (f64::from(self.settings.group_size) / picked).max(1.0);
         let warmth = if self.load.level > 0 { 1.0 } else { warmth };
-        (out + expected / usual + server.queue) * server.ratio * stall / (warmth * stands_for)
+        let away = if server.info.zone == self.settings.zone { 1.0 } else { self.settings.away };
+        (out + expected / usual + server.queue) * server.ratio * stall * away / (warmth * stands_for)
     }
 
     /// Mean latency of what was answered; before any answer, that of the classes.
--- a/crates/dillpass/src/interface.rs
+++ b/crates/dillpass/src/interface.rs
@@ -137,6 +137,8 @@
     pub meter_period: Millis,
     /// There is a counter service that all gateways share.
     pub shared_counter: bool,
+    /// A server of another zone counts as so many times as slow; 1 for no preference.
+    pub away: f64,
     /// Points that it costs when every attempt leaves the zone.
     pub price_cross_zone: f64,
     /// Points that one full message a request costs.
--- a/crates/dillpass/src/settings.rs
+++ b/crates/dillpass/src/settings.rs
@@ -289,6 +289,7 @@
         settles: conf.family_info.settles,
         meter_period: conf.family_info.meter_ms,
         shared_counter: conf.family_info.shared_counter,
+        away: 1.0,
         price_cross_zone: conf.prices.cross_zone,
         price_peer: conf.prices.peer,
     }
--- a/crates/dillpass/tests/common/mod.rs
+++ b/crates/dillpass/tests/common/mod.rs
@@ -50,6 +50,7 @@
         settles: false,
         meter_period: 0.0,
         shared_counter: false,
+        away: 1.0,
         price_cross_zone: 0.0,
         price_peer: 0.0,
     }
--- a/crates/emberpin-pilot/src/service.rs
+++ b/crates/emberpin-pilot/src/service.rs
@@ -15,6 +15,8 @@
 const TRIES: u32 = 8;
 /// The longest time to come back that a client is told, in milliseconds.
 const MAX_RETRY_AFTER: f64 = 2_000.0;
+/// A server of another zone must promise an answer so many times as soon: bytes between zones cost.
+const AWAY: f64 = 2.0;
 /// Most classes of one service: beyond, requests share the last one's figures.
 const CLASSES: usize = 256;
 
@@ -71,6 +73,7 @@
             settles: false,
             meter_period: 0.0,
             shared_counter: false,
+            away: AWAY,
             price_cross_zone: 0.0,
             price_peer: 0.0,
         };
