Send nothing to silent servers until they take a connection; onset by servers' slots

Cause: with two zones of servers dark, requests waited for connect timeouts at servers that were tried again and again, and the least onset of two attempts a server let queues grow past every aim. Change: a server that gives no sign of life is asked in the background; what was not sent is no try; the least onset is this limiter's part of the slots, twice.

--- a/crates/dillpass/src/brain/admission.rs
+++ b/crates/dillpass/src/brain/admission.rs
@@ -29,7 +29,8 @@
     /// may take is the number of attempts that may be out; the paper's figure stands until seen.
     pub(super) fn onset(&self, level: usize) -> f64 {
         let seen = self.load.peak * self.aim * AIM_SHARE / 1000.0;
-        let least = LEAST_OUT * self.servers.len() as f64 / f64::from(self.settings.group_size.max(1));
+        let guess = LEAST_OUT * self.servers.len() as f64 / f64::from(self.settings.group_size.max(1));
+        let least = if self.load.borne > 0.0 { self.load.borne } else { guess };
         let first = if seen > 0.0 { seen.max(least) } else { PAPER_ONSET };
         first * (1.0 + LEVEL_STEP * (level.max(1) - 1) as f64)
     }
--- a/crates/dillpass/src/state.rs
+++ b/crates/dillpass/src/state.rs
@@ -117,6 +117,8 @@
 /// What a gateway knows of the load.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Load {
+    /// Attempts that may be out by the servers' own word, this gateway's part; 0 where they give none.
+    pub borne: f64,
     /// The congestion level.
     pub level: usize,
     /// Answers since the last tick, their rate a second, and the remembered peak of the joint rate.
--- a/crates/emberpin-pilot/src/helm.rs
+++ b/crates/emberpin-pilot/src/helm.rs
@@ -4,7 +4,7 @@
 use crate::service::Service;
 use dillpass::{CustomerId, GatewayId, PlanId, RequestId, ServerId};
 use emberpin::host::{
-    Answer, Call, ClientLimits, Ended, Input, Outgoing, Pool, Reception, Reply, Upstreamed,
+    Answer, Call, ClientLimits, Ended, Input, Outgoing, Pool, Reception, Reply, Upstream, Upstreamed,
 };
 use emberpin_berth::settings::Settings;
 use emberpin_chart::{routes_in_force, Chart, Item, Kind, Limits, Service as Listed};
@@ -17,7 +17,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{interval, sleep_until, Instant, MissedTickBehavior};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, sleep_until, Instant, MissedTickBehavior};
 
 /// A deadline counts from the client's sending: so much earlier the answer must be on its way.
 const MARGIN: Duration = Duration::from_millis(12);
@@ -29,6 +30,8 @@
 const NO_ROUTES: f64 = 500.0;
 /// How often it is looked at whether cold servers may get something again.
 const COLD_LOOK: Duration = Duration::from_millis(100);
+/// Pauses between questions to a silent server, at first and at most.
+const ASK_ON: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(800));
 /// Most ends of attempts that wait.
 const INPUTS: usize = 1024;
 /// The longest body where the configuration does not say.
@@ -88,6 +91,8 @@
     News { session: usize, message: ToLimiter },
     /// A session has ended.
     Lost { session: usize },
+    /// A server that was silent takes connections again.
+    Heard { service: String, server: ServerId },
     /// Wants all lives that are known.
     Lives(oneshot::Sender<Vec<Life>>),
 }
@@ -118,13 +123,19 @@
     view: Rc<View>,
     reception: Rc<Reception>,
     pool: Rc<Pool>,
+    commands: mpsc::WeakSender<Command>,
     inputs: mpsc::Sender<Input>,
     ends: mpsc::Receiver<Input>,
 }
 
 impl Helm {
     /// Knows nothing but its settings.
-    pub fn new(settings: &Settings, pool: Rc<Pool>, reception: Rc<Reception>) -> Helm {
+    pub fn new(
+        settings: &Settings,
+        pool: Rc<Pool>,
+        reception: Rc<Reception>,
+        commands: &mpsc::Sender<Command>,
+    ) -> Helm {
         let bounds = &settings.bounds;
         let millis = |time: Duration| time.as_secs_f64() * 1000.0;
         let rule = ColdRule { excess: bounds.warm_excess, extra: bounds.warm_extra };
@@ -150,6 +161,7 @@
             }),
             reception,
             pool,
+            commands: commands.downgrade(),
             inputs,
             ends,
         }
@@ -218,6 +230,12 @@
             }
             Command::News { session, message } => self.hear(session, message),
             Command::Lost { session } => _ = self.told.remove(&session),
+            Command::Heard { service: name, server } => {
+                if let Some(service) = self.services.get_mut(&name) {
+                    service.heard(server);
+                }
+                self.follow_up(&name);
+            }
             Command::Lives(answer) => _ = answer.send(self.fairway.fleet.lives(self.now())),
         }
     }
@@ -275,9 +293,19 @@
         let Input::Ended { request, attempt, server, ended } = input else { return };
         let Some(going) = self.requests.get(&request) else { return };
         let (now, name) = (self.now(), going.service.clone());
-        let again = going.sends < going.route.tries && self.budget.may(now, &name, self.limiters);
+        // What never went out was no try of a server's.
+        let sends = going.sends.saturating_sub(u32::from(!ended.sent));
+        let again = sends < going.route.tries && self.budget.may(now, &name, self.limiters);
         let misdirected = ended.misdirected;
+        if let Some(going) = self.requests.get_mut(&request) {
+            going.sends = sends;
+        }
         let Some(service) = self.services.get_mut(&name) else { return };
+        if ended.unreachable {
+            if let Some(upstream) = service.silent(server) {
+                spawn_local(ask_on(upstream, name.clone(), server, self.commands.clone()));
+            }
+        }
         if misdirected {
             if let Some(life) = service.life(server) {
                 self.fairway.fleet.wrong_instance(life);
@@ -343,7 +371,10 @@
                 if !settled {
                     return;
                 }
-                self.limiters = limiters;
+                if limiters != self.limiters {
+                    self.limiters = limiters;
+                    self.services.values_mut().for_each(|service| service.shared_by(limiters));
+                }
                 self.fairway.told(self.now(), limiters);
                 // Guards a new life against serving what is older than a majority's word.
                 let knows = !self.chart.is_empty() && !self.services.is_empty();
@@ -425,7 +456,8 @@
             let zone = self.zone(&change.zone);
             let name = change.service.clone();
             if !self.services.contains_key(&name) {
-                let service = Service::new(self.pool.clone(), self.inputs.clone(), drawn());
+                let mut service = Service::new(self.pool.clone(), self.inputs.clone(), drawn());
+                service.shared_by(self.limiters);
                 self.services.insert(name.clone(), service);
             }
             if let Some(service) = self.services.get_mut(&name) {
@@ -472,6 +504,29 @@
     }
 }
 
+/// Asks a silent server for a sign of life until it gives one or nothing may go there any more.
+async fn ask_on(
+    upstream: Rc<Upstream>,
+    service: String,
+    server: ServerId,
+    commands: mpsc::WeakSender<Command>,
+) {
+    let mut pause = ASK_ON.0;
+    loop {
+        sleep(pause).await;
+        if !upstream.is_open() {
+            return;
+        }
+        if upstream.answers().await {
+            break;
+        }
+        pause = (pause * 2).min(ASK_ON.1);
+    }
+    if let Some(commands) = commands.upgrade() {
+        _ = commands.send(Command::Heard { service, server }).await;
+    }
+}
+
 /// Drawn from the system; a fixed number where that fails, as only spread is wanted.
 pub fn drawn() -> u64 {
     let mut bytes = [0; 8];
--- a/crates/emberpin-pilot/src/lib.rs
+++ b/crates/emberpin-pilot/src/lib.rs
@@ -84,17 +84,18 @@
     let figures = Figures::new(&["all".to_string()]).map_err(Ended::Figures)?;
     let room = Rc::new(Room::new(None));
     let limits = PoolLimits {
-        connect: Duration::from_millis(300),
+        connect: Duration::from_millis(150),
         idle: Duration::from_secs(5),
         most_idle: 16,
         sockets: sockets - client_sockets,
+        unacknowledged: Some(Duration::from_millis(400)),
         hold: HOLD,
     };
     let pool = Pool::new(limits, Rc::new(SystemWire), figures.clone(), room.clone());
     spawn_local(pool.clone().retire());
     let (commands, received) = mpsc::channel(COMMANDS);
     let reception = Reception::new(Phase::Serving, client_sockets, ClientLimits::default(), room.clone());
-    let helm = Helm::new(&settings, pool, reception.clone());
+    let helm = Helm::new(&settings, pool, reception.clone(), &commands);
     let view = helm.view();
     let (grace, passing) = (settings.bounds.grace, settings.mem_mb as usize / 4);
     let front = Front::new(view.clone(), commands.clone(), figures, passing);
--- a/crates/emberpin-pilot/src/service.rs
+++ b/crates/emberpin-pilot/src/service.rs
@@ -17,6 +17,10 @@
 const MAX_RETRY_AFTER: f64 = 2_000.0;
 /// A server of another zone must promise an answer so many times as soon: bytes between zones cost.
 const AWAY: f64 = 2.0;
+/// Attempts that may be out for each slot before a limiter calls itself congested, and the least for one limiter: with
+/// fewer, chance alone would pass it.
+const SLOTS_OUT: f64 = 2.0;
+const LEAST_PART: f64 = 3.0;
 /// Most classes of one service: beyond, requests share the last one's figures.
 const CLASSES: usize = 256;
 
@@ -29,16 +33,50 @@
     timeout_ms: u128,
 }
 
+/// A life, and what the module may do with it.
+struct Known {
+    change: Change,
+    id: ServerId,
+    zone: usize,
+    /// It is warm, or this limiter may send to it while it is cold.
+    bears: bool,
+    /// It gave no sign of life, and is asked for one.
+    silent: bool,
+}
+
+impl Known {
+    fn works(&self) -> bool {
+        self.change.work == Work::Usable && self.bears && !self.silent
+    }
+
+    fn line(&self) -> Server {
+        Server {
+            id: self.id,
+            zone: self.zone,
+            kind: 0,
+            cell: 0,
+            size: f64::from(self.change.slots.max(1)),
+            started: None,
+            condition: match self.change.work {
+                Work::Gone => Condition::Gone,
+                Work::Usable if self.works() => Condition::InService,
+                Work::Usable | Work::Held => Condition::Draining,
+            },
+        }
+    }
+}
+
 /// One service.
 pub struct Service {
     /// Hosts the module.
     pub engine: Engine,
     pool: Rc<Pool>,
     classes: HashMap<Sort, ClassId>,
-    /// The lives that were told to the module, and what it may do with them.
-    lives: BTreeMap<String, (Change, ServerId, bool)>,
+    /// The lives that were told to the module.
+    lives: BTreeMap<String, Known>,
     names: BTreeMap<ServerId, String>,
     next: u32,
+    limiters: u32,
 }
 
 impl Service {
@@ -81,7 +119,7 @@
         let mut engine = Engine::new(gateway, clock, inputs);
         engine.refusals_promise = true;
         let lives = BTreeMap::new();
-        Service { engine, pool, classes: HashMap::new(), lives, names: BTreeMap::new(), next: 0 }
+        Service { engine, pool, classes: HashMap::new(), lives, names: BTreeMap::new(), next: 0, limiters: 1 }
     }
 
     /// The class of requests on this route.
@@ -121,10 +159,11 @@
                 self.next += 1;
                 ServerId(self.next)
             },
-            |(_, id, _)| *id,
+            |known| known.id,
         );
         let usable = change.work == Work::Usable;
-        let moved = known.is_some_and(|(known, ..)| known.address != change.address);
+        let moved = known.is_some_and(|known| known.change.address != change.address);
+        let silent = known.is_some_and(|known| known.silent) && !moved;
         if !usable || moved {
             if let Some(upstream) = self.engine.upstreams.remove(&id) {
                 upstream.shut();
@@ -138,27 +177,57 @@
                 self.engine.upstreams.insert(id, upstream);
             }
         }
-        let line = Server {
-            id,
-            zone,
-            kind: 0,
-            cell: 0,
-            size: f64::from(change.slots.max(1)),
-            started: None,
-            condition: match change.work {
-                Work::Usable if bears => Condition::InService,
-                Work::Usable | Work::Held => Condition::Draining,
-                Work::Gone => Condition::Gone,
-            },
-        };
-        if change.work == Work::Gone {
-            self.lives.remove(&change.id);
+        let name = change.id.clone();
+        let known = Known { change, id, zone, bears, silent };
+        let line = known.line();
+        if known.change.work == Work::Gone {
+            self.lives.remove(&name);
             self.names.remove(&id);
         } else {
-            self.names.insert(id, change.id.clone());
-            self.lives.insert(change.id.clone(), (change, id, bears));
+            self.names.insert(id, name.clone());
+            self.lives.insert(name, known);
         }
+        self.tell(line);
+    }
+
+    fn tell(&mut self, line: Server) {
         self.engine.feed(Event::Membership(Membership::Changes(vec![line])));
+        self.bear();
+    }
+
+    /// A server gave no sign of life: it gets nothing until it does. Returns the way to it, to be asked on, unless it is
+    /// asked already.
+    pub fn silent(&mut self, server: ServerId) -> Option<Rc<Upstream>> {
+        let known = self.lives.get_mut(self.names.get(&server)?)?;
+        if std::mem::replace(&mut known.silent, true) {
+            return None;
+        }
+        let line = known.line();
+        self.tell(line);
+        self.engine.upstreams.get(&server).cloned()
+    }
+
+    /// It gave one.
+    pub fn heard(&mut self, server: ServerId) {
+        let Some(known) = self.names.get(&server).and_then(|name| self.lives.get_mut(name)) else { return };
+        known.silent = false;
+        let line = known.line();
+        self.tell(line);
+    }
+
+    /// So many limiters share the servers.
+    pub fn shared_by(&mut self, limiters: u32) {
+        self.limiters = limiters.max(1);
+        self.bear();
+    }
+
+    /// The least onset: this limiter's part of the servers' slots, and as many waiting. What waits then waits for about
+    /// one usual answer, which every aim leaves room for.
+    fn bear(&mut self) {
+        let usable = self.lives.values().filter(|known| known.works());
+        let slots: u32 = usable.map(|known| known.change.slots.max(1)).sum();
+        let part = f64::from(slots) * SLOTS_OUT / f64::from(self.limiters);
+        self.engine.gateway.bear(part.max(LEAST_PART));
     }
 
     /// Which life the module knows by this number.
@@ -168,7 +237,7 @@
 
     /// A life that is told to the module, and whether it bears requests of this limiter.
     pub fn told(&self, id: &str) -> Option<(&Change, bool)> {
-        self.lives.get(id).map(|(change, _, bears)| (change, *bears))
+        self.lives.get(id).map(|known| (&known.change, known.bears))
     }
 
     /// Attempts that went out since this was asked last: of which request, which attempt, to which life.
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -113,6 +113,10 @@
     pub told: Option<Reply>,
     /// Another server answered than the one that was meant.
     pub misdirected: bool,
+    /// The server's machine gave no sign of life, or takes no connection.
+    pub unreachable: bool,
+    /// Something of the request went out.
+    pub sent: bool,
 }
 
 impl Ended {
@@ -127,6 +131,8 @@
             served: None,
             told: None,
             misdirected: false,
+            unreachable: false,
+            sent: false,
         }
     }
 }
--- a/crates/emberpin/src/operate/config.rs
+++ b/crates/emberpin/src/operate/config.rs
@@ -126,6 +126,7 @@
             idle: self.idle_limit,
             most_idle: self.connections.idle_per_server,
             sockets: self.server_sockets,
+            unacknowledged: None,
             hold: MAX_BODY,
         }
     }
--- a/crates/emberpin/src/upstream/servers.rs
+++ b/crates/emberpin/src/upstream/servers.rs
@@ -16,7 +16,7 @@
 use hyper::{Request, Response, Uri, Version};
 use hyper_util::rt::TokioIo;
 use prometheus::IntCounter;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::error::Error;
@@ -45,6 +45,9 @@
 /// Of an answer whose length is not told so much time is waited for its end, so that one which breaks may still become
 /// another attempt; then it is passed on as it comes.
 const HOLD: Duration = Duration::from_millis(300);
+/// Where silence is bounded, a connection that is waited on is asked for a sign of life after so long; the system takes
+/// no less.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
 /// A server that gives nothing more of an answer for so long has broken it off.
 const STALL: Duration = Duration::from_secs(20);
 
@@ -73,6 +76,8 @@
     pub most_idle: usize,
     /// Most connections in all.
     pub sockets: usize,
+    /// What a server's machine does not acknowledge for so long ends its connection, where that is bounded.
+    pub unacknowledged: Option<Duration>,
     /// Bytes of an answer that are held whole: one that breaks off before its end may become another attempt.
     pub hold: usize,
 }
@@ -263,7 +268,7 @@
         *request.headers_mut() = outgoing.headers.clone();
         let (ended, late) = tokio::select! {
             biased;
-            _ = cancelled => ((Outcome::Cancelled, None), Duration::ZERO),
+            _ = cancelled => (Exchange::of(Outcome::Cancelled), Duration::ZERO),
             ended = self.exchange(request, true, outgoing.may_pass, started, timeout) => ended,
         };
         self.describe(started + late, ended)
@@ -280,10 +285,11 @@
     }
 
     /// What came of an exchange, in the terms of whoever asked for it.
-    fn describe(&self, started: Instant, (outcome, answer): (Outcome, Option<Exchanged>)) -> Ended {
+    fn describe(&self, started: Instant, exchange: Exchange) -> Ended {
+        let Exchange { outcome, answer, unreachable, sent } = exchange;
         let elapsed = Instant::now().saturating_duration_since(started).as_secs_f64() * 1000.0;
         let (response, body) = match answer {
-            None => return Ended { outcome, elapsed, ..Ended::unsent() },
+            None => return Ended { outcome, elapsed, unreachable, sent, ..Ended::unsent() },
             Some(Exchanged::Whole(response, bytes)) => (response, Ok(bytes)),
             Some(Exchanged::Passing(response, passing)) => (response, Err(passing)),
         };
@@ -297,7 +303,7 @@
             Outcome::Ok => (Some(reply), None),
             _ => (None, Some(reply).filter(|_| stands)),
         };
-        Ended { outcome, elapsed, report, metered, served, told, misdirected }
+        Ended { outcome, elapsed, report, metered, served, told, misdirected, unreachable, sent }
     }
 
     /// What decides between "never ran" and "may have run": an attempt never ran if no connection came
@@ -311,13 +317,16 @@
         may_pass: bool,
         started: Instant,
         timeout: Duration,
-    ) -> ((Outcome, Option<Exchanged>), Duration) {
-        let nothing = |outcome| ((outcome, None), Duration::ZERO);
+    ) -> (Exchange, Duration) {
+        let nothing = |outcome| (Exchange::of(outcome), Duration::ZERO);
         let connecting = timeout_at(started + timeout.min(self.pool.limits.connect), self.connect());
         let conn = match connecting.await {
             Ok(Ok(conn)) => conn,
             Ok(Err(Refused::NoSocket)) => return nothing(Outcome::Moot),
-            Ok(Err(Refused::Failed)) | Err(_) => return nothing(Outcome::ConnectFailed),
+            Ok(Err(Refused::Failed)) | Err(_) => {
+                let failed = Exchange { unreachable: true, ..Exchange::of(Outcome::ConnectFailed) };
+                return (failed, Duration::ZERO);
+            }
         };
         // Guards the drain rule: the server may have begun to drain while the connection came up. From
         // here to the first byte nothing else gets a turn.
@@ -360,10 +369,15 @@
             },
         };
         let never_ran = !progress.is_whole();
+        let (unreachable, sent) = (matches!(result, Some(Err(Broken::Silent))), progress.begun.get());
+        if unreachable {
+            // The others to the same machine would be silent, too.
+            self.close_idle();
+        }
         if let Some(Ok(_) | Err(Broken::Lost)) = result {
             self.pool.learn(idle, matches!(result, Some(Err(_))));
         }
-        let ended = match result {
+        let (outcome, answer) = match result {
             Some(Ok((response, body))) => {
                 // What it said before the request was whole stands; the connection carries no other.
                 let outcome = wire.judge(mark.as_ref(), &response);
@@ -382,10 +396,22 @@
             }
             _ if never_ran => (Outcome::ConnectFailed, None),
             Some(Err(Broken::Spoilt)) => (Outcome::Error, None),
-            Some(Err(Broken::Lost)) => (Outcome::Reset, None),
+            Some(Err(Broken::Lost | Broken::Silent)) => (Outcome::Reset, None),
             None => (Outcome::Timeout, None),
         };
-        (ended, late)
+        (Exchange { outcome, answer, unreachable, sent }, late)
+    }
+
+    /// Whether it takes a connection now; the connection is kept for whoever needs one next.
+    pub async fn answers(&self) -> bool {
+        match tokio::time::timeout(self.pool.limits.connect, self.connect()).await {
+            Ok(Ok(conn)) => {
+                self.pool.keep(self.key, conn);
+                true
+            }
+            Ok(Err(Refused::NoSocket)) => true,
+            Ok(Err(Refused::Failed)) | Err(_) => false,
+        }
     }
 
     async fn connect(&self) -> Result<Conn, Refused> {
@@ -400,6 +426,13 @@
         let socket = self.pool.socket().ok_or(Refused::NoSocket)?;
         let stream = TcpStream::connect(self.place.address).await.map_err(|_| Refused::Failed)?;
         _ = stream.set_nodelay(true);
+        if let Some(longest) = self.pool.limits.unacknowledged {
+            // Guards against machines without power and behind cuts, which answer nothing, not even a close.
+            let socket = SockRef::from(&stream);
+            _ = socket.set_tcp_user_timeout(Some(longest));
+            let probes = TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER);
+            _ = socket.set_tcp_keepalive(&probes);
+        }
         let stream = Rc::new(RefCell::new(stream));
         let progress = Rc::new(Progress::default());
         let io = TokioIo::new(Counted { stream: stream.clone(), progress: progress.clone() });
@@ -437,14 +470,19 @@
 enum Broken {
     /// The connection broke or ended.
     Lost,
+    /// The other machine acknowledged nothing any more.
+    Silent,
     /// What came is no answer.
     Spoilt,
 }
 
 impl From<hyper::Error> for Broken {
     fn from(error: hyper::Error) -> Broken {
+        let io = error.source().and_then(|error| error.downcast_ref::<io::Error>());
         if error.is_parse() {
             Broken::Spoilt
+        } else if io.is_some_and(|error| error.kind() == io::ErrorKind::TimedOut) {
+            Broken::Silent
         } else {
             Broken::Lost
         }
@@ -513,9 +551,10 @@
                 }
                 Ok(Some(Err(error))) => {
                     let io = error.source().and_then(|error| error.downcast_ref::<io::Error>());
-                    return Err(match io.is_some_and(|error| error.kind() != io::ErrorKind::InvalidInput) {
-                        true => Broken::Lost,
-                        false => Broken::Spoilt,
+                    return Err(match io.map(io::Error::kind) {
+                        Some(io::ErrorKind::TimedOut) => Broken::Silent,
+                        None | Some(io::ErrorKind::InvalidInput) => Broken::Spoilt,
+                        Some(_) => Broken::Lost,
                     });
                 }
                 Ok(None) => {
@@ -549,6 +588,21 @@
     length: Option<u64>,
 }
 
+/// What came of an exchange.
+struct Exchange {
+    outcome: Outcome,
+    answer: Option<Exchanged>,
+    unreachable: bool,
+    sent: bool,
+}
+
+impl Exchange {
+    /// One of which nothing went out.
+    fn of(outcome: Outcome) -> Exchange {
+        Exchange { outcome, answer: None, unreachable: false, sent: false }
+    }
+}
+
 enum Exchanged {
     Whole(Response<()>, Bytes),
     Passing(Response<()>, Relayed),
