Test what no test of emberpin-chart would have missed

Cause: a trial that broke 66 guards one by one left seven standing in the tests: the version in same_content, the host of an entry without routes, a field more or less at the end of an object; three guards could never act. (The seventh, the bound on depth, does end the test run, by its stack.)

Change: tests for the first three; the three that could never act are gone.

The trial is not yet repeated on this state.

--- a/crates/emberpin-chart/src/forms.rs
+++ b/crates/emberpin-chart/src/forms.rs
@@ -286,8 +286,7 @@
     }
 
     fn rate(&self, field: &str) -> Result<f64, Wrong> {
-        let raw = self.raw(field)?;
-        let number = decode(raw).is_none().then(|| raw.parse::<f64>().ok()).flatten();
+        let number = self.raw(field)?.parse::<f64>().ok();
         number
             .filter(|rate| rate.is_finite() && *rate >= 0.0)
             .ok_or_else(|| self.wrong(field, "is not a number from 0 up"))
--- a/crates/emberpin-chart/src/judge.rs
+++ b/crates/emberpin-chart/src/judge.rs
@@ -32,7 +32,7 @@
 /// for that, unless they set an item that has such a fault and leave the fault in place: otherwise no call
 /// could mend it in part.
 pub fn judge(newest: &Chart, patch: &Patch) -> Judgement {
-    let (mut newer, mut repeats, mut superseded) = (Vec::new(), patch.items.is_empty(), None);
+    let (mut newer, mut repeats, mut superseded) = (Vec::new(), false, None);
     for item in &patch.items {
         match newest.get(&item.key) {
             None => newer.push(item.clone()),
--- a/crates/emberpin-chart/src/text.rs
+++ b/crates/emberpin-chart/src/text.rs
@@ -271,7 +271,7 @@
     };
     let (whole, fraction) = rest.split_once('.').unwrap_or((rest, ""));
     let digits = format!("{whole}{fraction}");
-    if digits.is_empty() || digits.len() > MOST_NUMBER || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+    if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
         return None;
     }
     let kept = digits.trim_end_matches('0');
--- a/crates/emberpin-chart/tests/judge.rs
+++ b/crates/emberpin-chart/tests/judge.rs
@@ -125,6 +125,8 @@
         ("\"h1\"", "[]", huvo),
         ("\"h1\"", "\"h2\"", huvo),
         ("\"proto\":\"h1\",", "", huvo),
+        ("\"warmup_per_s\":7.9,", "", huvo),
+        ("\"tls\":false", "\"tls\":false,\"zone\":1", huvo),
         ("\"proto\":\"h1\"", "\"proto\":\"h1\",\"extra\":1", huvo),
         (
             "\"hulo84.example\"",
--- a/crates/emberpin-chart/tests/read.rs
+++ b/crates/emberpin-chart/tests/read.rs
@@ -203,6 +203,13 @@
     }
 }
 
+#[gtest]
+fn a_host_without_routes_is_read_too() {
+    let host = |name: &str| format!("{{\"upsert\":{{\"vhosts\":[{{\"hostname\":{name},\"locs\":[]}}]}}}}");
+    expect_that!(refusal(host("\"\"").as_bytes()), eq("upsert.vhosts[0].hostname: is empty"));
+    expect_that!(refusal(host("\"h\"").as_bytes()), eq("taken: Patch { items: [] }"));
+}
+
 #[gtest]
 fn a_target_time_may_exceed_the_timeout_by_less_than_a_minute() {
     expect_that!(read_patch(mangled("\"250ms\"", "\"61499ms\"").as_bytes()), ok(anything()));
@@ -293,6 +300,9 @@
         twice(plain, &plain.replace("10", "11")),
         eq("upsert.svcs[1]: service s stands twice in the call")
     );
+    let drops = |vers: [u64; 2]| body(&[], &[], &vers.map(|ver| drop_of("r", ver)), &[]);
+    expect_that!(refusal(drops([7, 7]).as_bytes()), starts_with("taken"));
+    expect_that!(refusal(drops([7, 8]).as_bytes()), eq("remove.rtab[1]: route r stands twice in the call"));
     let hosts = [route("r", "a/", &[("s", 1)], 7), route("r", "b/", &[("s", 1)], 7)];
     expect_that!(
         refusal(body(&[], &hosts, &[], &[]).as_bytes()),
