Give the operator a command line: emberpin-tender

Cause: the configuration, evacuations and the state of the registries are only to be had by hand-made calls.

--- /dev/null
+++ b/crates/emberpin-tender/src/status.rs
@@ -0,0 +1,124 @@
+//! What a registry says about itself.
+
+use jzon::JsonValue;
+
+/// What a registry answers to `GET /status`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Status {
+    /// The registry's name.
+    pub name: String,
+    /// Whether it is in step with a majority.
+    pub settled: bool,
+    /// Who votes, as it knows them, in order.
+    pub voters: Vec<String>,
+    /// The registries that it knows, in order.
+    pub registries: Vec<String>,
+    /// The limiters in session with it.
+    pub limiters: Vec<Limiter>,
+    /// The lives of servers.
+    pub lives: Vec<Life>,
+    /// How many items it has.
+    pub items: u64,
+    /// Its disk: bytes used, and of how many.
+    pub disk: Option<(u64, u64)>,
+    /// Its clock, in ms of Unix time.
+    pub clock_ms: u64,
+}
+
+/// A limiter in session.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Limiter {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// How many changes it has yet to confirm.
+    pub behind: u64,
+}
+
+/// A life of a server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Life {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Its address.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// How it stands: `up`, or something else.
+    pub standing: String,
+    /// How much longer it is cold.
+    pub cold_ms: u64,
+    /// How long ago it was heard.
+    pub heard_ms: u64,
+}
+
+/// A status that lacks something, or has it in another type.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a status: {0}")]
+pub struct NotStatus(String);
+
+impl Status {
+    /// Reads an answer.
+    pub fn read(text: &str) -> Result<Status, NotStatus> {
+        let value = jzon::parse(text).map_err(|wrong| NotStatus(wrong.to_string()))?;
+        let disk = match &value["disk"] {
+            JsonValue::Null => None,
+            disk => Some((number(disk, "used")?, number(disk, "of")?)),
+        };
+        Ok(Status {
+            name: word(&value, "name")?,
+            settled: value["settled"].as_bool().ok_or_else(|| NotStatus("settled".into()))?,
+            voters: sorted(list(&value, "voters", as_word)?),
+            registries: sorted(list(&value, "registries", as_word)?),
+            limiters: list(&value, "limiters", |limiter| {
+                Ok(Limiter {
+                    name: word(limiter, "name")?,
+                    zone: word(limiter, "zone")?,
+                    behind: number(limiter, "behind")?,
+                })
+            })?,
+            lives: list(&value, "lives", |life| {
+                Ok(Life {
+                    id: word(life, "id")?,
+                    service: word(life, "service")?,
+                    address: word(life, "address")?,
+                    zone: word(life, "zone")?,
+                    standing: word(life, "standing")?,
+                    cold_ms: number(life, "cold_ms")?,
+                    heard_ms: number(life, "heard_ms")?,
+                })
+            })?,
+            items: number(&value, "items")?,
+            disk,
+            clock_ms: number(&value, "clock_ms")?,
+        })
+    }
+}
+
+fn sorted(mut words: Vec<String>) -> Vec<String> {
+    words.sort();
+    words
+}
+
+fn as_word(value: &JsonValue) -> Result<String, NotStatus> {
+    value.as_str().map(str::to_owned).ok_or_else(|| NotStatus(format!("{value} is not a text")))
+}
+
+fn word(value: &JsonValue, field: &str) -> Result<String, NotStatus> {
+    value[field].as_str().map(str::to_owned).ok_or_else(|| NotStatus(field.into()))
+}
+
+fn number(value: &JsonValue, field: &str) -> Result<u64, NotStatus> {
+    value[field].as_u64().ok_or_else(|| NotStatus(field.into()))
+}
+
+fn list<T>(
+    value: &JsonValue,
+    field: &str,
+    read: impl Fn(&JsonValue) -> Result<T, NotStatus>,
+) -> Result<Vec<T>, NotStatus> {
+    value[field].as_array().ok_or_else(|| NotStatus(field.into()))?.iter().map(read).collect()
+}
--- /dev/null
+++ b/crates/emberpin-tender/tests/command.rs
@@ -0,0 +1,64 @@
+//! What command lines ask for, and which are refused.
+#![allow(missing_docs)]
+
+use emberpin_chart::Kind;
+use emberpin_tender::command::{Command, Order, Usage};
+use googletest::prelude::*;
+
+fn read(line: &str) -> std::result::Result<Command, Usage> {
+    Command::read(line.split_whitespace().map(str::to_owned))
+}
+
+#[gtest]
+fn command_lines_are_read() {
+    let at = || vec!["10.0.0.1:8649".to_owned(), "[::1]:9".to_owned()];
+    let patch = |dry_run| Order::Patch { file: "f.json".into(), dry_run };
+    for (line, order) in [
+        ("get", Order::Get),
+        ("patch f.json", patch(false)),
+        ("patch --dry-run f.json", patch(true)),
+        ("drop route r-1 9", Order::Drop { kind: Kind::Route, name: "r-1".into(), ver: 9 }),
+        ("drop service s 9", Order::Drop { kind: Kind::Service, name: "s".into(), ver: 9 }),
+        ("evacuate umea-hall_1.b", Order::Evacuate("umea-hall_1.b".into())),
+        ("return umea", Order::Return("umea".into())),
+        ("members", Order::Members),
+        ("doctor", Order::Doctor),
+    ] {
+        expect_that!(
+            read(&format!("--at 10.0.0.1:8649,[::1]:9 {line}")),
+            ok(eq(&Command { at: at(), order }))
+        );
+    }
+    expect_that!(read("patch f.json --dry-run"), ok(eq(&Command { at: vec![], order: patch(true) })));
+    expect_that!(read("--help"), ok(eq(&Command { at: vec![], order: Order::Help })));
+}
+
+#[gtest]
+fn wrong_command_lines_are_refused() {
+    let command = |words: &str| Usage::Command(words.into());
+    for (line, wrong) in [
+        ("--at a:1", command("")),
+        ("--at a:1 got", command("got")),
+        ("--at a:1 get it", command("get it")),
+        ("--at a:1 patch", command("patch")),
+        ("--at a:1 drop zone z 1", command("drop zone z 1")),
+        ("--at a:1 drop route r", command("drop route r")),
+        ("--at a:1 drop route r -- -1", command("drop route r -1")),
+        ("--at a:1 drop route r 1.5", command("drop route r 1.5")),
+        ("--at a:1 evacuate a/b", command("evacuate a/b")),
+        ("--at a:1 evacuate ..", command("evacuate ..")),
+        ("--at a:1 return a?b", command("return a?b")),
+        ("get", Usage::Nowhere),
+        ("patch f.json", Usage::Nowhere),
+        ("--at a get", Usage::Address("a".into())),
+        ("--at :1 get", Usage::Address(":1".into())),
+        ("--at a:0 get", Usage::Address("a:0".into())),
+        ("--at a:99999 get", Usage::Address("a:99999".into())),
+        ("--at a:1,,b:2 get", Usage::Address("".into())),
+        ("--at a:1 --dry-run get", Usage::DryRun),
+    ] {
+        expect_that!(read(line), err(eq(&wrong)), "{line}");
+    }
+    expect_that!(read("--in a:1 get"), err(matches_pattern!(Usage::Option(_))));
+    expect_that!(read("get --at"), err(matches_pattern!(Usage::Option(_))));
+}
