Test what no test of emberpin-tender would have missed

Cause: a trial that broke 28 guards one by one left three standing: that 429 is never a refusal, an empty zone, a status that comes with a 503.

Change: a test for each.

--- a/crates/emberpin-tender/tests/command.rs
+++ b/crates/emberpin-tender/tests/command.rs
@@ -59,6 +59,8 @@
     ] {
         expect_that!(read(line), err(eq(&wrong)), "{line}");
     }
+    let empty_zone = Command::read(["--at", "a:1", "evacuate", ""].map(str::to_owned));
+    expect_that!(empty_zone, err(eq(&command("evacuate "))));
     expect_that!(read("--in a:1 get"), err(eq(&Usage("Unrecognized option: 'in'".into()))));
     expect_that!(read("get --at"), err(eq(&Usage("Argument to option 'at' missing".into()))));
 }
--- a/crates/emberpin-tender/tests/program.rs
+++ b/crates/emberpin-tender/tests/program.rs
@@ -222,6 +222,16 @@
     }
 }
 
+#[gtest]
+fn a_promise_to_come_again_is_never_a_refusal() {
+    for status in ["408 Slow", "429 Many"] {
+        let again = answer(status, "", "");
+        let registry = StandIn::start(&[&again, &again, &again, &again, "well"]);
+        let (code, _, _) = tender(&["--at", &registry.address, "get"]);
+        expect_that!((code, registry.asked().len()), eq((Some(0), 5)), "{status}");
+    }
+}
+
 #[gtest]
 fn a_call_without_a_clear_answer_says_so_in_time() {
     let registry = StandIn::start(&[&answer("503 Full", "", "full")]);
@@ -247,6 +257,10 @@
         out,
         contains_substring("  server i-1 of s at 10.0.0.1:80 in z: up, cold for 5 ms, heard 7 ms ago\n")
     );
+    let whole = r#"{"name":"n","settled":true,"voters":[],"registries":[],"limiters":[],"lives":[],"items":1,"disk":null,"clock_ms":3}"#;
+    let unwilling = StandIn::start(&[&answer("503 Full", "", whole)]);
+    let (code, _, err) = tender(&["--at", &unwilling.address, "members"]);
+    expect_that!((code, err), eq(&(Some(1), format!("registry {}: status 503\n", unwilling.address))));
     let broken = StandIn::start(&[&ok("{}")]);
     let (code, _, err) = tender(&["--at", &broken.address, "members"]);
     expect_that!(code, some(eq(1)));
