Break an attempt off early only where another one will follow

Ruled out: grace (5 s were left), the server. Lines at fault: the engine gave the module's time to the attempt as its whole time. Change: the owner is told when that time is over and ends the attempt only if another one would follow; servers get the time that is left.

--- /dev/null
+++ b/crates/dillpass/src/asked.rs
@@ -0,0 +1,33 @@
+//! What hosts ask and tell beside events: classes that become known while a gateway runs, what servers say that they
+//! bear, and whether another attempt would follow. No decision is taken here.
+
+use crate::interface::{Class, ClassId, Effect, Millis, RequestId};
+use crate::state::{Latencies, Latency};
+use crate::Gateway;
+
+impl Gateway {
+    /// Whether another attempt would follow if the one that is out ended now without an answer, as far as the request's
+    /// effect, its time and the retry budget go.
+    pub fn would_repeat(&self, now: Millis, request: RequestId) -> bool {
+        let Some(open) = self.requests.get(&request) else { return false };
+        let class = open.request.class.0;
+        let time = now + self.latency[class].of(open.request.units).mean <= open.deadline;
+        let safe = self.settings.classes[class].effect == Effect::Safe;
+        let others = self.servers.values().filter(|server| self.may_take(server)).nth(1).is_some();
+        safe && time && others && self.load.level == 0 && self.retries >= 1.0
+    }
+
+    /// By their own word the servers bear so many attempts of this gateway at a time, its part of what they say; 0 where
+    /// they say nothing. It stands for the least onset, in place of a figure for each server.
+    pub fn bear(&mut self, out: f64) {
+        self.load.borne = out;
+    }
+
+    /// Adds a class; requests may have it from now on. Nothing is known yet of how long its work takes.
+    pub fn add_class(&mut self, class: Class) -> ClassId {
+        self.aim = self.aim.min(class.aim);
+        self.latency.push(Latencies::new(Latency { mean: class.aim * 0.25, deviation: class.aim * 0.1 }));
+        self.settings.classes.push(class);
+        ClassId(self.settings.classes.len() - 1)
+    }
+}
--- a/crates/dillpass/src/brain/balancing.rs
+++ b/crates/dillpass/src/brain/balancing.rs
@@ -55,7 +55,7 @@
     }
 
     /// Whether it may get anything new: in service, and not out of it by hand.
-    pub(super) fn may_take(&self, server: &Backend) -> bool {
+    pub(crate) fn may_take(&self, server: &Backend) -> bool {
         server.info.condition == Condition::InService && !self.banned.contains(&server.info.id)
     }
 
--- a/crates/dillpass/src/lib.rs
+++ b/crates/dillpass/src/lib.rs
@@ -5,8 +5,8 @@
 //! layout of messages between gateways is in [`gossip`], and the hosts' JSON in [`settings`].
 #![forbid(unsafe_code)]
 
+mod asked;
 pub mod brain;
-mod classes;
 pub mod gossip;
 pub mod handover;
 pub mod interface;
--- a/crates/emberpin-pilot/src/helm.rs
+++ b/crates/emberpin-pilot/src/helm.rs
@@ -290,7 +290,11 @@
     }
 
     fn end(&mut self, input: Input) {
-        let Input::Ended { request, attempt, server, ended } = input else { return };
+        let (request, attempt, server, ended) = match input {
+            Input::Ended { request, attempt, server, ended } => (request, attempt, server, ended),
+            Input::Overdue { request, attempt } => return self.overdue(request, attempt),
+            _ => return,
+        };
         let Some(going) = self.requests.get(&request) else { return };
         let (now, name) = (self.now(), going.service.clone());
         // What never went out was no try of a server's.
@@ -316,6 +320,22 @@
         self.ended(&name, request, attempt, server, ended, again);
     }
 
+    /// An attempt has had its time: it is broken off only where another one can follow, as its server may be at work, and
+    /// not by a limiter that leaves.
+    fn overdue(&mut self, request: RequestId, attempt: u32) {
+        let Some(going) = self.requests.get(&request) else { return };
+        let now = self.now();
+        let again = going.sends < going.route.tries && self.budget.may(now, &going.service, self.limiters);
+        if !again || self.view.leaving.get() {
+            return;
+        }
+        if let Some(Service { engine, .. }) = self.services.get_mut(&going.service) {
+            if engine.gateway.would_repeat(engine.clock.now(), request) {
+                engine.give_up(request, attempt);
+            }
+        }
+    }
+
     fn ended(
         &mut self,
         name: &str,
--- a/crates/emberpin-pilot/src/service.rs
+++ b/crates/emberpin-pilot/src/service.rs
@@ -118,6 +118,7 @@
         let gateway = Gateway::new(settings, seed, clock.now());
         let mut engine = Engine::new(gateway, clock, inputs);
         engine.refusals_promise = true;
+        engine.patient = true;
         let lives = BTreeMap::new();
         Service { engine, pool, classes: HashMap::new(), lives, names: BTreeMap::new(), next: 0, limiters: 1 }
     }
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -231,6 +231,13 @@
         /// How.
         ended: Ended,
     },
+    /// An attempt has had the time that the module gives it, and goes on.
+    Overdue {
+        /// Of which request.
+        request: RequestId,
+        /// The attempt's number within the request.
+        attempt: u32,
+    },
     /// A probe ended.
     Probed {
         /// At which server.
--- a/crates/emberpin/src/upstream/driver.rs
+++ b/crates/emberpin/src/upstream/driver.rs
@@ -211,6 +211,8 @@
             Input::Ended { request, attempt, server, ended } => {
                 self.engine.ended(request, attempt, server, ended, true);
             }
+            // Attempts here end with the time that the module gives them.
+            Input::Overdue { .. } => {}
             Input::Probed { server, ended } => self.engine.feed(Event::Probed {
                 server,
                 outcome: ended.outcome,
--- a/crates/emberpin/src/upstream/engine.rs
+++ b/crates/emberpin/src/upstream/engine.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 /// A request that is owed an answer or still has an attempt out.
 struct Held {
@@ -29,7 +29,7 @@
 
 /// An attempt that is out until its end was heard; the sender, once dropped, cancels it.
 struct Out {
-    cancel: Option<oneshot::Sender<()>>,
+    cancel: Option<oneshot::Sender<Outcome>>,
 }
 
 /// One decision module and what it decides about.
@@ -44,6 +44,9 @@
     pub beyond: Vec<Action>,
     /// Attempts that were sent since the owner last looked: of which request, the attempt's number, and where to.
     pub sent: Vec<(RequestId, u32, ServerId)>,
+    /// Attempts go on when the time that the module gives them is over, until the owner ends them: it is told by
+    /// [`Input::Overdue`].
+    pub patient: bool,
     /// A refusal promises that nothing has run: what may have run fails instead.
     pub refusals_promise: bool,
     requests: BTreeMap<RequestId, Held>,
@@ -62,6 +65,7 @@
             upstreams: BTreeMap::new(),
             beyond: Vec::new(),
             sent: Vec::new(),
+            patient: false,
             refusals_promise: false,
             requests: BTreeMap::new(),
             timers: BinaryHeap::new(),
@@ -152,6 +156,15 @@
         self.release(request);
     }
 
+    /// Ends an attempt that is out as one that has had its time; its end comes as any other.
+    pub fn give_up(&mut self, request: RequestId, attempt: u32) {
+        let held = self.requests.get_mut(&request).filter(|held| held.attempts == attempt + 1);
+        let cancel = held.and_then(|held| held.out.as_mut()).and_then(|out| out.cancel.take());
+        if let Some(cancel) = cancel {
+            _ = cancel.send(Outcome::Timeout);
+        }
+    }
+
     /// Forgets a request that owes nothing and waits for nothing.
     fn release(&mut self, request: RequestId) {
         if self.requests.get(&request).is_some_and(|held| held.answer.is_none() && held.out.is_none()) {
@@ -234,8 +247,21 @@
         self.sent.push((request, attempt, server));
         let outgoing = held.outgoing.clone();
         let place = self.gateway.place(server).unwrap_or_default();
-        let (upstream, timeout) = (upstream.clone(), timeout.min(left(held.expires)));
+        let (upstream, whole) = (upstream.clone(), left(held.expires));
         let inputs = self.inputs.clone();
+        let timeout = match self.patient {
+            false => timeout.min(whole),
+            true => {
+                if timeout < whole {
+                    let inputs = inputs.clone();
+                    spawn_local(async move {
+                        sleep(timeout).await;
+                        _ = inputs.send(Input::Overdue { request, attempt }).await;
+                    });
+                }
+                whole
+            }
+        };
         spawn_local(async move {
             let asked = Instant::now();
             let may_go = match &outgoing.gate {
--- a/crates/emberpin/src/upstream/servers.rs
+++ b/crates/emberpin/src/upstream/servers.rs
@@ -259,7 +259,7 @@
         self: Rc<Self>,
         outgoing: Rc<Outgoing>,
         timeout: Duration,
-        cancelled: oneshot::Receiver<()>,
+        cancelled: oneshot::Receiver<Outcome>,
     ) -> Ended {
         let started = Instant::now();
         let mut request = Request::new(outgoing.body.clone());
@@ -268,7 +268,10 @@
         *request.headers_mut() = outgoing.headers.clone();
         let (ended, late) = tokio::select! {
             biased;
-            _ = cancelled => (Exchange::of(Outcome::Cancelled), Duration::ZERO),
+            outcome = cancelled => {
+                let outcome = outcome.unwrap_or(Outcome::Cancelled);
+                (Exchange { sent: true, ..Exchange::of(outcome) }, Duration::ZERO)
+            }
             ended = self.exchange(request, true, outgoing.may_pass, started, timeout) => ended,
         };
         self.describe(started + late, ended)
