--- a/crates/emberpin-fairway/src/fleet.rs
+++ b/crates/emberpin-fairway/src/fleet.rs
@@ -182,9 +182,7 @@
 
     fn remove(&mut self, id: &str) {
         if let Some(entry) = self.lives.remove(id) {
-            // Never below what a 421 was for: else a repeat of that message would raise it.
-            let seq = entry.life.seq.max(entry.wrong.unwrap_or(0));
-            self.remember(id, (entry.life.standing, seq));
+            self.remember(id, (entry.life.standing, entry.life.seq));
             self.touch(id);
         }
     }
--- a/crates/emberpin-fairway/tests/budget.rs
+++ b/crates/emberpin-fairway/tests/budget.rs
@@ -160,3 +160,22 @@
         }
     }
 }
+
+/// Holds `max(self.latest)` in `number`: what is spent late counts now.
+#[gtest]
+fn what_is_spent_by_a_late_clock_counts_now() {
+    let mut budget = Budget::new(0.0, RATIO, WINDOW, 0.0);
+    requests(&mut budget, 10_000.0, 10);
+    expect_that!(greedy(&mut budget, 5_000.0, 1), eq(1));
+    expect_that!(greedy(&mut budget, 10_000.0, 1), eq(0));
+}
+
+/// Holds the clearing of a part that is used again.
+#[gtest]
+fn a_part_that_is_used_again_begins_at_nothing() {
+    let mut budget = Budget::new(0.0, RATIO, WINDOW, 0.0);
+    requests(&mut budget, 0.0, 10);
+    requests(&mut budget, 500.0, 1);
+    requests(&mut budget, 1_070.0, 1);
+    expect_false!(budget.may(1_070.0, "s", 1));
+}
--- a/crates/emberpin-fairway/tests/cold.rs
+++ b/crates/emberpin-fairway/tests/cold.rs
@@ -169,3 +169,21 @@
         }
     }
 }
+
+/// Holds `bound == 0` in `Share::of`.
+#[gtest]
+fn the_share_of_nothing_is_nothing() {
+    expect_that!(Share::of(0, 100), eq(Share { admitted: 0.0, each: 0 }));
+}
+
+/// Holds both conditions under which the share last found is used again.
+#[gtest]
+fn each_bound_and_number_of_limiters_has_its_own_share() {
+    let mut cold = calm(10);
+    expect_true!(cold.may(5_000.0, "i", &USUAL, 10, "me"));
+    expect_false!(cold.may(5_000.0, "i", &Coldness { per_s: 0.0, extra: 0.0, ..USUAL }, 10, "me"));
+    expect_true!(cold.may(5_000.0, "i", &USUAL, 10, "me"));
+    cold.told(5_000.0, 480);
+    let asked = (0..200).filter(|k| cold.may(9_000.0, &format!("i-{k}"), &USUAL, 480, "me")).count();
+    expect_that!(asked, lt(10));
+}
--- a/crates/emberpin-fairway/tests/fleet.rs
+++ b/crates/emberpin-fairway/tests/fleet.rs
@@ -291,3 +291,28 @@
         }
     }
 }
+
+/// Holds `told < known` for the cold time: an older beat says nothing of now.
+#[gtest]
+fn an_older_beat_does_not_make_a_server_cold() {
+    let mut fleet = fleet();
+    fleet.tell(0.0, &[life("i", Up, 5), Life { cold_ms: 9_000, ..life("i", Up, 4) }]);
+    expect_false!(fleet.cold(1_000.0, "i"));
+}
+
+/// Holds `max(life.seq)`: a drain with a lower number does not lower what is told on.
+#[gtest]
+fn the_highest_number_stays_known() {
+    let mut fleet = fleet();
+    fleet.tell(0.0, &[life("i", Up, 9), life("i", Drain, 5)]);
+    expect_that!(fleet.lives(0.0), elements_are![field!(Life.seq, eq(&9))]);
+}
+
+/// Holds the comparison of services in `usable`.
+#[gtest]
+fn a_server_makes_only_its_own_service_usable() {
+    let mut fleet = fleet();
+    fleet.tell(0.0, &[life("i", Up, 1)]);
+    expect_true!(fleet.usable("s"));
+    expect_false!(fleet.usable("t"));
+}
