--- a/crates/emberpin-keeper/src/disk.rs
+++ b/crates/emberpin-keeper/src/disk.rs
@@ -178,15 +178,17 @@
     at(&store, fs::rename(&forming, &store))?;
     at(folder, File::open(folder).and_then(|folder| folder.sync_all()))?;
     let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) else { return Ok(()) };
-    // The folder itself is the platform's; where its parent can't be opened, there is nothing to be done for it.
+    // The folder itself is the platform's; where its parent can't be opened, there is nothing to be done for
+    // it.
     _ = File::open(parent).and_then(|parent| parent.sync_all());
     Ok(())
 }
 
 /// Takes the end off the newest journal, so that its last write counts as begun and not ended.
 ///
-/// Each write is synced before something is said that builds on it, so only the last ones can have gaps, and nobody was
-/// told of them. `fjall` drops a last write that lacks its end, and refuses one that has its end and not what is before.
+/// Each write is synced before something is said that builds on it, so only the last ones can have gaps, and
+/// nobody was told of them. `fjall` drops a last write that lacks its end, and refuses one that has its end
+/// and not what is before.
 fn cut_last_write(store: &Path) -> io::Result<()> {
     let mut newest: Option<(u64, PathBuf)> = None;
     for entry in fs::read_dir(store.join("journals"))? {
--- a/crates/emberpin-keeper/src/lib.rs
+++ b/crates/emberpin-keeper/src/lib.rs
@@ -1,7 +1,7 @@
 //! The store of configuration: keeps items on disk and in custody of a majority of the voters.
 //!
-//! A thin host: what is chosen, and when, is decided in `emberpin_muster`; here are the disk, the connections and the
-//! clock.
+//! A thin host: what is chosen, and when, is decided in `emberpin_muster`; here are the disk, the connections
+//! and the clock.
 #![forbid(unsafe_code)]
 
 mod connections;
--- a/crates/emberpin-keeper/src/talk.rs
+++ b/crates/emberpin-keeper/src/talk.rs
@@ -42,7 +42,8 @@
         /// Begin, or finish.
         begin: bool,
     },
-    /// Wants all chosen items now and each change from then on, as [`Told::News`], and [`Told::Standing`] on the way.
+    /// Wants all chosen items now and each change from then on, as [`Told::News`], and [`Told::Standing`] on
+    /// the way.
     Follow,
 }
 
--- a/crates/emberpin-keeper/tests/processes.rs
+++ b/crates/emberpin-keeper/tests/processes.rs
@@ -1,4 +1,5 @@
-//! Stores as processes on addresses of this machine: calls, news, the loss of all processes, of a disk, of a machine.
+//! Stores as processes on addresses of this machine: calls, news, the loss of all processes, of a disk, of a
+//! machine.
 
 use emberpin_berth::frames;
 use emberpin_chart::{Item, Kind};
--- a/crates/emberpin-muster/src/custodian.rs
+++ b/crates/emberpin-muster/src/custodian.rs
@@ -20,7 +20,8 @@
 const OPEN: u64 = 300;
 /// A comparison counts for so long.
 const FRESH: u64 = 1_200;
-/// A store that lost its disk waits so long before it catches up: rounds that it promised something are over by then.
+/// A store that lost its disk waits so long before it catches up: rounds that it promised something are over
+/// by then.
 const FORGOTTEN: u64 = 4 * ROUND;
 /// A voter that was silent for so long gives its place to a store that has none.
 const SILENT: u64 = 6_000;
@@ -339,7 +340,8 @@
                             self.open_until = Some(open + self.draw(OPEN));
                         }
                     }
-                    // Learned first or with it: in either order they are on the disk before the answer goes out.
+                    // Learned first or with it: in either order they are on the disk before the answer goes
+                    // out.
                     self.learn(&chosen, out);
                     self.answer(from, answer, true, out);
                 }
@@ -473,7 +475,8 @@
         }
     }
 
-    /// Rounds that a store promised something before it lost its disk are over after so long; there are none at first.
+    /// Rounds that a store promised something before it lost its disk are over after so long; there are none
+    /// at first.
     fn forgotten(&self) -> u64 {
         if self.options.bootstrap {
             0
--- a/crates/emberpin-muster/src/voter.rs
+++ b/crates/emberpin-muster/src/voter.rs
@@ -46,13 +46,23 @@
     pub joint: bool,
     /// Nothing is said before it is on the disk.
     pub sync: bool,
+    /// A voter keeps the ballot of what it accepted.
+    pub ballot: bool,
     /// Chosen items that a voter lacks go along with what is proposed.
     pub lacking: bool,
 }
 
 impl Default for Guards {
     fn default() -> Guards {
-        Guards { amnesia: true, promise: true, carry: true, joint: true, sync: true, lacking: true }
+        Guards {
+            amnesia: true,
+            promise: true,
+            carry: true,
+            joint: true,
+            sync: true,
+            ballot: true,
+            lacking: true,
+        }
     }
 }
 
@@ -114,12 +124,15 @@
         !self.pending.items.is_empty()
     }
 
-    /// Lets go of what was accepted and is known to be chosen. Its ballot stays: it tells that what others accepted at
-    /// lower ones, and that is not chosen, never will be.
+    /// Lets go of what was accepted and is known to be chosen. Its ballot stays: it tells that what others
+    /// accepted at lower ones, and that is not chosen, never will be.
     fn close(&mut self) {
         let copies = &self.copies;
         if self.pending.items.iter().all(|item| copies.covers(item)) {
             self.pending.items.clear();
+            if !self.guards.ballot {
+                self.pending.ballot = Ballot::default();
+            }
         }
     }
 }
--- a/crates/emberpin-muster/tests/cases.rs
+++ b/crates/emberpin-muster/tests/cases.rs
@@ -1,4 +1,5 @@
-//! The hard cases of custody, each caused on purpose; where a guard is what keeps one, the build without it fails.
+//! The hard cases of custody, each caused on purpose; where a guard is what keeps one, the build without it
+//! fails.
 
 mod world;
 
@@ -87,30 +88,42 @@
     }
 }
 
+/// At two takers, one drops a service and the other routes to it: what they answer.
+fn changes_that_are_not_valid_together(seed: u64, guards: Guards) -> (Vec<u16>, Option<String>) {
+    let mut world = World::new(seed, 3, 1, guards);
+    world.delay = (1, 30);
+    world.run(100);
+    world.answer(ip(3), services(&[("a", 1, 1)]));
+    let calls = [drop_service("a", 2), route("r", "a", 1, 1)];
+    let sent = [world.call(ip(1), calls[0].clone()), world.call(ip(2), calls[1].clone())];
+    world.run(4_000);
+    let mut status = Vec::new();
+    for (nth, id) in sent.into_iter().enumerate() {
+        status.push(match world.calls[id].answer.clone() {
+            Some((503, _)) | None => world.answer(ip(1), calls[nth].clone()).0,
+            Some((status, _)) => status,
+        });
+    }
+    status.sort_unstable();
+    world.settle_and_check();
+    (status, world.wrong)
+}
+
 #[gtest]
 fn of_two_changes_that_are_not_valid_together_one_is_refused() {
     for seed in 0..30 {
-        let mut world = World::new(seed, 3, 1, sound());
-        world.delay = (1, 30);
-        world.run(100);
-        expect_that!(world.answer(ip(3), services(&[("a", 1, 1)])).0, eq(200));
-        let calls = [drop_service("a", 2), route("r", "a", 1, 1)];
-        let sent = [world.call(ip(1), calls[0].clone()), world.call(ip(2), calls[1].clone())];
-        world.run(4_000);
-        let mut status = Vec::new();
-        for (nth, id) in sent.into_iter().enumerate() {
-            status.push(match world.calls[id].answer.clone() {
-                Some((503, _)) | None => world.answer(ip(1), calls[nth].clone()).0,
-                Some((status, _)) => status,
-            });
-        }
-        status.sort_unstable();
-        expect_that!(status, eq(&vec![200, 400]));
-        world.settle_and_check();
-        expect_that!(world.wrong, none());
+        let expected = (vec![200, 400], None);
+        expect_that!(changes_that_are_not_valid_together(seed, sound()), eq(&expected));
     }
 }
 
+#[gtest]
+fn a_voter_that_forgets_the_ballot_of_what_is_chosen_lets_both_in() {
+    let wrong = Guards { ballot: false, ..sound() };
+    let both = (0..30).any(|seed| changes_that_are_not_valid_together(seed, wrong).1.is_some());
+    expect_that!(both, eq(true));
+}
+
 /// A call reaches some voters, and its taker ends before it hears of it.
 fn half_spread(hold: fn(&Message) -> bool) -> World {
     let mut world = World::new(4, 3, 1, sound());
@@ -181,8 +194,8 @@
     expect_that!(world.wrong, some(contains_substring("lost")));
 }
 
-/// Of five, one knows that an item is chosen, and two have it as accepted; another round goes by without these two, and
-/// replaces what they have accepted.
+/// Of five, one knows that an item is chosen, and two have it as accepted; another round goes by without
+/// these two, and replaces what they have accepted.
 fn a_round_replaces_what_was_accepted(guards: Guards) -> Option<String> {
     let mut world = World::new(3, 5, 2, guards);
     world.run(100);
@@ -305,6 +318,60 @@
     }
 }
 
+/// Of five, 4 and 5 don't hear a new machine 6, which therefore wants the roster 1, 2, 3, 6; only 3 hears of
+/// that. 4 finishes the change in passing, among 3, 4 and 5. 6 learns of it from 3, and asks 1 and 2.
+fn change_finished_by_the_old_majority(guards: Guards) -> Option<String> {
+    let mut world = World::new(11, 5, 1, guards);
+    world.add(ip(6));
+    for host in [4, 5] {
+        world.cut(ip(6), ip(host));
+    }
+    world.start(ip(6), false);
+    let seats = |message: &Message| match message {
+        Message::Accept { items, .. } => items.iter().any(|item| item.key.kind == Kind::Roster),
+        _ => false,
+    };
+    world.hold = Some(seats);
+    world.run_while(20_000, |world| world.held.iter().all(|(_, to, _)| *to != ip(3)));
+    world.kill(ip(6));
+    world.hold = None;
+    world.release(ip(6), ip(3));
+    for one in [1, 2] {
+        (3..=5).for_each(|other| world.cut(ip(one), ip(other)));
+    }
+    let sent = world.call(ip(4), services(&[("x", 1, 1)]));
+    world.run_while(4_000, |world| world.calls[sent].answer.is_none());
+    world.run(20);
+    world.kill(ip(4));
+    world.kill(ip(5));
+    // Of what 3 says, only the roster comes through.
+    world.hold = Some(|message| !matches!(message, Message::Prepare { .. } | Message::Roster { .. }));
+    world.start(ip(6), false);
+    let read = world.call(ip(6), Call::Get);
+    world.run_while(500, |world| !world.nodes[&ip(6)].store.as_ref().is_some_and(|store| store.votes()));
+    world.hold = None;
+    world.cut(ip(3), ip(6));
+    world.run_while(4_000, |world| world.calls[read].answer.is_none());
+    if world.calls[read].answer.as_ref().is_some_and(|(status, _)| *status == 200) {
+        world.check(ip(6));
+    }
+    if world.wrong.is_none() {
+        world.settle_and_check();
+    }
+    world.wrong
+}
+
+#[gtest]
+fn a_change_of_the_roster_is_finished_by_both_majorities() {
+    expect_that!(change_finished_by_the_old_majority(sound()), none());
+}
+
+#[gtest]
+fn one_that_the_old_majority_finishes_loses_an_acknowledged_item() {
+    let wrong = Guards { joint: false, ..sound() };
+    expect_that!(change_finished_by_the_old_majority(wrong), some(contains_substring("lost")));
+}
+
 fn evacuate(begin: bool) -> Call {
     Call::Evacuate { zone: "z".into(), begin }
 }
--- a/crates/emberpin-muster/tests/search.rs
+++ b/crates/emberpin-muster/tests/search.rs
@@ -1,5 +1,5 @@
-//! Random trouble, by the seed: nothing that was acknowledged is lost, one content for a version, news never goes back.
-//! `EMBERPIN_RUNS` sets how many runs there are.
+//! Random trouble, by the seed: nothing that was acknowledged is lost, one content for a version, news never
+//! goes back. `EMBERPIN_RUNS` sets how many runs there are.
 
 mod world;
 
@@ -13,7 +13,7 @@
 
 /// One run; what went wrong, if something did.
 fn run(seed: u64, guards: Guards) -> Option<String> {
-    let (count, tolerated) = if seed % 2 == 0 { (3, 1) } else { (5, 2) };
+    let (count, tolerated) = [(3, 1), (5, 2), (5, 1)][(seed % 3) as usize];
     let mut world = World::new(seed, count, tolerated, guards);
     world.delay = (1, 2 + world.below(40));
     (world.late, world.twice) = (world.below(6), world.below(4));
@@ -23,9 +23,12 @@
     let (mut numbers, mut sent) = (0, Vec::new());
     let trouble = 1 + world.below(12);
     world.run(300);
-    let until = world.now + TROUBLE;
+    // Now and then it lasts long enough for machines to leave the roster.
+    let long = seed.is_multiple_of(5);
+    let until = world.now + if long { 4 * TROUBLE } else { TROUBLE };
     while world.now < until && world.wrong.is_none() {
-        let pause = 1 + world.below(250);
+        // Often at once, so that takers contend.
+        let pause = if world.below(3) == 0 { world.below(6) } else { world.below(250) };
         world.run(pause);
         numbers += 1;
         let up = world.up();
@@ -48,18 +51,18 @@
             world.call(to, call);
         }
         if world.below(12) < trouble {
-            trouble_once(&mut world, &mut hosts);
+            trouble_once(&mut world, &mut hosts, tolerated, long);
         }
     }
     world.settle_and_check();
     world.wrong.map(|wrong| format!("seed {seed}: {wrong}"))
 }
 
-fn trouble_once(world: &mut World, hosts: &mut u8) {
+fn trouble_once(world: &mut World, hosts: &mut u8, tolerated: usize, long: bool) {
     let all: Vec<_> = world.nodes.keys().copied().filter(|ip| !world.nodes[ip].removed).collect();
     let one = all[world.below(all.len() as u64) as usize];
     let other = all[world.below(all.len() as u64) as usize];
-    let tolerated = if world.nodes.len() >= 5 && world.roster().len() >= 5 { 2 } else { 1 };
+    let tolerated = if world.roster().len() > 2 * tolerated { tolerated } else { 1 };
     match world.below(22) {
         0..3 => world.kill(one),
         3..8 => all.iter().for_each(|ip| world.start(*ip, false)),
@@ -76,7 +79,7 @@
             world.wipe(one);
             world.start(one, false);
         }
-        15 if world.lost() < tolerated && *hosts < 9 => {
+        15 if world.lost() < tolerated && *hosts < 14 => {
             world.remove(one);
             *hosts += 1;
             world.add(ip(*hosts));
@@ -84,6 +87,7 @@
         }
         16..18 if one != other => _ = world.cuts.insert((one, other)),
         18 => all.iter().filter(|ip| **ip != one).for_each(|ip| world.cut(one, *ip)),
+        _ if long && world.below(5) > 0 => {}
         _ => world.cuts.clear(),
     }
 }
@@ -114,29 +118,24 @@
 }
 
 /// How many runs a wrong build may take to be found.
-const WRONG_RUNS: u64 = 3000;
+const WRONG_RUNS: u64 = 400;
 
 #[gtest]
 fn a_store_that_votes_after_it_lost_its_disk_is_caught() {
-    expect_that!(dbg!(search(WRONG_RUNS, Guards { amnesia: false, ..Guards::default() })), some(anything()));
+    expect_that!(search(WRONG_RUNS, Guards { amnesia: false, ..Guards::default() }), some(anything()));
 }
 
 #[gtest]
 fn a_voter_that_keeps_no_promise_is_caught() {
-    expect_that!(dbg!(search(WRONG_RUNS, Guards { promise: false, ..Guards::default() })), some(anything()));
+    expect_that!(search(WRONG_RUNS, Guards { promise: false, ..Guards::default() }), some(anything()));
 }
 
 #[gtest]
 fn a_round_that_leaves_what_may_be_chosen_is_caught() {
-    expect_that!(dbg!(search(WRONG_RUNS, Guards { carry: false, ..Guards::default() })), some(anything()));
-}
-
-#[gtest]
-fn a_change_of_the_roster_by_one_majority_is_caught() {
-    expect_that!(dbg!(search(WRONG_RUNS, Guards { joint: false, ..Guards::default() })), some(anything()));
+    expect_that!(search(WRONG_RUNS, Guards { carry: false, ..Guards::default() }), some(anything()));
 }
 
 #[gtest]
 fn a_word_before_the_sync_is_caught() {
-    expect_that!(dbg!(search(WRONG_RUNS, Guards { sync: false, ..Guards::default() })), some(anything()));
+    expect_that!(search(WRONG_RUNS, Guards { sync: false, ..Guards::default() }), some(anything()));
 }
--- a/crates/emberpin-muster/tests/world/mod.rs
+++ b/crates/emberpin-muster/tests/world/mod.rs
@@ -1,4 +1,5 @@
-//! A small world of stores on simulated time: delays, cuts, kills, losses of power and of disks, all drawn from a seed.
+//! A small world of stores on simulated time: delays, cuts, kills, losses of power and of disks, all drawn
+//! from a seed.
 #![allow(dead_code)]
 
 use emberpin_chart::{Chart, Item, Key, Kind};
@@ -14,7 +15,7 @@
 /// What will happen.
 #[derive(Clone, Debug)]
 enum Due {
-    Deliver { from: Ipv4Addr, to: Ipv4Addr, message: Message },
+    Deliver { from: Ipv4Addr, to: Ipv4Addr, life: u64, message: Message },
     Synced { node: Ipv4Addr, life: u64, token: u64, writes: usize },
     Wake { node: Ipv4Addr, life: u64 },
 }
@@ -59,6 +60,10 @@
     pub wrong: Option<String>,
     /// Messages that a test holds back.
     pub hold: Option<fn(&Message) -> bool>,
+    /// Those that were held back: from whom, to whom.
+    pub held: Vec<(Ipv4Addr, Ipv4Addr, Message)>,
+    /// All that was ever chosen.
+    whole: Chart,
     pub rand: Rand64,
     guards: Guards,
     seeds: Vec<Ipv4Addr>,
@@ -66,7 +71,8 @@
     due: BinaryHeap<Reverse<(u64, u64)>>,
     dues: BTreeMap<u64, Due>,
     number: u64,
-    /// Delays in milliseconds, from and below; and of a hundred messages, how many are late by much, or come twice.
+    /// Delays in milliseconds, from and below; and of a hundred messages, how many are late by much, or come
+    /// twice.
     pub delay: (u64, u64),
     /// How long a sync takes, likewise.
     pub disk: (u64, u64),
@@ -91,6 +97,8 @@
             acknowledged: BTreeMap::new(),
             wrong: None,
             hold: None,
+            held: Vec::new(),
+            whole: Chart::new(),
             rand: Rand64::new(u128::from(seed) + 1),
             guards,
             seeds: seeds.clone(),
@@ -279,17 +287,29 @@
     }
 
     fn send(&mut self, from: Ipv4Addr, to: Ipv4Addr, message: Message) {
-        if self.cuts.contains(&(from, to)) || self.hold.is_some_and(|hold| hold(&message)) {
+        if self.cuts.contains(&(from, to)) {
             return;
         }
+        if self.hold.is_some_and(|hold| hold(&message)) {
+            return self.held.push((from, to, message));
+        }
         let times = if self.below(100) < self.twice { 2 } else { 1 };
         for _ in 0..times {
             let mut delay = self.delay.0 + self.below(self.delay.1 - self.delay.0);
             if self.below(100) < self.late {
                 delay += self.below(1500);
             }
-            let at = self.now + delay;
-            self.at(at, Due::Deliver { from, to, message: message.clone() });
+            // A connection ends with the process at its other end.
+            let (at, life) = (self.now + delay, self.nodes.get(&to).map_or(0, |node| node.life));
+            self.at(at, Due::Deliver { from, to, life, message: message.clone() });
+        }
+    }
+
+    /// Delivers a message that was held back.
+    pub fn release(&mut self, from: Ipv4Addr, to: Ipv4Addr) {
+        let held = self.held.iter().position(|held| (held.0, held.1) == (from, to));
+        if let Some((from, to, message)) = held.map(|at| self.held.remove(at)) {
+            self.handle(to, Event::Message { from, message });
         }
     }
 
@@ -307,6 +327,12 @@
     }
 
     fn news(&mut self, ip: Ipv4Addr, items: &[Item]) {
+        // What is chosen is chosen set by set, and each leaves the whole valid. Whoever tells a set first
+        // tells with it all that came before.
+        let new = items.iter().filter(|item| self.whole.merge((*item).clone())).count();
+        if let Some(wrong) = (new > 0).then(|| self.whole.check().err()).flatten() {
+            self.fail(format!("what is chosen is not valid as a whole: {wrong}"));
+        }
         for item in items {
             self.only(item);
             let told = self.node(ip).told.insert(item.key.clone(), item.ver);
@@ -354,8 +380,9 @@
             let Some(Reverse((at, number))) = self.due.pop() else { return };
             self.now = self.now.max(at);
             match self.dues.remove(&number) {
-                Some(Due::Deliver { from, to, message }) => {
-                    if !self.cuts.contains(&(from, to)) && self.nodes.contains_key(&to) {
+                Some(Due::Deliver { from, to, life, message }) => {
+                    let same = self.nodes.get(&to).is_some_and(|node| node.life == life);
+                    if same && !self.cuts.contains(&(from, to)) {
                         self.handle(to, Event::Message { from, message });
                     }
                 }
