--- a/crates/emberpin-keeper/src/disk.rs
+++ b/crates/emberpin-keeper/src/disk.rs
@@ -15,6 +15,10 @@
 /// What this folder is; the number rises when an older program can't read it.
 const FORMAT: &[u8] = b"emberpin-keeper 1";
 
+/// So much is written before `fjall` makes tables of it, and another journal: seldom, as each takes the disk for a
+/// while.
+const MEMTABLE: u32 = 8 << 20;
+
 /// A disk that can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum Unusable {
@@ -42,7 +46,7 @@
     ///
     /// # Errors
     ///
-    /// [`Unusable`]: whatever is there is left as it is.
+    /// [`Unusable`]: nothing is begun anew in place of what is there.
     pub fn open(folder: &Path, me: Ipv4Addr) -> Result<(Disk, Option<Kept>), Unusable> {
         let store = folder.join(STORE);
         if !at(&store, store.try_exists())? {
@@ -68,11 +72,11 @@
             .compaction_workers(1)
             .cache_size(256 << 10)
             .max_journaling_size(24 << 20)
-            .max_write_buffer_size(4 << 20)
+            .max_write_buffer_size(16 << 20)
             .fsync_ms(None)
             .open()
             .map_err(wrong)?;
-        let options = || PartitionCreateOptions::default().max_memtable_size(2 << 20);
+        let options = || PartitionCreateOptions::default().max_memtable_size(MEMTABLE);
         let items = keyspace.open_partition("items", options()).map_err(wrong)?;
         let meta = keyspace.open_partition("meta", options()).map_err(wrong)?;
         Ok(Disk { keyspace, items, meta, folder: store.into() })
