Let a round that was refused go on while the others may be a majority

One refusal ended a round even where the others had promised, and a slow disk could outlast every round. Rounds give way once no majority is left, or 150 ms after a refusal; each failed one gives the next 300 ms more, up to three times. The case of a forgotten ballot is now caused on purpose instead of by chance (as the contention that it needed became rare).

--- a/crates/emberpin-muster/src/custodian.rs
+++ b/crates/emberpin-muster/src/custodian.rs
@@ -14,6 +14,10 @@
 const PATIENCE: u64 = 3_000;
 /// A round that isn't done by then gives way to a new one; nothing is proposed later than that.
 const ROUND: u64 = 700;
+/// Each round that failed gives the next one so much more, for slow disks, up to three times.
+const MORE: u64 = 300;
+/// A round that one voter refused gives way after so long: the others may be a majority, or may be gone.
+const REFUSED: u64 = 150;
 /// How often stores compare what they hold.
 const EXCHANGE: u64 = 500;
 /// What is accepted and not chosen after so long is finished by whoever holds it.
@@ -226,7 +230,7 @@
     /// When [`Event::Wake`] is due, if nothing comes before.
     pub fn wake_at(&self) -> u64 {
         let tasks = self.tasks.iter().map(|task| task.until);
-        let round = self.round.as_ref().map(|round| round.since + ROUND);
+        let round = self.round.as_ref().map(|round| round.until);
         let idle = self.round.is_none() && self.copies().roster().is_some();
         let begin = (idle && (!self.tasks.is_empty() || self.next.is_some())).then_some(self.round_at);
         let open = self.open_until.filter(|_| idle && self.votes()).map(|at| at.max(self.round_at));
@@ -353,8 +357,8 @@
             Message::Refused { ballot, promised } => {
                 self.counter = self.counter.max(promised.counter);
                 // One's own ballot comes back if a message came twice.
-                if promised > ballot && self.round.as_ref().is_some_and(|round| round.ballot == ballot) {
-                    self.give_way(now, true);
+                if promised > ballot {
+                    self.refused(now, from, ballot);
                 }
             }
             Message::NotVoting { .. } => {}
@@ -428,7 +432,7 @@
     // ---- rounds
 
     fn settle_timers(&mut self, now: u64, out: &mut Vec<Action>) {
-        if self.round.as_ref().is_some_and(|round| now >= round.since + ROUND) {
+        if self.round.as_ref().is_some_and(|round| now >= round.until) {
             self.give_way(now, true);
         }
         let (due, kept) = self.tasks.drain(..).partition(|task| now >= task.until);
@@ -465,7 +469,8 @@
         }
         self.counter += 1;
         let ballot = Ballot { counter: self.counter, node: me.to_bits(), life: self.life };
-        let mut round = Round::new(ballot, now, roster.clone(), next.filter(|_| self.voter.guards.joint));
+        let until = now + ROUND + MORE * u64::from(self.failed.min(3));
+        let mut round = Round::new(ballot, until, roster.clone(), next.filter(|_| self.voter.guards.joint));
         round.recovers = recovers;
         let (targets, digests) = (round.targets(), self.copies().digests().to_vec());
         self.round = Some(round);
@@ -485,6 +490,15 @@
         }
     }
 
+    fn refused(&mut self, now: u64, from: Ipv4Addr, ballot: Ballot) {
+        let Some(round) = self.round.as_mut().filter(|round| round.ballot == ballot) else { return };
+        round.refused.insert(from);
+        round.until = round.until.min(now + REFUSED);
+        if round.lost() {
+            self.give_way(now, true);
+        }
+    }
+
     /// Ends the round for a later one.
     fn give_way(&mut self, now: u64, pause: bool) {
         let Some(round) = self.round.take() else { return };
--- a/crates/emberpin-muster/src/round.rs
+++ b/crates/emberpin-muster/src/round.rs
@@ -35,7 +35,8 @@
 #[derive(Debug)]
 pub(crate) struct Round {
     pub ballot: Ballot,
-    pub since: u64,
+    /// When it gives way to a new one.
+    pub until: u64,
     /// The roster that it goes by.
     pub roster: Item,
     pub voters: Vec<Ipv4Addr>,
@@ -52,14 +53,16 @@
     /// What it proposes, once it does.
     pub proposal: Option<Vec<Item>>,
     pub accepted: BTreeSet<Ipv4Addr>,
+    /// Those that have promised a higher ballot.
+    pub refused: BTreeSet<Ipv4Addr>,
     pub outcomes: Vec<Outcome>,
 }
 
 impl Round {
-    pub fn new(ballot: Ballot, since: u64, roster: Item, next: Option<Item>) -> Round {
+    pub fn new(ballot: Ballot, until: u64, roster: Item, next: Option<Item>) -> Round {
         Round {
             ballot,
-            since,
+            until,
             voters: voters(&roster),
             joining: next.as_ref().map(voters).unwrap_or_default(),
             roster,
@@ -70,6 +73,7 @@
             learned: BTreeSet::new(),
             proposal: None,
             accepted: BTreeSet::new(),
+            refused: BTreeSet::new(),
             outcomes: Vec::new(),
         }
     }
@@ -92,6 +96,15 @@
         enough(&self.voters) && (self.joining.is_empty() || enough(&self.joining))
     }
 
+    /// Whether so many have refused that the others are no majority.
+    pub fn lost(&self) -> bool {
+        let lost = |voters: &[Ipv4Addr]| {
+            let left = voters.iter().filter(|voter| !self.refused.contains(voter)).count();
+            left < majority(voters)
+        };
+        lost(&self.voters) || (!self.joining.is_empty() && lost(&self.joining))
+    }
+
     /// Whether enough have accepted: a majority, and more than may be lost at once.
     pub fn chosen(&self, tolerated: usize) -> bool {
         let enough = |voters: &[Ipv4Addr]| {
--- a/crates/emberpin-muster/tests/cases.rs
+++ b/crates/emberpin-muster/tests/cases.rs
@@ -117,11 +117,34 @@
     }
 }
 
+/// 1 alone has accepted that a service is dropped; the others let a route to it in, and know that it is chosen.
+fn superseded_drop(guards: Guards) -> Option<String> {
+    let mut world = World::new(12, 3, 1, guards);
+    world.run(100);
+    world.answer(ip(3), services(&[("a", 1, 1)]));
+    world.hold = Some(|message| matches!(message, Message::Accept { .. }));
+    world.call(ip(1), drop_service("a", 2));
+    world.run(50);
+    world.hold = None;
+    [2, 3].into_iter().for_each(|other| world.cut(ip(1), ip(other)));
+    let (status, _) = world.answer(ip(2), route("r", "a", 1, 1));
+    if status != 200 {
+        return Some(format!("status {status}"));
+    }
+    world.run(1_000);
+    world.settle_and_check();
+    world.wrong
+}
+
+#[gtest]
+fn what_was_superseded_does_not_come_back_once_the_other_is_chosen() {
+    expect_that!(superseded_drop(sound()), none());
+}
+
 #[gtest]
-fn a_voter_that_forgets_the_ballot_of_what_is_chosen_lets_both_in() {
+fn a_voter_that_forgets_the_ballot_of_what_is_chosen_lets_it_in() {
     let wrong = Guards { ballot: false, ..sound() };
-    let both = (0..30).any(|seed| changes_that_are_not_valid_together(seed, wrong).1.is_some());
-    expect_that!(both, eq(true));
+    expect_that!(superseded_drop(wrong), some(contains_substring("not valid as a whole")));
 }
 
 /// A call reaches some voters, and its taker ends before it hears of it.
