--- a/crates/emberpin-keeper/tests/processes.rs
+++ b/crates/emberpin-keeper/tests/processes.rs
@@ -10,6 +10,7 @@
 use std::process::{Child, Command};
 use std::time::Duration;
 use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
@@ -225,6 +226,50 @@
     });
 }
 
+#[gtest]
+fn a_first_call_with_many_routes_is_taken_whole() {
+    run(async {
+        let mut machines = machines(5, 3);
+        machines.iter_mut().for_each(|machine| machine.start(true));
+        let locs: Vec<String> = (0..800)
+            .map(|number| {
+                format!(
+                    "{{\"name\":\"r-{number}\",\"pfx\":\"/p{number}/\",\"type\":\"readonly\",\"timeout\":\"1500ms\",\
+                     \"target_time\":\"250ms\",\"prio\":2,\"svc\":\"a\",\"tries\":2,\"ver\":7}}"
+                )
+            })
+            .collect();
+        let routes =
+            format!(",\"vhosts\":[{{\"hostname\":\"h.example\",\"locs\":[{}]}}]}}}}", locs.join(","));
+        let body = service("a", 7).replace("]}}", &format!("]{routes}"));
+        let began = Instant::now();
+        expect_that!(machines[1].patch(&body).await, eq(200));
+        println!("{} bytes taken in {:?}", body.len(), began.elapsed());
+        let began = Instant::now();
+        expect_that!(machines[1].patch(&service("b", 8)).await, eq(200));
+        println!("one more item taken in {:?}", began.elapsed());
+        for machine in &machines {
+            let got = machine.get().await;
+            expect_that!(got.matches("\"name\":\"r-").count(), eq(800));
+        }
+    });
+}
+
+#[gtest]
+fn bytes_that_are_no_message_end_their_connection_alone() {
+    run(async {
+        let mut machines = machines(6, 3);
+        machines.iter_mut().for_each(|machine| machine.start(true));
+        for bytes in [&[0, 0, 0, 2, 9, 9][..], &[0xff; 64][..]] {
+            let mut stream = machines[0].connect().await;
+            stream.write_all(bytes).await.expect("a connection");
+            let ended = timeout(LONG, stream.read(&mut [0; 1])).await.expect("an end in time");
+            expect_that!(ended.unwrap_or(0), eq(0));
+        }
+        expect_that!(machines[0].patch(&service("a", 1)).await, eq(200));
+    });
+}
+
 #[gtest]
 fn another_machines_disk_is_refused() {
     let mut machines = machines(4, 2);
--- a/crates/emberpin-muster/src/call.rs
+++ b/crates/emberpin-muster/src/call.rs
@@ -1,7 +1,7 @@
 //! Calls, and what becomes of them on top of everything that is chosen.
 
 use crate::copies::{roster_item, roster_key, voters};
-use emberpin_chart::{judge, read_patch, write_all, Chart, Item, Judgement, Key, Kind};
+use emberpin_chart::{judge, write_all, Chart, Item, Judgement, Key, Kind, Patch};
 use std::net::Ipv4Addr;
 
 /// What is asked of a store.
@@ -23,9 +23,17 @@
 /// What a store does for a caller, or for itself.
 #[derive(Clone, Debug)]
 pub(crate) enum Work {
-    Call {
+    Patch {
         id: u64,
-        call: Call,
+        patch: Patch,
+    },
+    Get {
+        id: u64,
+    },
+    Evacuate {
+        id: u64,
+        zone: String,
+        begin: bool,
     },
     /// Replaces the roster of this version.
     Roster {
@@ -46,23 +54,25 @@
 }
 
 impl Work {
+    /// The number of the caller's answer.
+    pub fn id(&self) -> Option<u64> {
+        match self {
+            Work::Patch { id, .. } | Work::Get { id } | Work::Evacuate { id, .. } => Some(*id),
+            Work::Roster { .. } => None,
+        }
+    }
+
     /// Judges it on top of these items.
     pub fn judge(&self, newest: &Chart) -> Verdict {
         match self {
-            Work::Call { call: Call::Get, .. } => Verdict::Done(write_all(newest)),
-            Work::Call { call: Call::Patch(body), .. } => {
-                let patch = match read_patch(body) {
-                    Ok(patch) => patch,
-                    Err(wrong) => return Verdict::Refuse(400, wrong.to_string()),
-                };
-                match judge(newest, &patch) {
-                    Judgement::Apply(items) => Verdict::Choose(items),
-                    Judgement::Known => Verdict::Done(String::new()),
-                    Judgement::Stale(wrong) => Verdict::Refuse(409, wrong.to_string()),
-                    Judgement::Invalid(wrong) => Verdict::Refuse(400, wrong.to_string()),
-                }
-            }
-            Work::Call { call: Call::Evacuate { zone, begin }, .. } => {
+            Work::Get { .. } => Verdict::Done(write_all(newest)),
+            Work::Patch { patch, .. } => match judge(newest, patch) {
+                Judgement::Apply(items) => Verdict::Choose(items),
+                Judgement::Known => Verdict::Done(String::new()),
+                Judgement::Stale(wrong) => Verdict::Refuse(409, wrong.to_string()),
+                Judgement::Invalid(wrong) => Verdict::Refuse(400, wrong.to_string()),
+            },
+            Work::Evacuate { zone, begin, .. } => {
                 let key = Key { kind: Kind::Evacuation, name: zone.clone() };
                 let held = newest.get(&key);
                 if held.is_some_and(|item| item.body.is_some()) == *begin {
--- a/crates/emberpin-muster/src/custodian.rs
+++ b/crates/emberpin-muster/src/custodian.rs
@@ -5,13 +5,15 @@
 use crate::message::{Ballot, Message, Pending};
 use crate::round::{majority, Outcome, Promised, Round, Task};
 use crate::voter::{Guards, Kept, Voter, Write};
-use emberpin_chart::Item;
+use emberpin_chart::{read_patch, Item};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 
 /// A call that isn't done by then is told to be sent again.
 const PATIENCE: u64 = 3_000;
+/// So many calls wait at most; more are told to come again, or to go elsewhere.
+const WAITING: usize = 64;
 /// A round that isn't done by then gives way to a new one; nothing is proposed later than that.
 const ROUND: u64 = 700;
 /// Each round that failed gives the next one so much more, for slow disks, up to three times.
@@ -255,13 +257,21 @@
     }
 
     fn call(&mut self, now: u64, id: u64, call: Call, out: &mut Vec<Action>) {
-        // A call that can't be read is refused wherever it comes in.
-        if let Call::Patch(body) = &call {
-            if let Err(wrong) = emberpin_chart::read_patch(body) {
-                return out.push(Action::Answer { id, status: 400, body: wrong.to_string() });
-            }
-        }
-        self.tasks.push_back(Task { work: Work::Call { id, call }, until: now + PATIENCE, proposed: false });
+        if self.tasks.len() >= WAITING {
+            return out.push(Action::Answer { id, status: 503, body: "too many calls wait".into() });
+        }
+        let work = match call {
+            Call::Get => Work::Get { id },
+            Call::Evacuate { zone, begin } => Work::Evacuate { id, zone, begin },
+            Call::Patch(body) => match read_patch(&body) {
+                Ok(patch) => Work::Patch { id, patch },
+                // That is refused wherever it comes in.
+                Err(wrong) => {
+                    return out.push(Action::Answer { id, status: 400, body: wrong.to_string() });
+                }
+            },
+        };
+        self.tasks.push_back(Task { work, until: now + PATIENCE, proposed: false });
     }
 
     fn persisted(&mut self, token: u64, out: &mut Vec<Action>) {
@@ -569,7 +579,7 @@
                 Work::Roster { ver, voters } => {
                     change.is_some() || round.next != Some(roster_item(ver + 1, voters))
                 }
-                Work::Call { .. } => round.next.is_some(),
+                _ => round.next.is_some(),
             };
             if waits && self.voter.guards.joint {
                 self.tasks.push_back(task);
@@ -690,14 +700,14 @@
 
 fn tell(outcomes: Vec<Outcome>, out: &mut Vec<Action>) {
     for Outcome { task, status, body } in outcomes {
-        if let Work::Call { id, .. } = task.work {
+        if let Some(id) = task.work.id() {
             out.push(Action::Answer { id, status, body });
         }
     }
 }
 
 fn again(task: Task, out: &mut Vec<Action>) {
-    if let Work::Call { id, .. } = task.work {
+    if let Some(id) = task.work.id() {
         out.push(Action::Answer {
             id,
             status: 503,
--- a/crates/emberpin-muster/tests/cases.rs
+++ b/crates/emberpin-muster/tests/cases.rs
@@ -448,3 +448,17 @@
     let unreadable = world.call(ip(1), Call::Patch(b"{\"upsert\"".to_vec()));
     expect_that!(world.calls[unreadable].answer.clone().map(|answer| answer.0), some(eq(400)));
 }
+
+#[gtest]
+fn more_calls_than_may_wait_are_told_to_come_again_at_once() {
+    let mut world = World::new(13, 3, 1, sound());
+    world.run(100);
+    world.kill(ip(2));
+    world.kill(ip(3));
+    let sent: Vec<usize> = (0..80).map(|_| world.call(ip(1), Call::Get)).collect();
+    let at_once = sent.iter().filter(|id| world.calls[**id].answer.is_some()).count();
+    expect_that!(at_once, eq(16));
+    world.run(4_000);
+    let again = |id: &&usize| world.calls[**id].answer.as_ref().is_some_and(|(status, _)| *status == 503);
+    expect_that!(sent.iter().filter(again).count(), eq(80));
+}
