--- a/crates/emberpin-muster/src/custodian.rs
+++ b/crates/emberpin-muster/src/custodian.rs
@@ -5,28 +5,35 @@
 use crate::message::{Ballot, Message, Pending};
 use crate::round::{majority, Outcome, Promised, Round, Task};
 use crate::voter::{Guards, Kept, Voter, Write};
-use emberpin_chart::Item;
+use emberpin_chart::{read_patch, Item};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 
 /// A call that isn't done by then is told to be sent again.
 const PATIENCE: u64 = 3_000;
+/// So many calls wait at most; more are told to come again, or to go elsewhere.
+const WAITING: usize = 64;
 /// A round that isn't done by then gives way to a new one; nothing is proposed later than that.
 const ROUND: u64 = 700;
+/// Each round that failed gives the next one so much more, for slow disks, up to three times.
+const MORE: u64 = 300;
+/// A round that one voter refused gives way after so long: the others may be a majority, or may be gone.
+const REFUSED: u64 = 150;
 /// How often stores compare what they hold.
 const EXCHANGE: u64 = 500;
 /// What is accepted and not chosen after so long is finished by whoever holds it.
 const OPEN: u64 = 300;
 /// A comparison counts for so long.
 const FRESH: u64 = 1_200;
-/// A store that lost its disk waits so long before it catches up: rounds that it promised something are over by then.
-const FORGOTTEN: u64 = 4 * ROUND;
+/// A store that lost its disk waits so long before it catches up: rounds that it promised something are over
+/// by then.
+const FORGOTTEN: u64 = ROUND + 3 * MORE + 400;
 /// A voter that was silent for so long gives its place to a store that has none.
 const SILENT: u64 = 6_000;
 /// And after so long it is taken off the roster.
 const GONE: u64 = 12_000;
-/// A roster isn't made smaller than this.
+/// A roster isn't made smaller than this, nor than what may be lost at once leaves a majority of.
 const FEWEST: usize = 3;
 
 /// What a store is told at its start.
@@ -175,7 +182,7 @@
             round_at: now,
             failed: 0,
             next: None,
-            open_until: voter.pending.as_ref().map(|_| now + OPEN),
+            open_until: voter.open().then_some(now + OPEN),
             token: 0,
             owed: BTreeMap::new(),
             to_self: VecDeque::new(),
@@ -225,11 +232,13 @@
     /// When [`Event::Wake`] is due, if nothing comes before.
     pub fn wake_at(&self) -> u64 {
         let tasks = self.tasks.iter().map(|task| task.until);
-        let round = self.round.as_ref().map(|round| round.since + ROUND);
+        let round = self.round.as_ref().map(|round| round.until);
         let idle = self.round.is_none() && self.copies().roster().is_some();
         let begin = (idle && (!self.tasks.is_empty() || self.next.is_some())).then_some(self.round_at);
         let open = self.open_until.filter(|_| idle && self.votes()).map(|at| at.max(self.round_at));
-        tasks.chain(round).chain(begin).chain(open).fold(self.exchange_at, u64::min)
+        let recover =
+            (idle && !self.voter.voting).then(|| self.round_at.max(self.started + self.forgotten()));
+        tasks.chain(round).chain(begin).chain(open).chain(recover).fold(self.exchange_at, u64::min)
     }
 
     /// Takes one event at a time; `now`, in milliseconds, never falls.
@@ -250,13 +259,21 @@
     }
 
     fn call(&mut self, now: u64, id: u64, call: Call, out: &mut Vec<Action>) {
-        // A call that can't be read is refused wherever it comes in.
-        if let Call::Patch(body) = &call {
-            if let Err(wrong) = emberpin_chart::read_patch(body) {
-                return out.push(Action::Answer { id, status: 400, body: wrong.to_string() });
-            }
-        }
-        self.tasks.push_back(Task { work: Work::Call { id, call }, until: now + PATIENCE, proposed: false });
+        if self.tasks.len() >= WAITING {
+            return out.push(Action::Answer { id, status: 503, body: "too many calls wait".into() });
+        }
+        let work = match call {
+            Call::Get => Work::Get { id },
+            Call::Evacuate { zone, begin } => Work::Evacuate { id, zone, begin },
+            Call::Patch(body) => match read_patch(&body) {
+                Ok(patch) => Work::Patch { id, patch },
+                // That is refused wherever it comes in.
+                Err(wrong) => {
+                    return out.push(Action::Answer { id, status: 400, body: wrong.to_string() });
+                }
+            },
+        };
+        self.tasks.push_back(Task { work, until: now + PATIENCE, proposed: false });
     }
 
     fn persisted(&mut self, token: u64, out: &mut Vec<Action>) {
@@ -296,7 +313,7 @@
 
     /// Takes chosen items, and has them written in passing.
     fn learn(&mut self, items: &[Item], out: &mut Vec<Action>) {
-        let had = self.voter.pending.is_some();
+        let had = self.voter.open();
         let new = self.voter.learn(items);
         if new.is_empty() {
             return;
@@ -304,10 +321,10 @@
         if let Some(round) = &mut self.round {
             round.learned.extend(new.iter().map(|item| item.key.clone()));
         }
-        if self.voter.pending.is_none() {
+        if !self.voter.open() {
             self.open_until = None;
         }
-        self.persist(new.clone(), had && self.voter.pending.is_none(), false, None, out);
+        self.persist(new.clone(), had && !self.voter.open(), false, None, out);
         out.push(Action::News { items: new });
     }
 
@@ -334,12 +351,13 @@
                 if self.goes_by(from, ballot, &roster, out) {
                     let answer = self.voter.accept(ballot, items);
                     if matches!(answer, Message::Accepted { .. }) {
-                        self.open_until = self.voter.pending.is_some().then_some(now + OPEN);
+                        self.open_until = self.voter.open().then_some(now + OPEN);
                         if let Some(open) = self.open_until {
                             self.open_until = Some(open + self.draw(OPEN));
                         }
                     }
-                    // Learned first or with it: in either order they are on the disk before the answer goes out.
+                    // Learned first or with it: in either order they are on the disk before the answer goes
+                    // out.
                     self.learn(&chosen, out);
                     self.answer(from, answer, true, out);
                 }
@@ -351,8 +369,8 @@
             Message::Refused { ballot, promised } => {
                 self.counter = self.counter.max(promised.counter);
                 // One's own ballot comes back if a message came twice.
-                if promised > ballot && self.round.as_ref().is_some_and(|round| round.ballot == ballot) {
-                    self.give_way(now, true);
+                if promised > ballot {
+                    self.refused(now, from, ballot);
                 }
             }
             Message::NotVoting { .. } => {}
@@ -426,7 +444,7 @@
     // ---- rounds
 
     fn settle_timers(&mut self, now: u64, out: &mut Vec<Action>) {
-        if self.round.as_ref().is_some_and(|round| now >= round.since + ROUND) {
+        if self.round.as_ref().is_some_and(|round| now >= round.until) {
             self.give_way(now, true);
         }
         let (due, kept) = self.tasks.drain(..).partition(|task| now >= task.until);
@@ -463,7 +481,8 @@
         }
         self.counter += 1;
         let ballot = Ballot { counter: self.counter, node: me.to_bits(), life: self.life };
-        let mut round = Round::new(ballot, now, roster.clone(), next.filter(|_| self.voter.guards.joint));
+        let until = now + ROUND + MORE * u64::from(self.failed.min(3));
+        let mut round = Round::new(ballot, until, roster.clone(), next.filter(|_| self.voter.guards.joint));
         round.recovers = recovers;
         let (targets, digests) = (round.targets(), self.copies().digests().to_vec());
         self.round = Some(round);
@@ -473,7 +492,8 @@
         }
     }
 
-    /// Rounds that a store promised something before it lost its disk are over after so long; there are none at first.
+    /// Rounds that a store promised something before it lost its disk are over after so long; there are none
+    /// at first.
     fn forgotten(&self) -> u64 {
         if self.options.bootstrap {
             0
@@ -482,6 +502,15 @@
         }
     }
 
+    fn refused(&mut self, now: u64, from: Ipv4Addr, ballot: Ballot) {
+        let Some(round) = self.round.as_mut().filter(|round| round.ballot == ballot) else { return };
+        round.refused.insert(from);
+        round.until = round.until.min(now + REFUSED);
+        if round.lost() {
+            self.give_way(now, true);
+        }
+    }
+
     /// Ends the round for a later one.
     fn give_way(&mut self, now: u64, pause: bool) {
         let Some(round) = self.round.take() else { return };
@@ -499,7 +528,7 @@
         now: u64,
         from: Ipv4Addr,
         ballot: Ballot,
-        pending: Option<Pending>,
+        pending: Pending,
         buckets: Vec<u8>,
         chosen: Vec<Item>,
         out: &mut Vec<Action>,
@@ -510,8 +539,7 @@
         }
         let versions = chosen.iter().map(|item| (item.key.clone(), item.ver)).collect();
         round.promises.insert(from, Promised { buckets, versions });
-        let newer = pending.as_ref().map(|open| open.ballot) > round.latest.as_ref().map(|open| open.ballot);
-        if newer {
+        if pending.ballot > round.latest.ballot {
             round.latest = pending;
         }
         self.learn(&chosen, out);
@@ -525,9 +553,8 @@
     /// Judges what is asked on all that is or may be chosen, and proposes.
     fn propose(&mut self, now: u64, out: &mut Vec<Action>) {
         let Some(mut round) = self.round.take() else { return };
-        let latest = round.latest.clone().filter(|_| self.voter.guards.carry);
-        let open = latest.iter().flat_map(|open| &open.items).filter(|item| !self.copies().covers(item));
-        let mut items: Vec<Item> = open.cloned().collect();
+        let open = round.latest.items.iter().filter(|item| !self.copies().covers(item));
+        let mut items: Vec<Item> = open.filter(|_| self.voter.guards.carry).cloned().collect();
         let change = items.iter().find(|item| item.key == roster_key()).cloned();
         if change.is_some() && change != round.next && self.voter.guards.joint {
             // Whoever it seats has to promise too.
@@ -538,10 +565,8 @@
         if round.recovers {
             // All that this store may have had a part in is on one of those that promised.
             self.voter.promised = self.voter.promised.max(round.ballot);
-            if !items.is_empty() {
-                self.voter.pending = latest;
-                self.open_until = Some(now + OPEN + self.draw(OPEN));
-            }
+            self.voter.pending = Pending { ballot: round.latest.ballot, items };
+            self.open_until = self.voter.open().then_some(now + OPEN);
             self.voter.voting = true;
             let all = self.copies().iter().cloned().collect();
             self.failed = 0;
@@ -556,7 +581,7 @@
                 Work::Roster { ver, voters } => {
                     change.is_some() || round.next != Some(roster_item(ver + 1, voters))
                 }
-                Work::Call { .. } => round.next.is_some(),
+                _ => round.next.is_some(),
             };
             if waits && self.voter.guards.joint {
                 self.tasks.push_back(task);
@@ -646,10 +671,11 @@
             let heard = self.peers.get(voter).map_or(0, |peer| peer.heard).max(self.started);
             *voter != me && now >= heard + since
         };
+        let fewest = FEWEST.max(2 * self.options.tolerated + 1);
         let mut wanted = voters.clone();
         if voters.contains(&me) {
             if let Some(gone) = voters.iter().position(|voter| silent(voter, GONE)) {
-                if voters.len() > FEWEST {
+                if voters.len() > fewest {
                     wanted.remove(gone);
                 }
             }
@@ -659,7 +685,7 @@
                 return;
             }
             wanted.push(me);
-            let mut spare = (voters.len() - majority(&voters)).min(wanted.len().saturating_sub(FEWEST));
+            let mut spare = (voters.len() - majority(&voters)).min(wanted.len().saturating_sub(fewest));
             wanted.retain(|voter| {
                 let leaves = spare > 0 && silent(voter, SILENT);
                 spare -= usize::from(leaves);
@@ -676,14 +702,14 @@
 
 fn tell(outcomes: Vec<Outcome>, out: &mut Vec<Action>) {
     for Outcome { task, status, body } in outcomes {
-        if let Work::Call { id, .. } = task.work {
+        if let Some(id) = task.work.id() {
             out.push(Action::Answer { id, status, body });
         }
     }
 }
 
 fn again(task: Task, out: &mut Vec<Action>) {
-    if let Work::Call { id, .. } = task.work {
+    if let Some(id) = task.work.id() {
         out.push(Action::Answer {
             id,
             status: 503,
