Hold the registry's guards by tests; pass calls by a store that is silent

Change: 9 more tests of the core and 3 of the process; calls go past a store here that was silent for as long as it takes to follow another one; a late beat has no effect at all, not even on when its life was heard.

--- a/crates/emberpin-lookout/src/links.rs
+++ b/crates/emberpin-lookout/src/links.rs
@@ -21,7 +21,8 @@
 const FIRST: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-/// Frames that wait for a reader. One that is so far behind is better off with a new connection and all that there is.
+/// Frames that wait for a reader. One that is so far behind is better off with a new connection and all that
+/// there is.
 const BEHIND: usize = 128;
 /// No more connections than these come in here.
 const CONNECTIONS: u64 = 512;
--- a/crates/emberpin-lookout/src/store.rs
+++ b/crates/emberpin-lookout/src/store.rs
@@ -1,5 +1,6 @@
-//! The stores of configuration: what they tell is followed, and the outside calls are passed to them. The one on this
-//! machine comes first; another voter's stands in while it is silent. Copies merge, so what comes twice does no harm.
+//! The stores of configuration: what they tell is followed, and the outside calls are passed to them. The one
+//! on this machine comes first; another voter's stands in while it is silent. Copies merge, so what comes
+//! twice does no harm.
 
 use crate::host::Commands;
 use crate::net;
@@ -147,13 +148,13 @@
         known.iter().copied().filter(|other| *other != self.me).collect()
     }
 
-    /// Passes a call to a store; `None` if none has answered in time. `ask` is given the number of the call, which may
-    /// differ from try to try.
+    /// Passes a call to a store; `None` if none has answered in time. `ask` is given the number of the call,
+    /// which may differ from try to try.
     pub async fn pass(self: &Arc<Stores>, within: Duration, ask: impl Fn(u64) -> Ask) -> Option<Answered> {
         let tries = async {
             // One that breaks off may have taken the call; calls may come again, so another one is asked.
             let mut stores: Vec<Ipv4Addr> = std::iter::once(self.me).chain(self.others()).collect();
-            if locked(&self.local).elapsed() > SILENCE && stores.len() > 1 {
+            if locked(&self.local).elapsed() >= ALONE && stores.len() > 1 {
                 // The one here may take the call and never answer it.
                 stores.rotate_left(1);
             }
--- a/crates/emberpin-lookout/tests/common/mod.rs
+++ b/crates/emberpin-lookout/tests/common/mod.rs
@@ -4,13 +4,15 @@
 use emberpin_berth::frames;
 use emberpin_chart::{Item, Key, Kind};
 use emberpin_keeper::talk::{Ask, ToKeeper, Told};
-use emberpin_watch::session::{First, FromLimiter, ToLimiter};
+use emberpin_watch::session::{First, FromLimiter, Place, ToLimiter};
 use std::io::Write;
 use std::net::Ipv4Addr;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::JoinHandle;
 use tokio::time::{interval, timeout};
 
 pub const CTL: u16 = 8649;
@@ -164,21 +166,21 @@
 }
 
 pub fn beat(service: &str, port: u16, state: &str, seq: u64) -> String {
-    format!(
-        "{{\"addr\":\"10.128.0.9:{port}\",\"sysinfo\":{{\"svc\":\"{service}\",\"ver\":\"v1\",\"az\":\"north\",\"slots\":4}},\
-         \"stat\":{{\"state\":\"{state}\",\"seq\":{seq},\"warm_left\":\"0ms\"}}}}"
-    )
+    let info = format!("{{\"svc\":\"{service}\",\"ver\":\"v1\",\"az\":\"north\",\"slots\":4}}");
+    let stat = format!("{{\"state\":\"{state}\",\"seq\":{seq},\"warm_left\":\"0ms\"}}");
+    format!("{{\"addr\":\"10.128.0.9:{port}\",\"sysinfo\":{info},\"stat\":{stat}}}")
 }
 
-/// A limiter's session.
+/// A limiter's session; it says that it is there until its connection ends.
 pub struct Limiter {
-    stream: TcpStream,
+    from: OwnedReadHalf,
+    pulses: JoinHandle<()>,
 }
 
 impl Limiter {
     pub async fn connect(ip: Ipv4Addr) -> Limiter {
-        let mut stream = connect(ip, KEEPER + 1).await;
-        frames::write(&mut stream, &First::Limiter).await.expect("sent");
+        let (from, mut to) = connect(ip, KEEPER + 1).await.into_split();
+        frames::write(&mut to, &First::Limiter).await.expect("sent");
         let hello = FromLimiter::Hello {
             life: 1,
             name: "edge-1".into(),
@@ -186,15 +188,35 @@
             from: None,
             lives: vec![],
         };
-        frames::write(&mut stream, &hello).await.expect("sent");
-        Limiter { stream }
+        frames::write(&mut to, &hello).await.expect("sent");
+        let pulses = tokio::spawn(async move {
+            let mut beat = interval(Duration::from_millis(300));
+            let pulse = FromLimiter::Pulse { at: Place { life: 0, number: 0 } };
+            loop {
+                beat.tick().await;
+                if frames::write(&mut to, &pulse).await.is_err() {
+                    return;
+                }
+            }
+        });
+        Limiter { from, pulses }
+    }
+
+    /// Reads, but slowly, until the connection ends.
+    pub async fn read_slowly(mut self) {
+        let mut beat = interval(Duration::from_millis(100));
+        let mut part = vec![0; 64 << 10];
+        while self.from.read_exact(&mut part).await.is_ok() {
+            beat.tick().await;
+        }
+        self.pulses.abort();
     }
 
     /// Reads until something is told that is looked for.
     pub async fn until<T>(&mut self, mut look: impl FnMut(&ToLimiter) -> Option<T>) -> T {
         let reading = async {
             loop {
-                let told: ToLimiter = frames::read(&mut self.stream).await.expect("told");
+                let told: ToLimiter = frames::read(&mut self.from).await.expect("told");
                 if let Some(found) = look(&told) {
                     return found;
                 }
@@ -203,7 +225,3 @@
         timeout(SOON, reading).await.expect("told in time")
     }
 }
-
-pub async fn listener(ip: Ipv4Addr, port: u16) -> TcpListener {
-    TcpListener::bind((ip, port)).await.expect("bound")
-}
--- a/crates/emberpin-lookout/tests/process.rs
+++ b/crates/emberpin-lookout/tests/process.rs
@@ -63,13 +63,13 @@
     let me = ip(2, 1);
     let _lookout = Lookout::start(me, &[me]);
     let long = " ".repeat(9 << 20);
-    let beat_without_state = "{\"addr\":\"10.0.0.1:80\",\"sysinfo\":{\"svc\":\"a\",\"az\":\"b\",\"slots\":1},\"stat\":{\"seq\":1}}";
+    let stateless = beat("a", 80, "", 1);
     let cases = [
         ("GET", "/nothing", "", 404, "/nothing"),
         ("POST", "/instances//heartbeat", "", 404, "no such call"),
         ("GET", "/config/patch", "", 405, "POST"),
         ("POST", "/instances/i-1/heartbeat", "{", 400, "body"),
-        ("POST", "/instances/i-1/heartbeat", beat_without_state, 400, "stat.state: expected up or drain"),
+        ("POST", "/instances/i-1/heartbeat", stateless.as_str(), 400, "stat.state: expected up or drain"),
         ("POST", "/config/patch", long.as_str(), 413, "body: more than"),
     ];
     for (method, path, body, expected, reason) in cases {
@@ -113,6 +113,79 @@
     verify_that!(answer, contains_substring("\"standing\":\"drain\""))
 }
 
+#[tokio::test]
+async fn another_voters_store_stands_in() -> googletest::Result<()> {
+    let (me, other) = (ip(6, 1), ip(6, 2));
+    store(other, vec![other], vec![item(Kind::Service, "svc-a", 7, Some("{}"))]).await;
+    let _lookout = Lookout::start(me, &[me, other]);
+    let mut limiter = Limiter::connect(me).await;
+    let look = |told: &ToLimiter| match told {
+        ToLimiter::Snapshot { items, .. } | ToLimiter::Changes { items, .. } => items.first().cloned(),
+        ToLimiter::Pulse { .. } => None,
+    };
+    verify_that!(limiter.until(look).await.key.name.as_str(), eq("svc-a"))?;
+    let begin = Instant::now();
+    let (status, answer) = call(me, "POST", "/config/patch", "{}").await;
+    verify_that!((status, answer.ends_with("patch of 2 bytes")), eq((200, true)))?;
+    verify_that!(begin.elapsed(), lt(Duration::from_millis(700)))?;
+    // The one here is back, and is the one that is asked.
+    store(me, vec![other], vec![item(Kind::Service, "svc-a", 8, Some("{}"))]).await;
+    let newer = |told: &ToLimiter| look(told).filter(|item| item.ver == 8);
+    limiter.until(newer).await;
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_store_that_takes_calls_and_never_answers_is_passed_over() -> googletest::Result<()> {
+    let (me, other) = (ip(8, 1), ip(8, 2));
+    let _mute = tokio::net::TcpListener::bind((me, common::KEEPER)).await?;
+    store(other, vec![other], vec![item(Kind::Service, "svc-a", 7, Some("{}"))]).await;
+    let _lookout = Lookout::start(me, &[me, other]);
+    let mut limiter = Limiter::connect(me).await;
+    // It is followed by then, as the one here is silent.
+    let look = |told: &ToLimiter| match told {
+        ToLimiter::Snapshot { items, .. } | ToLimiter::Changes { items, .. } => items.first().map(|_| ()),
+        ToLimiter::Pulse { .. } => None,
+    };
+    limiter.until(look).await;
+    let (status, answer) = call(me, "POST", "/evac/north/finish", "").await;
+    verify_that!((status, answer.ends_with("north false")), eq((200, true)))
+}
+
+#[tokio::test]
+async fn a_limiter_that_reads_slowly_holds_up_nobody() -> googletest::Result<()> {
+    let me = ip(7, 1);
+    // A snapshot that no socket holds.
+    let body = "x".repeat(7 << 20);
+    store(me, vec![me], vec![item(Kind::Route, "large", 1, Some(&body))]).await;
+    let _lookout = Lookout::start(me, &[me]);
+    let mut other = Limiter::connect(me).await;
+    let large = |told: &ToLimiter| match told {
+        ToLimiter::Snapshot { items, .. } | ToLimiter::Changes { items, .. } => items.first().map(|_| ()),
+        ToLimiter::Pulse { .. } => None,
+    };
+    other.until(large).await;
+    // It goes on saying that it is there, but is ever further behind.
+    let slow = tokio::spawn(Limiter::connect(me).await.read_slowly());
+    let mut number = 0;
+    while !slow.is_finished() {
+        number += 1;
+        let id = format!("s-{number}");
+        let path = format!("/instances/{id}/heartbeat");
+        let begin = Instant::now();
+        let (status, _) = call(me, "POST", &path, &beat("a", 1000 + number, "up", 1)).await;
+        verify_that!(status, eq(200))?;
+        let named = |told: &ToLimiter| match told {
+            ToLimiter::Changes { lives, .. } => lives.iter().any(|life| life.id == id).then_some(()),
+            _ => None,
+        };
+        other.until(named).await;
+        verify_that!(begin.elapsed(), lt(Duration::from_millis(500)))?;
+        verify_that!(number, lt(2_000))?;
+    }
+    Ok(())
+}
+
 #[tokio::test]
 async fn what_cannot_be_read_ends_its_connection_only() -> googletest::Result<()> {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/emberpin-watch/src/choice.rs
+++ b/crates/emberpin-watch/src/choice.rs
@@ -1,4 +1,5 @@
-//! Which registry a server is to beat at: rendezvous hashing, so that one that goes moves only its own servers.
+//! Which registry a server is to beat at: rendezvous hashing, so that one that goes moves only its own
+//! servers.
 
 use std::net::Ipv4Addr;
 
--- a/crates/emberpin-watch/src/feed.rs
+++ b/crates/emberpin-watch/src/feed.rs
@@ -1,4 +1,5 @@
-//! The log of changes that limiters follow: what changed behind which place, but not how, as the tables hold that.
+//! The log of changes that limiters follow: what changed behind which place, but not how, as the tables hold
+//! that.
 
 use crate::session::Place;
 use emberpin_chart::Key;
--- a/crates/emberpin-watch/src/lives.rs
+++ b/crates/emberpin-watch/src/lives.rs
@@ -1,8 +1,9 @@
-//! The table of servers' lives and how what is told of one life merges: copies that heard the same agree, in whatever
-//! order they heard it.
+//! The table of servers' lives and how what is told of one life merges: copies that heard the same agree, in
+//! whatever order they heard it.
 //!
-//! What a server said only rises (up, drain, gone), and so does its `seq`. That it was not heard is no word of its own
-//! but a mark on the `seq` that was heard last: a later beat takes it off, whereas one that left stays gone.
+//! What a server said only rises (up, drain, gone), and so does its `seq`. That it was not heard is no word
+//! of its own but a mark on the `seq` that was heard last: a later beat takes it off, whereas one that left
+//! stays gone.
 
 use crate::choice;
 use crate::life::{Life, Standing};
@@ -139,7 +140,8 @@
         self.owned(owner).map(one).fold(0, |all, one| all ^ one)
     }
 
-    /// Takes what is told of a life: by a server's beat (`owner` is this registry), by another registry, or by a limiter.
+    /// Takes what is told of a life: by a server's beat (`owner` is this registry), by another registry, or
+    /// by a limiter.
     pub fn merge(&mut self, now: u64, told: Told) -> Effect {
         let cold_until = now + u64::from(told.life.cold_ms);
         let Some(row) = self.rows.get_mut(&told.life.id) else {
@@ -203,13 +205,6 @@
         self.merge(now, Told { life: Life { standing: Standing::Gone, ..told.life }, ..told })
     }
 
-    /// A beat that tells nothing new was heard.
-    pub fn hear(&mut self, now: u64, id: &str) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.heard = now;
-        }
-    }
-
     /// A majority has what the server said, if it still says the same.
     pub fn keep(&mut self, id: &str, standing: Standing) {
         if let Some(row) = self.rows.get_mut(id).filter(|row| row.life.standing == standing) {
@@ -245,8 +240,8 @@
         displaced
     }
 
-    /// A zone was taken back: its servers count as cold for so long by service, and no word from before that may have
-    /// been under way until `presumed_until` makes them less so.
+    /// A zone was taken back: its servers count as cold for so long by service, and no word from before that
+    /// may have been under way until `presumed_until` makes them less so.
     pub fn presume_cold(
         &mut self,
         now: u64,
--- a/crates/emberpin-watch/src/peers.rs
+++ b/crates/emberpin-watch/src/peers.rs
@@ -1,4 +1,5 @@
-//! What registries say to each other. Each speaks over the connection that it opened, and hears [`Ack`] on it.
+//! What registries say to each other. Each speaks over the connection that it opened, and hears [`Ack`] on
+//! it.
 
 use crate::life::Life;
 use serde::{Deserialize, Serialize};
--- a/crates/emberpin-watch/src/registry.rs
+++ b/crates/emberpin-watch/src/registry.rs
@@ -1,7 +1,8 @@
-//! One registry: the owner of all tables. Whatever comes is an [`Event`]; what is to be done is an [`Action`].
+//! One registry: the owner of all tables. Whatever comes is an [`Event`]; what is to be done is an
+//! [`Action`].
 //!
-//! Each life is owned by the registry that it beats at. The others hear of changes and, twice a second, a digest of what
-//! it owns, not the beats: bytes between zones have a price.
+//! Each life is owned by the registry that it beats at. The others hear of changes and, twice a second, a
+//! digest of what it owns, not the beats: bytes between zones have a price.
 
 use crate::choice;
 use crate::feed::{Change, Feed};
@@ -318,7 +319,8 @@
         self.flush(now, actions);
     }
 
-    /// A process that stood still knows nothing of the time between, though what was said then may wait for it.
+    /// A process that stood still knows nothing of the time between, though what was said then may wait for
+    /// it.
     fn wake(&mut self, now: u64) {
         if now.saturating_sub(self.last) >= STILL_MS {
             self.store_settled = None;
@@ -354,7 +356,8 @@
         self.majority(|peer| self.peers.get(peer).is_some_and(|peer| peer.in_contact(now)))
     }
 
-    /// What this registry tells is no older than a second or so: its store, and a majority of the registries, are heard.
+    /// What this registry tells is no older than a second or so: its store, and a majority of the registries,
+    /// are heard.
     pub fn is_settled(&self, now: u64) -> bool {
         let store = self.store_settled.is_some_and(|at| now.saturating_sub(at) <= CONTACT_MS);
         store && self.is_connected(now)
@@ -384,8 +387,6 @@
         let (id, zone, said) = (life.id.clone(), life.zone.clone(), life.standing);
         let told = Told { life, expired: false, owner: Some(self.limits.me) };
         let effect = self.lives.merge(now, told);
-        // Also one with an old number shows that it lives.
-        self.lives.hear(now, &id);
         let mut changed = self.take(now, &id, effect, true);
         let row = self.lives.get(&id);
         let kept = said == Standing::Up || row.is_some_and(|row| row.kept || row.said() == Standing::Gone);
@@ -397,8 +398,8 @@
             self.ask(now, call, id, said, actions);
             return;
         }
-        // Where the others are not heard, they do not hear of this server either: it is to try them itself. What it says
-        // is known to the limiters that are on this side.
+        // Where the others are not heard, they do not hear of this server either: it is to try them itself.
+        // What it says is known to the limiters that are on this side.
         let young = now.saturating_sub(self.started) < self.expiry_ms();
         let answer = match said == Standing::Up && !young && !self.is_connected(now) {
             true => Answer::Elsewhere,
@@ -419,8 +420,8 @@
         }
     }
 
-    /// Tells the limiters what a merge has changed, and finds out who had the address of a new life before; those are
-    /// given back.
+    /// Tells the limiters what a merge has changed, and finds out who had the address of a new life before;
+    /// those are given back.
     fn take(&mut self, now: u64, id: &str, effect: Effect, displaces: bool) -> Vec<String> {
         if effect.changed {
             self.note(now, Change::Life(id.to_string()));
@@ -640,7 +641,8 @@
     fn merge(&mut self, now: u64, from: Ipv4Addr, lives: Vec<Told>, displaces: bool) {
         for mut told in lives {
             let id = told.life.id.clone();
-            // Whoever does not hear a life's owner has not heard the life; it is the owner's word that counts here.
+            // Whoever does not hear a life's owner has not heard the life; it is the owner's word that counts
+            // here.
             let owner = self.lives.get(&id).and_then(|row| row.owner).filter(|owner| *owner != from);
             let hears = |owner| {
                 owner == self.limits.me || self.peers.get(&owner).is_some_and(|peer| peer.in_contact(now))
--- a/crates/emberpin-watch/tests/registry.rs
+++ b/crates/emberpin-watch/tests/registry.rs
@@ -1,5 +1,5 @@
-//! Registries, servers and limiters over a network in memory: what must hold when machines die, are cut off, stand
-//! still or begin anew.
+//! Registries, servers and limiters over a network in memory: what must hold when machines die, are cut off,
+//! stand still or begin anew.
 #![allow(missing_docs)]
 
 mod common;
@@ -315,6 +315,11 @@
     let mut held = Held::default();
     held.hear(&world.told(1, 9));
     verify_that!((held.complete, held.lives.len()), eq((false, 10)))?;
+    world.run_with(1, 9, 2_000);
+    world.hello(1, 8, None, vec![]);
+    let mut other = Held::default();
+    other.hear(&world.told(1, 8));
+    verify_that!(other.complete, eq(false))?;
     // What limiters tell stands until it was silent for a whole time that could be trusted.
     while world.now < begin + EXPIRY - 100 {
         world.run_with(1, 9, 500);
@@ -439,18 +444,34 @@
     world.run(600);
     world.nodes.get_mut(&1).expect("up").frozen = true;
     world.run(3_000);
-    // Its store and the others are gone by the time at which it hears what they said before.
+    // The others are gone by the time at which it hears what they said before.
     world.cut(1, &[2, 3], true);
+    _ = world.told(1, 9);
+    world.nodes.get_mut(&1).expect("up").frozen = false;
+    for _ in 0..5 {
+        world.run_with(1, 9, 500);
+        verify_that!(world.told(1, 9).iter().any(says_settled), eq(false))?;
+    }
+    // And here its store.
+    let mut world = settled(1);
+    world.hello(1, 9, None, vec![]);
+    world.run(600);
+    world.nodes.get_mut(&1).expect("up").frozen = true;
+    world.run(3_000);
     world.nodes.get_mut(&1).expect("up").store = None;
     _ = world.told(1, 9);
     world.nodes.get_mut(&1).expect("up").frozen = false;
     for _ in 0..5 {
         world.run_with(1, 9, 500);
-        verify_that!(world.last_settled(1, 9), some(eq(false)))?;
+        verify_that!(world.told(1, 9).iter().any(says_settled), eq(false))?;
     }
     Ok(())
 }
 
+fn says_settled(told: &ToLimiter) -> bool {
+    matches!(told, ToLimiter::Pulse { settled: true, .. })
+}
+
 #[gtest]
 fn servers_of_a_dead_registry_are_claimed_or_expire() -> googletest::Result<()> {
     let mut world = settled(3);
@@ -543,6 +564,171 @@
     verify_that!(world.takes(2, call), eq(true))
 }
 
+#[gtest]
+fn an_end_needs_a_majority_of_its_own() -> googletest::Result<()> {
+    let mut world = settled(3);
+    let call = world.heartbeat(1, drain("a", 1));
+    verify_that!(world.takes(1, call), eq(true))?;
+    world.cut(1, &[2, 3], true);
+    let call = world.leave(1, "a");
+    verify_that!(world.takes(1, call), eq(false))
+}
+
+#[gtest]
+fn a_drain_is_asked_of_registries_that_come_meanwhile() -> googletest::Result<()> {
+    let mut world = settled(3);
+    world.cut(1, &[2, 3], true);
+    world.run(3_000);
+    let call = world.heartbeat(1, drain("a", 1));
+    world.run(100);
+    world.cut(1, &[2, 3], false);
+    verify_that!(world.takes(1, call), eq(true))
+}
+
+#[gtest]
+fn a_place_to_beat_that_changes_is_told_at_once() -> googletest::Result<()> {
+    let mut world = settled(3);
+    for (at, seq) in [(1, 1), (2, 2), (1, 3)] {
+        world.heartbeat(at, life("a", seq));
+        world.run(20);
+        for other in 1..=3 {
+            let owner = world.nodes[&other].registry.lives().get("a").expect("known").owner;
+            verify_that!((seq, other, owner), eq((seq, other, Some(ip(at)))))?;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn servers_of_a_registry_that_stood_still_are_up_again() -> googletest::Result<()> {
+    let mut world = settled(3);
+    world.beats(1, "a");
+    world.run(2_000);
+    world.nodes.get_mut(&1).expect("up").frozen = true;
+    world.run(EXPIRY + 2_000);
+    verify_that!(world.standing(2, "a"), some(eq(Standing::Gone)))?;
+    // It has noticed nothing: for it, the server is up as before.
+    world.nodes.get_mut(&1).expect("up").frozen = false;
+    world.run(2 * BEAT);
+    for at in 1..=3 {
+        verify_that!(world.standing(at, "a"), some(eq(Standing::Up)))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_server_that_an_owner_does_not_know_any_more_expires() -> googletest::Result<()> {
+    let mut world = settled(3);
+    world.beats(1, "a");
+    world.run(2 * EXPIRY);
+    // It goes to another registry, of which the third one hears nothing; then it dies.
+    world.cut(2, &[3], true);
+    world.run(2_000);
+    world.servers[0].at = 2;
+    world.run(2_000);
+    world.servers.clear();
+    world.run(1_500);
+    verify_that!(world.standing(3, "a"), some(eq(Standing::Up)))?;
+    world.run(2 * EXPIRY);
+    for at in 1..=3 {
+        verify_that!(world.standing(at, "a"), some(eq(Standing::Gone)))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_limiter_is_told_what_it_has_wrong() -> googletest::Result<()> {
+    let mut world = settled(1);
+    world.hello(1, 1, None, vec![]);
+    let mut held = Held::default();
+    held.hear(&world.told(1, 1));
+    for standing in [Standing::Gone, Standing::Drain] {
+        let id = format!("{standing:?}");
+        world.heartbeat(1, Life { standing, ..life(&id, 3) });
+        world.run(10);
+        world.hello(1, 2, None, vec![]);
+        held.hear(&world.told(1, 2));
+        // Both with a snapshot and from its place.
+        for (session, from) in [(3, None), (4, held.at)] {
+            world.hello(1, session, from, vec![life(&id, 1)]);
+            let told = world.told(1, session);
+            let named = told.iter().any(|told| match told {
+                ToLimiter::Snapshot { lives, .. } | ToLimiter::Changes { lives, .. } => {
+                    lives.iter().any(|life| life.id == id && life.standing == standing)
+                }
+                ToLimiter::Pulse { .. } => false,
+            });
+            verify_that!((session, named), eq((session, true)))?;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn limiters_are_counted_once_and_for_a_while() -> googletest::Result<()> {
+    let mut world = settled(3);
+    let limiters = |world: &mut World| {
+        let told = world.told(1, 1);
+        told.iter().rev().find_map(|told| match told {
+            ToLimiter::Pulse { limiters, .. } => Some(*limiters),
+            _ => None,
+        })
+    };
+    // Session 2 with two registries, as limiters do.
+    for (at, session) in [(1, 1), (1, 2), (2, 2), (3, 3)] {
+        world.hello(at, session, None, vec![]);
+    }
+    for _ in 0..4 {
+        for (at, session) in [(1, 1), (1, 2), (2, 2), (3, 3)] {
+            world.pulse(at, session);
+        }
+        world.run(500);
+    }
+    verify_that!(limiters(&mut world), some(eq(3)))?;
+    world.event(3, Event::Ended { session: 3 });
+    world.run_with(1, 1, 10_000);
+    verify_that!(limiters(&mut world), some(eq(3)))?;
+    world.run_with(1, 1, 35_000);
+    verify_that!(limiters(&mut world), some(eq(1)))
+}
+
+#[gtest]
+fn an_older_version_changes_nothing() -> googletest::Result<()> {
+    let mut world = settled(1);
+    let news = |ver, body| Event::News(vec![item(Kind::Route, "r", ver, body)]);
+    world.event(1, news(7, Some("{\"a\":7}")));
+    world.event(1, news(6, Some("{\"a\":6}")));
+    world.event(1, news(7, None));
+    world.hello(1, 9, None, vec![]);
+    let mut held = Held::default();
+    held.hear(&world.told(1, 9));
+    let bodies: Vec<_> = held.items.values().map(|item| (item.ver, item.body.as_deref())).collect();
+    verify_that!(bodies, eq(&vec![(7, Some("{\"a\":7}"))]))
+}
+
+#[gtest]
+fn ends_are_remembered_for_a_time_and_no_more_than_so_many() -> googletest::Result<()> {
+    use emberpin_watch::lives::Lives;
+    let mut lives = Lives::default();
+    for number in 0..10_100 {
+        lives.leave(number, &format!("s-{number}"));
+    }
+    lives.forget(10_100);
+    verify_that!(lives.iter().count(), eq(10_000))?;
+    verify_that!(lives.get("s-99").is_none(), eq(true))?;
+    lives.forget(600_000 + 5_000);
+    verify_that!(lives.get("s-5001").is_some(), eq(true))?;
+    verify_that!(lives.get("s-4999").is_none(), eq(true))?;
+    // One that was raised is not forgotten for its first end.
+    let mut lives = Lives::default();
+    let told = |seq| emberpin_watch::peers::Told { life: life("a", seq), expired: false, owner: None };
+    lives.merge(0, told(1));
+    lives.expire(10, "a");
+    lives.merge(20, told(2));
+    lives.forget(700_000);
+    verify_that!(lives.get("a").is_some(), eq(true))
+}
+
 // Cold servers.
 
 fn cold(world: &World, at: u8, id: &str) -> u32 {
