Pass on the ends of servers to registries that their taker does not reach

Cause: a registry cut off from the taker of a drain for less time than ends a connection, while the taker loses power, would not have heard of it though it hears a majority. Change: whoever learns that a server drains or has left says so once to all others that it reaches.

--- a/crates/emberpin-watch/src/lives.rs
+++ b/crates/emberpin-watch/src/lives.rs
@@ -96,6 +96,8 @@
     pub changed: bool,
     /// It beats at another registry than before.
     pub moved: bool,
+    /// The server is now known to have said that it ends.
+    pub ends: bool,
 }
 
 /// All lives, by id.
@@ -156,18 +158,18 @@
                 life: Life { cold_ms: 0, ..told.life },
             };
             let (id, gone) = (row.life.id.clone(), row.standing() == Standing::Gone);
+            let ends = row.said() > Standing::Up;
             if gone {
                 self.tombstones.push_back((now, id.clone()));
             }
             self.rows.insert(id, row);
-            return Effect { new: true, changed: true, moved: told.owner.is_some() };
+            return Effect { new: true, changed: true, moved: told.owner.is_some(), ends };
         };
         let (seen, owner) = (row.seen(), row.owner);
         let mut changed = false;
         let standing = row.life.standing.max(told.life.standing);
-        if standing > row.life.standing {
-            row.kept = false;
-        }
+        let ends = standing > row.life.standing;
+        row.kept &= !ends;
         if told.life.seq > row.life.seq {
             row.expired = told.expired;
             row.owner = told.owner.or(row.owner);
@@ -192,7 +194,7 @@
             row.gone_at = now;
             self.tombstones.push_back((now, row.life.id.clone()));
         }
-        Effect { new: false, changed, moved: row.owner != owner }
+        Effect { new: false, changed, moved: row.owner != owner, ends }
     }
 
     /// A server has said that it ends; before `drain` or of a life that nobody knows, too.
--- a/crates/emberpin-watch/src/registry.rs
+++ b/crates/emberpin-watch/src/registry.rs
@@ -441,7 +441,10 @@
     }
 
     fn say_changed(&self, now: u64, ids: &[String], actions: &mut Vec<Action>) {
-        let to = self.open();
+        self.say_changed_to(now, self.open(), ids, actions);
+    }
+
+    fn say_changed_to(&self, now: u64, to: Vec<Ipv4Addr>, ids: &[String], actions: &mut Vec<Action>) {
         if !ids.is_empty() && !to.is_empty() {
             let lives = ids.iter().filter_map(|id| self.lives.get(id)).map(|row| row.told(now)).collect();
             actions.push(Action::Say { to, said: Said::Changed { ask: None, lives } });
@@ -624,10 +627,10 @@
         match said {
             Said::Hello { zone, settled, lives, limiters } => {
                 (peer.zone, peer.settled, peer.limiters) = (zone, settled, limiters);
-                self.merge(now, ip, lives, false);
+                self.merge(now, ip, lives, false, actions);
             }
             Said::Changed { ask, lives } => {
-                self.merge(now, ip, lives, true);
+                self.merge(now, ip, lives, true, actions);
                 if let Some(ask) = ask {
                     actions.push(Action::Ack { to: ip, ack: Ack { ask } });
                 }
@@ -651,14 +654,22 @@
                 for id in others {
                     self.lives.disown(now, &id);
                 }
-                self.merge(now, ip, lives, false);
+                self.merge(now, ip, lives, false, actions);
             }
             Said::Sessions { limiters } => peer.limiters = limiters,
         }
     }
 
     /// Takes lives that another registry tells.
-    fn merge(&mut self, now: u64, from: Ipv4Addr, lives: Vec<Told>, displaces: bool) {
+    fn merge(
+        &mut self,
+        now: u64,
+        from: Ipv4Addr,
+        lives: Vec<Told>,
+        displaces: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut ends = Vec::new();
         for mut told in lives {
             let id = told.life.id.clone();
             // Whoever does not hear a life's owner has not heard the life; it is the owner's word that counts
@@ -670,7 +681,14 @@
             told.expired &= !owner.is_some_and(hears);
             let effect = self.lives.merge(now, told);
             self.take(now, &id, effect, displaces);
+            // Whole tables name many ends that everybody knows.
+            if effect.ends && (displaces || !effect.new) {
+                ends.push(id);
+            }
         }
+        // Whoever told them may be dead before all have heard: whoever has them passes them on, once.
+        let to: Vec<Ipv4Addr> = self.open().into_iter().filter(|ip| *ip != from).collect();
+        self.say_changed_to(now, to, &ends, actions);
     }
 
     /// Twice a second: says that this registry is there, and looks after the tables.
--- a/crates/emberpin-watch/tests/registry.rs
+++ b/crates/emberpin-watch/tests/registry.rs
@@ -592,6 +592,26 @@
     verify_that!(world.takes(1, call), eq(true))
 }
 
+#[gtest]
+fn a_drain_is_passed_on_to_those_that_its_taker_does_not_reach() -> googletest::Result<()> {
+    let mut world = settled(3);
+    world.hello(3, 9, None, vec![]);
+    for id in ["a", "b"] {
+        world.heartbeat(1, life(id, 1));
+    }
+    world.run(50);
+    world.cut(1, &[3], true);
+    for call in [world.heartbeat(1, drain("a", 2)), world.leave(1, "b"), world.heartbeat(1, drain("c", 1))] {
+        verify_that!(world.takes(1, call), eq(true))?;
+    }
+    // With it, what it has not got through yet is lost.
+    world.kill(1);
+    world.run(50);
+    verify_that!(world.standing(3, "a"), some(eq(Standing::Drain)))?;
+    verify_that!(world.standing(3, "b"), some(eq(Standing::Gone)))?;
+    verify_that!(world.standing(3, "c"), some(eq(Standing::Drain)))
+}
+
 #[gtest]
 fn a_place_to_beat_that_changes_is_told_at_once() -> googletest::Result<()> {
     let mut world = settled(3);
