--- a/crates/emberpin-watch/src/lives.rs
+++ b/crates/emberpin-watch/src/lives.rs
@@ -1,8 +1,9 @@
-//! The table of servers' lives and how what is told of one life merges: copies that heard the same agree, in whatever
-//! order they heard it.
+//! The table of servers' lives and how what is told of one life merges: copies that heard the same agree, in
+//! whatever order they heard it.
 //!
-//! What a server said only rises (up, drain, gone), and so does its `seq`. That it was not heard is no word of its own
-//! but a mark on the `seq` that was heard last: a later beat takes it off, whereas one that left stays gone.
+//! What a server said only rises (up, drain, gone), and so does its `seq`. That it was not heard is no word
+//! of its own but a mark on the `seq` that was heard last: a later beat takes it off, whereas one that left
+//! stays gone.
 
 use crate::choice;
 use crate::life::{Life, Standing};
@@ -16,8 +17,9 @@
 const TOMBSTONES: usize = 10_000;
 /// A life that has been gone for longer is not told to a registry that comes (back): no beat is so late.
 const LATE_MS: u64 = 60_000;
-/// Ends of a cold time that differ by less are the same, told by a server with some delay.
-const SAME_MS: u64 = 250;
+/// Ends of a cold time that are later by no more, or earlier, are the same, told by a server with some delay.
+const LATER_MS: u64 = 50;
+const EARLIER_MS: u64 = 250;
 
 /// What is known of one life.
 #[derive(Clone, Debug)]
@@ -76,7 +78,8 @@
 
     fn cool(&mut self, now: u64, until: u64) -> bool {
         let until = if now < self.presumed_until { until.max(self.cold_until) } else { until };
-        let differs = until.max(now).abs_diff(self.cold_until.max(now)) > SAME_MS;
+        let (until, known) = (until.max(now), self.cold_until.max(now));
+        let differs = until > known + LATER_MS || known > until + EARLIER_MS;
         if differs {
             self.cold_until = until;
         }
@@ -93,6 +96,8 @@
     pub changed: bool,
     /// It beats at another registry than before.
     pub moved: bool,
+    /// The server is now known to have said that it ends.
+    pub ends: bool,
 }
 
 /// All lives, by id.
@@ -137,7 +142,8 @@
         self.owned(owner).map(one).fold(0, |all, one| all ^ one)
     }
 
-    /// Takes what is told of a life: by a server's beat (`owner` is this registry), by another registry, or by a limiter.
+    /// Takes what is told of a life: by a server's beat (`owner` is this registry), by another registry, or
+    /// by a limiter.
     pub fn merge(&mut self, now: u64, told: Told) -> Effect {
         let cold_until = now + u64::from(told.life.cold_ms);
         let Some(row) = self.rows.get_mut(&told.life.id) else {
@@ -152,18 +158,18 @@
                 life: Life { cold_ms: 0, ..told.life },
             };
             let (id, gone) = (row.life.id.clone(), row.standing() == Standing::Gone);
+            let ends = row.said() > Standing::Up;
             if gone {
                 self.tombstones.push_back((now, id.clone()));
             }
             self.rows.insert(id, row);
-            return Effect { new: true, changed: true, moved: told.owner.is_some() };
+            return Effect { new: true, changed: true, moved: told.owner.is_some(), ends };
         };
         let (seen, owner) = (row.seen(), row.owner);
         let mut changed = false;
         let standing = row.life.standing.max(told.life.standing);
-        if standing > row.life.standing {
-            row.kept = false;
-        }
+        let ends = standing > row.life.standing;
+        row.kept &= !ends;
         if told.life.seq > row.life.seq {
             row.expired = told.expired;
             row.owner = told.owner.or(row.owner);
@@ -174,7 +180,10 @@
                 row.life = Life { cold_ms: 0, ..told.life };
             }
         } else {
-            row.expired |= told.expired && told.life.seq == row.life.seq;
+            if told.life.seq == row.life.seq {
+                row.expired |= told.expired;
+                changed |= row.cool(now, cold_until.max(row.cold_until));
+            }
             if row.life.service.is_empty() {
                 row.life = Life { cold_ms: 0, seq: row.life.seq, ..told.life };
             }
@@ -185,7 +194,7 @@
             row.gone_at = now;
             self.tombstones.push_back((now, row.life.id.clone()));
         }
-        Effect { new: false, changed, moved: row.owner != owner }
+        Effect { new: false, changed, moved: row.owner != owner, ends }
     }
 
     /// A server has said that it ends; before `drain` or of a life that nobody knows, too.
@@ -198,13 +207,6 @@
         self.merge(now, Told { life: Life { standing: Standing::Gone, ..told.life }, ..told })
     }
 
-    /// A beat that tells nothing new was heard.
-    pub fn hear(&mut self, now: u64, id: &str) {
-        if let Some(row) = self.rows.get_mut(id) {
-            row.heard = now;
-        }
-    }
-
     /// A majority has what the server said, if it still says the same.
     pub fn keep(&mut self, id: &str, standing: Standing) {
         if let Some(row) = self.rows.get_mut(id).filter(|row| row.life.standing == standing) {
@@ -240,18 +242,19 @@
         displaced
     }
 
-    /// A zone was taken back: its servers count as cold for so long by service, and no word from before that may have
-    /// been under way until `presumed_until` makes them less so.
+    /// A zone was taken back: these of its servers count as cold for so long by service. Until `presumed_until` no
+    /// word makes them less so, as it may be from before.
     pub fn presume_cold(
         &mut self,
         now: u64,
         zone: &str,
         presumed_until: u64,
+        which: impl Fn(&str, &Row) -> bool,
         warmup: impl Fn(&str) -> u64,
     ) -> Vec<String> {
         let mut changed = Vec::new();
         for (id, row) in &mut self.rows {
-            if row.life.zone == zone && row.standing() != Standing::Gone {
+            if row.life.zone == zone && row.standing() != Standing::Gone && which(id, row) {
                 row.presumed_until = presumed_until;
                 let until = row.cold_until.max(now + warmup(&row.life.service));
                 if row.cool(now, until) {
