Keep bodies that are cut short from holding up others

Cause: four changes whose bodies never came would have held up every other change for 10 s. Change: room for bodies is given by their size, so small ones never wait; a body of which nothing came for 2 s is 408.

--- a/crates/emberpin-lookout/src/calls.rs
+++ b/crates/emberpin-lookout/src/calls.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use emberpin_keeper::talk::Ask;
 use emberpin_watch::registry::Answer;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -33,10 +33,12 @@
 /// For large bodies, callers wait longer.
 const LARGE: usize = 16 << 10;
 const LARGE_ORDER: Duration = Duration::from_secs(3);
-/// A body comes within this time.
+/// A head comes within this time, as does the rest of a body that is not wanted.
 const COMES: Duration = Duration::from_secs(10);
-/// So many changes are read or passed on at once: their bodies take memory.
-const CHANGES: usize = 4;
+/// A body of which nothing came for so long was cut short.
+const SILENT: Duration = Duration::from_secs(2);
+/// So many KiB of changes are read or passed on at once. Small ones never wait for one another.
+const ROOM: usize = 20 << 10;
 /// Connections beyond these are closed at once.
 const CONNECTIONS: usize = 2_048;
 
@@ -45,7 +47,8 @@
     commands: Commands,
     stores: Arc<Stores>,
     ctl_port: u16,
-    changes: Semaphore,
+    /// In KiB.
+    room: Semaphore,
     open: AtomicUsize,
     stopping: AtomicBool,
 }
@@ -62,7 +65,7 @@
             commands,
             stores,
             ctl_port,
-            changes: Semaphore::new(CHANGES),
+            room: Semaphore::new(ROOM),
             open: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
         }
@@ -150,10 +153,12 @@
                 })
             }
             Call::Patch => {
-                let Ok(_one) = self.changes.acquire().await else { return Ok(later()) };
+                let length = body.size_hint().upper().map_or(BODY, |length| length as usize).min(BODY);
+                let room = self.room.acquire_many(length as u32 / 1024 + 1);
+                let Ok(Ok(_room)) = timeout(ORDER, room).await else { return Ok(later()) };
                 let body = read(body, BODY).await?;
                 let within = if body.len() < LARGE { ORDER } else { LARGE_ORDER };
-                Ok(self.pass(within, false, |id| Ask::Patch { id, body: body.to_vec() }).await)
+                Ok(self.pass(within, false, |id| Ask::Patch { id, body: body.clone() }).await)
             }
             Call::Get => Ok(self.pass(ORDER, true, |id| Ask::Get { id }).await),
             Call::Begin | Call::Finish => {
@@ -180,16 +185,19 @@
     }
 }
 
-async fn read(mut body: Incoming, most: usize) -> Result<Bytes, Refused> {
-    match timeout(COMES, Limited::new(&mut body, most).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+async fn read(mut body: Incoming, most: usize) -> Result<Vec<u8>, Refused> {
+    let mut bytes = Vec::new();
+    loop {
+        let silent = |_| Refused(StatusCode::REQUEST_TIMEOUT, "body: it does not come".into());
+        let Some(frame) = timeout(SILENT, body.frame()).await.map_err(silent)? else { return Ok(bytes) };
+        let frame = frame.map_err(|e| Refused(StatusCode::BAD_REQUEST, format!("body: {e}")))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if bytes.len() + data.len() > most {
             // A connection that is closed with bytes unread is reset, and the answer may be lost with it.
             _ = timeout(COMES, pass_over(&mut body)).await;
-            Err(Refused(StatusCode::PAYLOAD_TOO_LARGE, format!("body: more than {most} bytes")))
+            return Err(Refused(StatusCode::PAYLOAD_TOO_LARGE, format!("body: more than {most} bytes")));
         }
-        Ok(Err(e)) => Err(Refused(StatusCode::BAD_REQUEST, format!("body: {e}"))),
-        Err(_) => Err(Refused(StatusCode::REQUEST_TIMEOUT, "body: it does not come".into())),
+        bytes.extend_from_slice(&data);
     }
 }
 
--- a/crates/emberpin-lookout/tests/process.rs
+++ b/crates/emberpin-lookout/tests/process.rs
@@ -152,6 +152,28 @@
     verify_that!((status, answer.ends_with("north false")), eq((200, true)))
 }
 
+#[tokio::test]
+async fn bodies_that_are_cut_short_hold_up_nobody() -> googletest::Result<()> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let me = ip(9, 1);
+    store(me, vec![me], vec![]).await;
+    let _lookout = Lookout::start(me, &[me]);
+    let mut cut = Vec::new();
+    for _ in 0..30 {
+        let mut stream = common::connect(me, common::CTL).await;
+        let part = "POST /config/patch HTTP/1.1\r\nHost: here\r\nContent-Length: 100000\r\n\r\n{";
+        stream.write_all(part.as_bytes()).await?;
+        cut.push(stream);
+    }
+    let begin = Instant::now();
+    let (status, _) = call(me, "POST", "/config/patch", "{}").await;
+    verify_that!((status, begin.elapsed() < Duration::from_millis(900)), eq((200, true)))?;
+    // They are told so, soon.
+    let mut answer = vec![0; 12];
+    tokio::time::timeout(SOON / 2, cut[0].read_exact(&mut answer)).await??;
+    verify_that!(String::from_utf8(answer)?.as_str(), eq("HTTP/1.1 408"))
+}
+
 #[tokio::test]
 async fn a_limiter_that_reads_slowly_holds_up_nobody() -> googletest::Result<()> {
     let me = ip(7, 1);
