--- a/crates/emberpin-pilot/src/helm.rs
+++ b/crates/emberpin-pilot/src/helm.rs
@@ -32,6 +32,8 @@
 const COLD_LOOK: Duration = Duration::from_millis(100);
 /// Pauses between questions to a silent server, at first and at most.
 const ASK_ON: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(800));
+/// How soon it is looked at again whether another attempt may follow one that has had its time.
+const LOOK_AGAIN: Duration = Duration::from_millis(150);
 /// Most ends of attempts that wait.
 const INPUTS: usize = 1024;
 /// The longest body where the configuration does not say.
@@ -325,14 +327,20 @@
     fn overdue(&mut self, request: RequestId, attempt: u32) {
         let Some(going) = self.requests.get(&request) else { return };
         let now = self.now();
-        let again = going.sends < going.route.tries && self.budget.may(now, &going.service, self.limiters);
-        if !again || self.view.leaving.get() {
+        if going.sends >= going.route.tries || self.view.leaving.get() {
             return;
         }
-        if let Some(Service { engine, .. }) = self.services.get_mut(&going.service) {
-            if engine.gateway.would_repeat(engine.clock.now(), request) {
-                engine.give_up(request, attempt);
-            }
+        let affords = self.budget.may(now, &going.service, self.limiters);
+        let Some(Service { engine, .. }) = self.services.get_mut(&going.service) else { return };
+        if affords && engine.gateway.would_repeat(engine.clock.now(), request) {
+            engine.give_up(request, attempt);
+        } else if engine.is_out(request, attempt) {
+            // A moment's congestion, or a budget that is spent, is over before most deadlines are.
+            let inputs = self.inputs.clone();
+            spawn_local(async move {
+                sleep(LOOK_AGAIN).await;
+                _ = inputs.send(Input::Overdue { request, attempt }).await;
+            });
         }
     }
 
--- a/crates/emberpin/src/upstream/engine.rs
+++ b/crates/emberpin/src/upstream/engine.rs
@@ -156,6 +156,12 @@
         self.release(request);
     }
 
+    /// Whether this attempt is out and may be ended.
+    pub fn is_out(&self, request: RequestId, attempt: u32) -> bool {
+        let held = self.requests.get(&request).filter(|held| held.attempts == attempt + 1);
+        held.and_then(|held| held.out.as_ref()).is_some_and(|out| out.cancel.is_some())
+    }
+
     /// Ends an attempt that is out as one that has had its time; its end comes as any other.
     pub fn give_up(&mut self, request: RequestId, attempt: u32) {
         let held = self.requests.get_mut(&request).filter(|held| held.attempts == attempt + 1);
