Give the proxy and the registry their command lines from their libraries

Cause: the newcomer's command has to run itself again as each program; only the store had its command line in its library. Change: main.rs of both became program.rs of the library, unchanged but for taking the arguments; main.rs calls it.

--- a/crates/emberpin-lookout/src/lib.rs
+++ b/crates/emberpin-lookout/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod host;
 pub mod links;
 pub mod net;
+pub mod program;
 pub mod routes;
 pub mod store;
--- /dev/null
+++ b/crates/emberpin-lookout/src/program.rs
@@ -0,0 +1,110 @@
+//! The registry's process: one thread, the settings file, two listeners.
+
+use crate::calls::Calls;
+use crate::host::{Host, Place};
+use crate::store::Stores;
+use crate::{links, net};
+use emberpin_berth::logs;
+use emberpin_berth::settings::{Settings, Wrong};
+use emberpin_watch::registry::Limits;
+use std::ffi::OsString;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Calls that are at work may end within this time after SIGTERM.
+const ENDS: Duration = Duration::from_millis(250);
+
+/// Runs the program with these arguments.
+pub fn main(arguments: impl Iterator<Item = OsString>) -> ExitCode {
+    let mut options = getopts::Options::new();
+    options.optflag("", "check", "read the settings, and end");
+    options.optflag("h", "help", "show this");
+    options.optflag("V", "version", "show the version");
+    let chosen = match options.parse(arguments) {
+        Ok(chosen) if chosen.free.is_empty() => chosen,
+        Ok(chosen) => return wrong(&format!("{}: no such argument", chosen.free[0])),
+        Err(e) => return wrong(&e.to_string()),
+    };
+    if chosen.opt_present("help") {
+        print!("{}", options.usage("emberpin-lookout: the registry of the gateway"));
+        return ExitCode::SUCCESS;
+    }
+    if chosen.opt_present("version") {
+        println!("emberpin-lookout {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let (settings, ctl) = match settings() {
+        Ok(settings) => settings,
+        Err(e) => return wrong(&e.to_string()),
+    };
+    if chosen.opt_present("check") {
+        return ExitCode::SUCCESS;
+    }
+    logs::keep(log::LevelFilter::Info);
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return wrong(&format!("the runtime: {e}")),
+    };
+    match runtime.block_on(run(settings, ctl)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => wrong(&e),
+    }
+}
+
+fn wrong(what: &str) -> ExitCode {
+    eprintln!("emberpin-lookout: {what}");
+    ExitCode::from(2)
+}
+
+fn settings() -> Result<(Settings, SocketAddr), Wrong> {
+    let settings = Settings::from_env()?;
+    let missing = || Wrong {
+        file: std::env::var(emberpin_berth::settings::FILE).unwrap_or_default(),
+        field: "network.listen.ctl".into(),
+        what: "is missing".into(),
+    };
+    let ctl = settings.ctl.ok_or_else(missing)?;
+    Ok((settings, ctl))
+}
+
+async fn run(settings: Settings, ctl: SocketAddr) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    // Settings that change are those of the next life.
+    let _hup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let mut life = [0; 8];
+    getrandom::fill(&mut life).map_err(|e| format!("a random number: {e}"))?;
+    let port = settings.lookout_port();
+    let outside = net::listen(ctl, "ctl")?;
+    let inside = net::listen(SocketAddr::from((settings.ip, port)), "lookout")?;
+    let seeds: Vec<Ipv4Addr> = settings
+        .seeds
+        .iter()
+        .filter_map(|seed| match seed {
+            SocketAddr::V4(seed) => Some(*seed.ip()),
+            SocketAddr::V6(_) => None,
+        })
+        .collect();
+    let stores = Arc::new(Stores::new(settings.ip, settings.keeper_port(), seeds.clone()));
+    let limits = Limits {
+        me: settings.ip,
+        zone: settings.zone.clone(),
+        life: u64::from_be_bytes(life),
+        beat_ms: u64::try_from(settings.beat.as_millis()).unwrap_or(u64::MAX).max(1),
+        seeds,
+    };
+    let (host, commands) = Host::new(Place { name: settings.nodename.clone(), port }, limits);
+    let calls = Arc::new(Calls::new(commands.clone(), stores.clone(), ctl.port()));
+    stores.follow(&commands);
+    tokio::spawn(host.run());
+    let inside = tokio::spawn(links::serve(inside, commands));
+    let outside = tokio::spawn(calls.clone().serve(outside));
+    term.recv().await;
+    outside.abort();
+    inside.abort();
+    calls.stop();
+    tokio::time::sleep(ENDS).await;
+    Ok(())
+}
--- a/crates/emberpin-pilot/src/lib.rs
+++ b/crates/emberpin-pilot/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod desk;
 mod helm;
+pub mod program;
 mod service;
 mod sessions;
 pub mod wire;
--- a/crates/emberpin-pilot/src/main.rs
+++ b/crates/emberpin-pilot/src/main.rs
@@ -1,50 +1,8 @@
-//! `emberpin-pilot`: the gateway's proxy.
+//! The proxy's program; everything is in the library.
 #![forbid(unsafe_code)]
 
-use emberpin_berth::settings::Settings;
-use getopts::Options;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let mut options = Options::new();
-    options.optflag("h", "help", "print this").optflag("V", "version", "print the version");
-    options.optflag("c", "check", "read the settings, say what is in force, and start nothing");
-    let asked = match options.parse(std::env::args_os().skip(1)) {
-        Ok(asked) if asked.free.is_empty() => asked,
-        Ok(asked) => return wrong(&format!("unexpected: {}", asked.free.join(" "))),
-        Err(problem) => return wrong(&problem.to_string()),
-    };
-    if asked.opt_present("help") {
-        print!(
-            "{}",
-            options.usage("emberpin-pilot: the proxy; its settings file is named by EMBERPIN_NODE_FILE")
-        );
-        return ExitCode::SUCCESS;
-    }
-    if asked.opt_present("version") {
-        println!("emberpin-pilot {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let settings = match Settings::from_env() {
-        Ok(settings) => settings,
-        Err(problem) => return wrong(&problem.to_string()),
-    };
-    if asked.opt_present("check") {
-        println!("{settings:#?}");
-        return ExitCode::SUCCESS;
-    }
-    emberpin_berth::logs::keep(log::LevelFilter::Info);
-    match emberpin_pilot::serve(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            log::error!("ends: {problem}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-/// One line, and the status of what cannot be used.
-fn wrong(problem: &str) -> ExitCode {
-    eprintln!("emberpin-pilot: {problem}");
-    ExitCode::from(2)
+    emberpin_pilot::program::main(std::env::args_os().skip(1))
 }
