Play the whole gateway on loopback with one command: emberpin-roads

Cause: a newcomer could see the limiter at work, but not the gateway. Change: emberpin-roads starts three core machines and the edges as processes of its own executable, with stand-in servers, an operator and clients that keep books; a core machine is killed and comes back, a server crashes, one leaves, the configuration changes, a zone is evacuated; a referee judges the books. Found meanwhile: SIGINT before its handler was there left a process behind; handlers now come first, and a process whose parent is gone ends.

--- /dev/null
+++ b/crates/emberpin-roads/tests/machines.rs
@@ -0,0 +1,70 @@
+//! Nothing is left of a run that is ended from outside.
+#![allow(missing_docs)]
+
+use googletest::prelude::*;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// Nothing that is waited for takes longer.
+const SOON: Duration = Duration::from_secs(20);
+/// Three core machines with two processes each, and three edges.
+const PROCESSES: usize = 9;
+
+fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let since = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(since.elapsed() < SOON, "not in time: {what}");
+        sleep(Duration::from_millis(10));
+    }
+}
+
+/// Starts a run, and waits until all of its processes are there.
+fn started() -> (Child, Vec<u32>) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_emberpin-roads"));
+    let run = command.args(["--seconds", "60"]).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
+    let run = run.expect("it starts");
+    let children = format!("/proc/{0}/task/{0}/children", run.id());
+    let processes = until("its processes", || {
+        let text = std::fs::read_to_string(&children).ok()?;
+        let processes: Vec<u32> = text.split_whitespace().filter_map(|id| id.parse().ok()).collect();
+        (processes.len() == PROCESSES).then_some(processes)
+    });
+    (run, processes)
+}
+
+fn all_gone(processes: &[u32]) {
+    until("the end of its processes", || {
+        processes.iter().all(|id| !Path::new(&format!("/proc/{id}")).exists()).then_some(())
+    });
+}
+
+fn tell(run: &Child, signal: Signal) {
+    kill(Pid::from_raw(run.id() as i32), signal).expect("told");
+}
+
+#[gtest]
+fn a_run_that_is_interrupted_ends_its_processes() {
+    for signal in [Signal::SIGINT, Signal::SIGTERM] {
+        let (run, processes) = started();
+        tell(&run, signal);
+        let ended = run.wait_with_output().expect("it ends");
+        expect_that!(ended.status.code(), some(eq(2)));
+        expect_that!(String::from_utf8_lossy(&ended.stderr), eq("emberpin-roads: interrupted\n"));
+        all_gone(&processes);
+    }
+}
+
+#[gtest]
+fn a_run_that_is_killed_leaves_no_processes() {
+    let (mut run, processes) = started();
+    tell(&run, Signal::SIGKILL);
+    run.wait().expect("it ends");
+    all_gone(&processes);
+}
--- /dev/null
+++ b/crates/emberpin-roads/tests/whole.rs
@@ -0,0 +1,57 @@
+//! The newcomer's command as a process, with the whole gateway as processes beneath it.
+#![allow(missing_docs)]
+
+use googletest::prelude::*;
+use std::process::{Command, Output};
+
+fn roads(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_emberpin-roads")).args(arguments).output().expect("it runs")
+}
+
+fn said(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// The figures of a route: requests, served, refused, failed.
+fn figures(report: &str, route: &str) -> Vec<usize> {
+    let line = report.lines().find(|line| line.starts_with(route)).unwrap_or_default();
+    line.split_whitespace().skip(1).map_while(|word| word.parse().ok()).collect()
+}
+
+#[gtest]
+fn a_run_of_four_seconds_keeps_every_rule() {
+    let played = roads(&["--seconds", "4", "--seed", "7"]);
+    let report = said(&played.stdout);
+    expect_that!(played.status.code(), some(eq(0)), "{report}{}", said(&played.stderr));
+    expect_that!(report, contains_substring("3 core machines, 3 edges, 12 servers in 3 zones, 4 s, seed 7"));
+    expect_that!(report, contains_substring("verdict: every rule held"));
+    // Sixty and thirty a second, one more or less at the ends.
+    for (route, sent) in [("look-up", 240), ("commit", 120)] {
+        let figures = figures(&report, route);
+        verify_that!(figures.len(), eq(4)).and_log_failure();
+        let &[requests, served, refused, failed] = &figures[..] else { continue };
+        expect_that!(requests, all![ge(sent - 2), le(sent + 2)]);
+        expect_that!(served + refused + failed, eq(requests));
+    }
+    expect_that!(
+        report,
+        contains_regex("change: in force at every edge [0-9.]+ ms after its acknowledgement")
+    );
+    expect_that!(report, contains_regex(r"evacuation: south-quay from .* watched for 0\.[0-9] s"));
+    expect_that!(report, contains_regex(r"core: 127\.0\.0\.12 killed at .* answered [0-9.]+ ms later"));
+    expect_that!(report, contains_regex("servers: one crashed at .*, one drained and left"));
+}
+
+#[gtest]
+fn what_cannot_be_played_is_said_in_one_line() {
+    for (arguments, expected) in [
+        (&["--seconds", "1"][..], "emberpin-roads: --seconds: expected 4 to 3600\n"),
+        (&["--edges", "0"], "emberpin-roads: --edges: expected 1 to 100\n"),
+        (&["--seed", "x"], "emberpin-roads: --seed: expected a number, found \"x\"\n"),
+        (&["now"], "emberpin-roads: unexpected: now\n"),
+    ] {
+        let played = roads(arguments);
+        expect_that!(played.status.code(), some(eq(2)));
+        expect_that!(said(&played.stderr), eq(expected));
+    }
+}
