--- a/crates/emberpin-roads/src/machines.rs
+++ b/crates/emberpin-roads/src/machines.rs
@@ -182,6 +182,7 @@
             Role::Pilot => ("edge", "\"edge\""),
         };
         let is_core = mclass == "core";
+        // Of the two on a core machine, only the store writes there.
         let mut text = format!(
             "[self]\nnodename = \"{mclass}-{zone}-{ip}\"\nrole = \"{}\"\nmclass = \"{mclass}\"\nserves = [{serves}]\n\
              ip = \"{ip}\"\naz = \"{zone}\"\nrgn = \"{REGION}\"\nvoting = {is_core}\nbootstrap = {bootstrap}\n",
@@ -252,9 +253,11 @@
         let name = format!("{} on {}", role.word(), place.ip);
         let file = |end: &str| folder.join(format!("{}-{}.{end}", role.word(), place.ip));
         let (settings, log) = (file("toml"), file("log"));
-        let disk = folder.join(format!("disk-{}-{}", role.word(), place.ip));
+        let disk = folder.join(format!("disk-{}", place.ip));
         let text = harbour.settings(role, place, &disk, bootstrap, bounds);
-        std::fs::create_dir_all(&disk).map_err(|e| Unplayable::File(disk.clone(), e))?;
+        if role == Role::Keeper {
+            std::fs::create_dir_all(&disk).map_err(|e| Unplayable::File(disk.clone(), e))?;
+        }
         std::fs::write(&settings, text).map_err(|e| Unplayable::File(settings.clone(), e))?;
         let out = std::fs::File::options().create(true).append(true).open(&log);
         let out = out.map_err(|e| Unplayable::File(log.clone(), e))?;
--- a/crates/emberpin-roads/src/operator.rs
+++ b/crates/emberpin-roads/src/operator.rs
@@ -5,8 +5,8 @@
 use hyper::Method;
 use jzon::{array, object, JsonValue};
 use std::net::SocketAddr;
-use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
 
 /// The service of the readonly routes, and that of the mutating one.
 pub const SERVICES: [&str; 2] = ["chartroom", "ledger"];
@@ -133,35 +133,41 @@
 
     /// Reads the configuration back.
     pub async fn read_back(&self) {
-        let read = timeout(GIVEN_UP, self.ask(Method::GET, "/config/get", String::new())).await;
-        let lists = read.ok().and_then(|body| jzon::parse(&body?).ok());
+        let read = self.ask(Method::GET, "/config/get", String::new()).await;
+        let lists = read.ok().and_then(|body| jzon::parse(&body).ok());
         self.books.pages().read_back = lists.map(|lists| items(&lists));
     }
 
     /// Sends an order until it is acknowledged or refused; returns when it was acknowledged.
     async fn order(&self, what: &str, path: &str, body: String) -> Option<Duration> {
-        let answered = timeout(GIVEN_UP, self.ask(Method::POST, path, body)).await;
-        if answered.is_ok_and(|answer| answer.is_some()) {
-            return Some(self.books.now());
+        match self.ask(Method::POST, path, body).await {
+            Ok(_) => Some(self.books.now()),
+            Err(last) => {
+                self.books.pages().unacknowledged.push(format!("{what} ({last})"));
+                None
+            }
         }
-        self.books.pages().unacknowledged.push(what.into());
-        None
     }
 
-    /// Asks one address after the other until one has a clear answer: the body of a success, or nothing.
-    async fn ask(&self, method: Method, path: &str, body: String) -> Option<String> {
-        let mut pause = PAUSE;
-        for to in self.ctl.iter().cycle() {
-            match wire::call(*to, method.clone(), path, body.clone(), SILENCE).await {
-                Some(answer) if (200..300).contains(&answer.status) => {
-                    return String::from_utf8(answer.body.to_vec()).ok();
-                }
-                Some(answer) if matches!(answer.status, 400 | 404 | 409 | 412 | 413 | 422) => return None,
-                _ => {}
+    /// Asks one address after the other until one has a clear answer: the body of a success, or else what the last said.
+    async fn ask(&self, method: Method, path: &str, body: String) -> Result<String, String> {
+        let (began, mut pause) = (Instant::now(), PAUSE);
+        let mut last = "nobody was asked".to_string();
+        for to in self.ctl.iter().cycle().take_while(|_| began.elapsed() < GIVEN_UP) {
+            let answer = wire::call(*to, method.clone(), path, body.clone(), SILENCE).await;
+            let status = answer.as_ref().map_or(0, |answer| answer.status);
+            let said = answer.map(|answer| String::from_utf8_lossy(&answer.body).trim().to_string());
+            match (status, said) {
+                (200..=299, said) => return Ok(said.unwrap_or_default()),
+                (0, _) => last = format!("{to} did not answer"),
+                (_, said) => last = format!("{to} answered {status}: {}", said.unwrap_or_default()),
+            }
+            if matches!(status, 400 | 404 | 409 | 412 | 413 | 422) {
+                break;
             }
             sleep(pause).await;
             pause = (pause * 2).min(SILENCE);
         }
-        None
+        Err(last)
     }
 }
--- a/crates/emberpin-roads/tests/machines.rs
+++ b/crates/emberpin-roads/tests/machines.rs
@@ -8,6 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
+use tempfile::TempDir;
 
 /// Nothing that is waited for takes longer.
 const SOON: Duration = Duration::from_secs(20);
@@ -25,10 +26,15 @@
     }
 }
 
-/// Starts a run, and waits until all of its processes are there.
-fn started() -> (Child, Vec<u32>) {
+/// Starts a run with its files in this folder, and waits until all of its processes are there.
+fn started(folder: &TempDir) -> (Child, Vec<u32>) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_emberpin-roads"));
-    let run = command.args(["--seconds", "60"]).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
+    let run = command
+        .args(["--seconds", "60"])
+        .env("TMPDIR", folder.path())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn();
     let run = run.expect("it starts");
     let children = format!("/proc/{0}/task/{0}/children", run.id());
     let processes = until("its processes", || {
@@ -52,18 +58,21 @@
 #[gtest]
 fn a_run_that_is_interrupted_ends_its_processes() {
     for signal in [Signal::SIGINT, Signal::SIGTERM] {
-        let (run, processes) = started();
+        let folder = TempDir::new().expect("a folder");
+        let (run, processes) = started(&folder);
         tell(&run, signal);
         let ended = run.wait_with_output().expect("it ends");
         expect_that!(ended.status.code(), some(eq(2)));
         expect_that!(String::from_utf8_lossy(&ended.stderr), eq("emberpin-roads: interrupted\n"));
         all_gone(&processes);
+        expect_that!(std::fs::read_dir(folder.path()).expect("listed").count(), eq(0));
     }
 }
 
 #[gtest]
 fn a_run_that_is_killed_leaves_no_processes() {
-    let (mut run, processes) = started();
+    let folder = TempDir::new().expect("a folder");
+    let (mut run, processes) = started(&folder);
     tell(&run, Signal::SIGKILL);
     run.wait().expect("it ends");
     all_gone(&processes);
