--- a/crates/emberpin-watch/src/registry.rs
+++ b/crates/emberpin-watch/src/registry.rs
@@ -1,7 +1,8 @@
-//! One registry: the owner of all tables. Whatever comes is an [`Event`]; what is to be done is an [`Action`].
+//! One registry: the owner of all tables. Whatever comes is an [`Event`]; what is to be done is an
+//! [`Action`].
 //!
-//! Each life is owned by the registry that it beats at. The others hear of changes and, twice a second, a digest of what
-//! it owns, not the beats: bytes between zones have a price.
+//! Each life is owned by the registry that it beats at. The others hear of changes and, twice a second, a
+//! digest of what it owns, not the beats: bytes between zones have a price.
 
 use crate::choice;
 use crate::feed::{Change, Feed};
@@ -233,6 +234,8 @@
     lives: Lives,
     items: BTreeMap<Key, Item>,
     warmups: BTreeMap<String, u64>,
+    /// Zones whose evacuation was over in the first items of this life; until when that may be news.
+    taken_back: BTreeMap<String, u64>,
     feed: Feed,
     voters: Vec<Ipv4Addr>,
     /// When a store said that it was settled.
@@ -261,6 +264,7 @@
             lives: Lives::default(),
             items: BTreeMap::new(),
             warmups: BTreeMap::new(),
+            taken_back: BTreeMap::new(),
             voters: Vec::new(),
             store_settled: None,
             settled_since: None,
@@ -294,7 +298,7 @@
         match event {
             Event::Heartbeat { call, life } => self.heartbeat(now, call, life, actions),
             Event::Leave { call, id } => self.leave(now, call, id, actions),
-            Event::News(items) => self.news(now, items),
+            Event::News(items) => self.news(now, items, actions),
             Event::Standing { settled, voters } => self.standing(now, settled, voters, actions),
             Event::Reached { peer, open } => self.reached(now, peer, open, actions),
             Event::Peer { peer, said } => self.peer(now, peer, said, actions),
@@ -318,7 +322,8 @@
         self.flush(now, actions);
     }
 
-    /// A process that stood still knows nothing of the time between, though what was said then may wait for it.
+    /// A process that stood still knows nothing of the time between, though what was said then may wait for
+    /// it.
     fn wake(&mut self, now: u64) {
         if now.saturating_sub(self.last) >= STILL_MS {
             self.store_settled = None;
@@ -354,7 +359,8 @@
         self.majority(|peer| self.peers.get(peer).is_some_and(|peer| peer.in_contact(now)))
     }
 
-    /// What this registry tells is no older than a second or so: its store, and a majority of the registries, are heard.
+    /// What this registry tells is no older than a second or so: its store, and a majority of the registries,
+    /// are heard.
     pub fn is_settled(&self, now: u64) -> bool {
         let store = self.store_settled.is_some_and(|at| now.saturating_sub(at) <= CONTACT_MS);
         store && self.is_connected(now)
@@ -384,8 +390,6 @@
         let (id, zone, said) = (life.id.clone(), life.zone.clone(), life.standing);
         let told = Told { life, expired: false, owner: Some(self.limits.me) };
         let effect = self.lives.merge(now, told);
-        // Also one with an old number shows that it lives.
-        self.lives.hear(now, &id);
         let mut changed = self.take(now, &id, effect, true);
         let row = self.lives.get(&id);
         let kept = said == Standing::Up || row.is_some_and(|row| row.kept || row.said() == Standing::Gone);
@@ -397,8 +401,8 @@
             self.ask(now, call, id, said, actions);
             return;
         }
-        // Where the others are not heard, they do not hear of this server either: it is to try them itself. What it says
-        // is known to the limiters that are on this side.
+        // Where the others are not heard, they do not hear of this server either: it is to try them itself.
+        // What it says is known to the limiters that are on this side.
         let young = now.saturating_sub(self.started) < self.expiry_ms();
         let answer = match said == Standing::Up && !young && !self.is_connected(now) {
             true => Answer::Elsewhere,
@@ -419,8 +423,8 @@
         }
     }
 
-    /// Tells the limiters what a merge has changed, and finds out who had the address of a new life before; those are
-    /// given back.
+    /// Tells the limiters what a merge has changed, and finds out who had the address of a new life before;
+    /// those are given back.
     fn take(&mut self, now: u64, id: &str, effect: Effect, displaces: bool) -> Vec<String> {
         if effect.changed {
             self.note(now, Change::Life(id.to_string()));
@@ -437,7 +441,10 @@
     }
 
     fn say_changed(&self, now: u64, ids: &[String], actions: &mut Vec<Action>) {
-        let to = self.open();
+        self.say_changed_to(now, self.open(), ids, actions);
+    }
+
+    fn say_changed_to(&self, now: u64, to: Vec<Ipv4Addr>, ids: &[String], actions: &mut Vec<Action>) {
         if !ids.is_empty() && !to.is_empty() {
             let lives = ids.iter().filter_map(|id| self.lives.get(id)).map(|row| row.told(now)).collect();
             actions.push(Action::Say { to, said: Said::Changed { ask: None, lives } });
@@ -501,7 +508,8 @@
 
     // The store.
 
-    fn news(&mut self, now: u64, items: Vec<Item>) {
+    fn news(&mut self, now: u64, items: Vec<Item>, actions: &mut Vec<Action>) {
+        let first = self.items.is_empty();
         for item in items {
             match self.items.entry(item.key.clone()) {
                 Entry::Occupied(mut known) if known.get().ver < item.ver => _ = known.insert(item.clone()),
@@ -513,7 +521,7 @@
                     let warmup = warmup_ms(body).unwrap_or(WARMUP_MS);
                     self.warmups.insert(item.key.name.clone(), warmup);
                 }
-                (Kind::Evacuation, None) => self.taken_back(now, &item.key.name),
+                (Kind::Evacuation, None) => self.taken_back(now, &item.key.name, first, actions),
                 _ => {}
             }
             self.note(now, Change::Item(item.key));
@@ -521,12 +529,28 @@
     }
 
     /// An evacuation is over; the zone's servers may have become cold while nobody asked them.
-    fn taken_back(&mut self, now: u64, zone: &str) {
+    ///
+    /// What the first items of this life tell may be long over. Then the other registries know how cold their
+    /// servers are; but what limiters tell where all registries have begun anew may be from before.
+    fn taken_back(&mut self, now: u64, zone: &str, first: bool, actions: &mut Vec<Action>) {
+        if first {
+            self.taken_back.insert(zone.to_string(), now + self.limits.beat_ms);
+        }
+        let presumed = self.presume_cold(now, zone, |_, row| !first || row.owner.is_none());
+        let owned = |id: &String| self.lives.get(id).is_some_and(|row| row.owner == Some(self.limits.me));
+        let owned: Vec<String> = presumed.into_iter().filter(owned).collect();
+        // To registries that have just started, which cannot know it from the items.
+        self.say_changed(now, &owned, actions);
+    }
+
+    fn presume_cold(&mut self, now: u64, zone: &str, which: impl Fn(&str, &Row) -> bool) -> Vec<String> {
         let warmups = &self.warmups;
         let warmup = |service: &str| warmups.get(service).copied().unwrap_or(WARMUP_MS);
-        for id in self.lives.presume_cold(now, zone, now + self.limits.beat_ms, warmup) {
-            self.note(now, Change::Life(id));
+        let presumed = self.lives.presume_cold(now, zone, now + self.limits.beat_ms, which, warmup);
+        for id in &presumed {
+            self.note(now, Change::Life(id.clone()));
         }
+        presumed
     }
 
     fn standing(&mut self, now: u64, settled: bool, voters: Vec<Ipv4Addr>, actions: &mut Vec<Action>) {
@@ -603,10 +627,10 @@
         match said {
             Said::Hello { zone, settled, lives, limiters } => {
                 (peer.zone, peer.settled, peer.limiters) = (zone, settled, limiters);
-                self.merge(now, lives, false);
+                self.merge(now, ip, lives, false, actions);
             }
             Said::Changed { ask, lives } => {
-                self.merge(now, lives, true);
+                self.merge(now, ip, lives, true, actions);
                 if let Some(ask) = ask {
                     actions.push(Action::Ack { to: ip, ack: Ack { ask } });
                 }
@@ -630,18 +654,41 @@
                 for id in others {
                     self.lives.disown(now, &id);
                 }
-                self.merge(now, lives, false);
+                self.merge(now, ip, lives, false, actions);
             }
             Said::Sessions { limiters } => peer.limiters = limiters,
         }
     }
 
-    fn merge(&mut self, now: u64, lives: Vec<Told>, displaces: bool) {
-        for told in lives {
+    /// Takes lives that another registry tells.
+    fn merge(
+        &mut self,
+        now: u64,
+        from: Ipv4Addr,
+        lives: Vec<Told>,
+        displaces: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut ends = Vec::new();
+        for mut told in lives {
             let id = told.life.id.clone();
+            // Whoever does not hear a life's owner has not heard the life; it is the owner's word that counts
+            // here.
+            let owner = self.lives.get(&id).and_then(|row| row.owner).filter(|owner| *owner != from);
+            let hears = |owner| {
+                owner == self.limits.me || self.peers.get(&owner).is_some_and(|peer| peer.in_contact(now))
+            };
+            told.expired &= !owner.is_some_and(hears);
             let effect = self.lives.merge(now, told);
             self.take(now, &id, effect, displaces);
+            // Whole tables name many ends that everybody knows.
+            if effect.ends && (displaces || !effect.new) {
+                ends.push(id);
+            }
         }
+        // Whoever told them may be dead before all have heard: whoever has them passes them on, once.
+        let to: Vec<Ipv4Addr> = self.open().into_iter().filter(|ip| *ip != from).collect();
+        self.say_changed_to(now, to, &ends, actions);
     }
 
     /// Twice a second: says that this registry is there, and looks after the tables.
@@ -743,6 +790,12 @@
                 Some(_) => {}
             }
         }
+        self.taken_back.retain(|_, until| now < *until);
+        for zone in self.taken_back.keys().cloned().collect::<Vec<_>>() {
+            self.presume_cold(now, &zone, |id, row| {
+                row.owner.is_none() && learned.iter().any(|one| one == id)
+            });
+        }
         self.say_changed(now, &learned, actions);
         wrong
     }
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -113,6 +113,10 @@
     pub told: Option<Reply>,
     /// Another server answered than the one that was meant.
     pub misdirected: bool,
+    /// The server's machine gave no sign of life, or takes no connection.
+    pub unreachable: bool,
+    /// Something of the request went out.
+    pub sent: bool,
 }
 
 impl Ended {
@@ -127,6 +131,8 @@
             served: None,
             told: None,
             misdirected: false,
+            unreachable: false,
+            sent: false,
         }
     }
 }
@@ -225,6 +231,13 @@
         /// How.
         ended: Ended,
     },
+    /// An attempt has had the time that the module gives it, and goes on.
+    Overdue {
+        /// Of which request.
+        request: RequestId,
+        /// The attempt's number within the request.
+        attempt: u32,
+    },
     /// A probe ended.
     Probed {
         /// At which server.
