--- /dev/null
+++ b/crates/emberpin-basin/src/cores.rs
@@ -0,0 +1,316 @@
+//! Core machines: a disk, and while they run a store and a registry.
+
+use crate::net::{ip, number, Frame};
+use crate::text::Spot;
+use crate::world::{Due, Process, World};
+use emberpin_chart::{Item, Key};
+use emberpin_muster::{Action, Custodian, Event, Kept, Message, Options, Write};
+use emberpin_watch::registry::{self, Limits, Registry};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How often servers beat.
+pub(crate) const BEAT: u64 = 1_300;
+/// How often a registry is told how its store stands.
+const STANDING: u64 = 450;
+/// Between two calls of one registry to another.
+const PAUSE: u64 = 200;
+
+/// What runs on a core machine.
+pub(crate) struct Running {
+    pub store: Custodian,
+    pub registry: Registry,
+    /// The registries that this one wants to speak to, and over which connection it does.
+    peers: BTreeMap<u8, Option<u64>>,
+    /// The connections on which others speak to it.
+    pub incoming: BTreeMap<u8, u64>,
+    pub sessions: BTreeSet<u64>,
+    store_wake: u64,
+    registry_wake: u64,
+    /// The versions of which the store told news.
+    told: BTreeMap<Key, u64>,
+}
+
+/// A core machine.
+pub(crate) struct Core {
+    pub process: Process,
+    pub up: Option<Running>,
+    disk: Vec<Write>,
+    synced: usize,
+}
+
+impl Core {
+    pub fn new(process: Process) -> Core {
+        Core { process, up: None, disk: Vec::new(), synced: 0 }
+    }
+
+    /// Of what was not synced, some of the first writes stay, or none; the one behind them may be torn, and counts as
+    /// none then.
+    pub fn lose_power(&mut self, kept: Option<u64>) {
+        let unsynced = (self.disk.len() - self.synced) as u64;
+        let stay = kept.map_or(0, |kept| kept % (unsynced + 1)) as usize;
+        self.disk.truncate(self.synced + stay);
+        self.synced = self.disk.len();
+    }
+
+    pub fn wipe(&mut self) {
+        self.disk.clear();
+        self.synced = 0;
+    }
+
+    fn kept(&self) -> Option<Kept> {
+        if self.disk.is_empty() {
+            return None;
+        }
+        let mut kept = Kept::default();
+        for write in &self.disk {
+            kept.chosen.extend(write.chosen.iter().cloned());
+            kept.promised = write.promised;
+            kept.voting = write.voting;
+            if let Some(pending) = &write.pending {
+                kept.pending = pending.clone();
+            }
+        }
+        Some(kept)
+    }
+}
+
+impl World {
+    pub fn start_core(&mut self, core: u8, bootstrap: bool) {
+        let (now, build, tolerated) = (self.now, self.build, self.tolerance);
+        let (seed, life) = (self.rand.rand_u64(), self.rand.rand_u64());
+        let seeds: Vec<_> = self.listed().into_iter().take(3).map(ip).collect();
+        let Some(machine) = self.cores.get_mut(&core) else { return };
+        if machine.up.is_some() || machine.process.removed {
+            return;
+        }
+        machine.process.begins(now);
+        let mut actions = Vec::new();
+        let me = ip(core);
+        let options = Options { me, seeds: seeds.clone(), bootstrap, tolerated, seed };
+        let store = Custodian::with_guards(0, options, machine.kept(), build.muster, &mut actions);
+        let limits = Limits { me, zone: machine.process.zone.clone(), life, beat_ms: BEAT, seeds };
+        let registry = Registry::with_guards(0, limits, build.watch);
+        let items: Vec<Item> = store.copies().iter().cloned().collect();
+        machine.up = Some(Running {
+            store,
+            registry,
+            peers: BTreeMap::new(),
+            incoming: BTreeMap::new(),
+            sessions: BTreeSet::new(),
+            store_wake: 0,
+            registry_wake: 0,
+            told: BTreeMap::new(),
+        });
+        let life = machine.process.life;
+        self.act(core, actions);
+        self.at(now + 1, Due::News { core, life, items });
+        self.at(now + 1, Due::Stand { core, life });
+    }
+
+    fn running(&mut self, core: u8, life: u64) -> Option<&mut Running> {
+        let machine = self.cores.get_mut(&core).filter(|machine| machine.process.life == life)?;
+        machine.up.as_mut()
+    }
+
+    // ---- the store
+
+    pub fn hear_store(&mut self, from: u8, to: u8, message: Message) {
+        if !self.net.is_cut(Spot::Core(from), Spot::Core(to)) {
+            self.store(to, Event::Message { from: ip(from), message });
+        }
+    }
+
+    pub fn synced(&mut self, core: u8, life: u64, token: u64, writes: usize) {
+        let Some(machine) = self.cores.get_mut(&core) else { return };
+        if machine.process.life == life && machine.up.is_some() {
+            machine.synced = machine.synced.max(writes);
+            self.store(core, Event::Persisted { token });
+        }
+    }
+
+    pub fn wake_store(&mut self, core: u8, life: u64) {
+        let now = self.now;
+        let Some(running) = self.running(core, life).filter(|running| running.store_wake <= now) else {
+            return;
+        };
+        running.store_wake = 0;
+        self.store(core, Event::Wake);
+    }
+
+    pub fn store(&mut self, core: u8, event: Event) {
+        let now = self.now;
+        let Some(machine) = self.cores.get_mut(&core) else { return };
+        let local = machine.process.local(now);
+        let Some(running) = machine.up.as_mut() else { return };
+        let mut actions = Vec::new();
+        running.store.handle(local, event, &mut actions);
+        self.act(core, actions);
+    }
+
+    fn act(&mut self, core: u8, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Persist { token, write } => {
+                    let at = self.now + self.between(self.disk);
+                    let Some(machine) = self.cores.get_mut(&core) else { return };
+                    let sync = write.sync;
+                    machine.disk.push(write);
+                    let (life, writes) = (machine.process.life, machine.disk.len());
+                    if sync {
+                        self.at(at, Due::Synced { core, life, token, writes });
+                    }
+                }
+                Action::Send { to, message } => self.muster(core, number(to), message),
+                Action::Answer { id, status, body } => self.answered(id, status, body),
+                Action::News { items } => {
+                    self.tell(core, &items);
+                    let (at, life) = (self.now + 1, self.life(Spot::Core(core)));
+                    self.at(at, Due::News { core, life, items });
+                }
+            }
+        }
+        let now = self.now;
+        let Some(machine) = self.cores.get_mut(&core) else { return };
+        let Some(running) = machine.up.as_mut() else { return };
+        let at = machine.process.when(now, running.store.wake_at());
+        if running.store_wake <= now || at < running.store_wake {
+            running.store_wake = at;
+            let life = machine.process.life;
+            self.at(at, Due::Store { core, life });
+        }
+    }
+
+    /// What a store says is chosen has one content, and only rises.
+    fn tell(&mut self, core: u8, items: &[Item]) {
+        for item in items {
+            if let Some(wrong) = self.ledger.chosen(item) {
+                self.fail(wrong);
+            }
+            let Some(running) = self.cores.get_mut(&core).and_then(|core| core.up.as_mut()) else { return };
+            let told = running.told.insert(item.key.clone(), item.ver);
+            if told.is_some_and(|told| told >= item.ver) {
+                self.fail(format!("went back: core-{core} told {:?} {} again", item.key, item.ver));
+            }
+        }
+    }
+
+    // ---- the registry
+
+    pub fn news(&mut self, core: u8, life: u64, items: Vec<Item>) {
+        if self.running(core, life).is_some() {
+            self.registry(core, registry::Event::News(items));
+        }
+    }
+
+    pub fn stand(&mut self, core: u8, life: u64) {
+        let now = self.now;
+        let Some(machine) = self.cores.get(&core).filter(|machine| machine.process.life == life) else {
+            return;
+        };
+        let local = machine.process.local(now);
+        let Some(running) = &machine.up else { return };
+        let (settled, voters) = (running.store.settled(local), running.store.voters());
+        let at = machine.process.when(now, local + STANDING);
+        self.at(at, Due::Stand { core, life });
+        self.registry(core, registry::Event::Standing { settled, voters });
+    }
+
+    pub fn wake_registry(&mut self, core: u8, life: u64) {
+        let now = self.now;
+        let Some(running) = self.running(core, life).filter(|running| running.registry_wake <= now) else {
+            return;
+        };
+        running.registry_wake = 0;
+        self.registry(core, registry::Event::Tick);
+    }
+
+    pub fn registry(&mut self, core: u8, event: registry::Event) {
+        let now = self.now;
+        let Some(machine) = self.cores.get_mut(&core) else { return };
+        let (local, life) = (machine.process.local(now), machine.process.life);
+        let Some(running) = machine.up.as_mut() else { return };
+        let mut actions = Vec::new();
+        running.registry.handle(local, event, &mut actions);
+        for action in actions {
+            self.act_registry(core, life, action);
+        }
+        let Some(machine) = self.cores.get_mut(&core) else { return };
+        let Some(running) = machine.up.as_mut() else { return };
+        let at = machine.process.when(now, running.registry.due());
+        if running.registry_wake <= now || at < running.registry_wake {
+            running.registry_wake = at;
+            self.at(at, Due::Registry { core, life });
+        }
+    }
+
+    fn act_registry(&mut self, core: u8, life: u64, action: registry::Action) {
+        use registry::Action;
+        let now = self.now;
+        let Some(running) = self.cores.get_mut(&core).and_then(|core| core.up.as_mut()) else { return };
+        match action {
+            Action::Answer { call, answer } => self.answer_server(call, answer),
+            Action::Call { peer } => {
+                running.peers.insert(number(peer), None);
+                self.at(now, Due::Dial { core, life, peer: number(peer) });
+            }
+            Action::Drop { peer } => {
+                running.incoming.remove(&number(peer));
+                if let Some(Some(conn)) = running.peers.remove(&number(peer)) {
+                    self.break_conn(conn, false);
+                }
+            }
+            Action::Say { to, said } => {
+                let conns: Vec<u64> = to
+                    .iter()
+                    .filter_map(|peer| running.peers.get(&number(*peer)).copied().flatten())
+                    .collect();
+                conns.into_iter().for_each(|conn| self.send(conn, true, Frame::Said(said.clone())));
+            }
+            Action::Ack { to, ack } => {
+                if let Some(conn) = running.incoming.get(&number(to)).copied() {
+                    self.send(conn, false, Frame::Ack(ack));
+                }
+            }
+            Action::Tell { to, told } => {
+                to.into_iter().for_each(|session| self.send(session, false, Frame::To(told.clone())));
+            }
+            Action::Close { session } => {
+                running.sessions.remove(&session);
+                self.break_conn(session, false);
+            }
+        }
+    }
+
+    pub fn dial(&mut self, core: u8, life: u64, peer: u8) {
+        let wanted = self.running(core, life).is_some_and(|running| running.peers.get(&peer) == Some(&None));
+        if !wanted {
+            return;
+        }
+        match self.connect(Spot::Core(core), Spot::Core(peer)) {
+            None => {
+                let at = self.now + PAUSE + self.below(PAUSE);
+                self.at(at, Due::Dial { core, life, peer });
+            }
+            Some(conn) => {
+                if let Some(running) = self.running(core, life) {
+                    running.peers.insert(peer, Some(conn));
+                }
+                self.registry(core, registry::Event::Reached { peer: ip(peer), open: true });
+            }
+        }
+    }
+
+    pub fn peer_broken(&mut self, core: u8, peer: u8, conn: u64) {
+        let life = self.life(Spot::Core(core));
+        let Some(running) = self.running(core, life) else { return };
+        if running.incoming.get(&peer) == Some(&conn) {
+            running.incoming.remove(&peer);
+        }
+        if running.peers.get(&peer) == Some(&Some(conn)) {
+            running.peers.insert(peer, None);
+            self.registry(core, registry::Event::Reached { peer: ip(peer), open: false });
+            let at = self.now + PAUSE / 2;
+            self.at(at, Due::Dial { core, life, peer });
+        }
+    }
+}
--- /dev/null
+++ b/crates/emberpin-basin/src/ledger.rs
@@ -0,0 +1,234 @@
+//! What was acknowledged, and what must always hold:
+//!
+//! - nothing that was acknowledged is lost, and one content stands for a name and a version;
+//! - nothing goes back within a life, and nothing invalid is in force, also in part;
+//! - a call that was refused has no part in force;
+//! - no cold server's sum is passed;
+//! - on limiters in touch, what was acknowledged is in force in time;
+//! - after all trouble, a call is acknowledged, and all limiters have it and are ready.
+
+use crate::limiters::Pilot;
+use crate::text::{Deed, Order};
+use crate::world::{Applied, World};
+use emberpin_chart::{read_patch, Chart, Item, Key, Kind};
+use emberpin_fairway::Work;
+use std::collections::BTreeMap;
+
+/// What an answer acknowledged.
+pub(crate) enum Acknowledged<'a> {
+    Items(&'a [Item]),
+}
+
+/// What is known from outside.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger {
+    /// The one content of each version that was chosen.
+    contents: BTreeMap<(Key, u64), Option<String>>,
+    /// And of each that was acknowledged.
+    acknowledged: BTreeMap<(Key, u64), Option<String>>,
+    /// The highest version of each name that was acknowledged.
+    highest: BTreeMap<Key, u64>,
+    /// Messages are slow, so that nothing with a bound on time is asserted.
+    pub slow: bool,
+    /// Servers' calls that are not answered: name, life, attempt, and whether it drains.
+    pub beats: BTreeMap<u64, (String, u32, u64, bool)>,
+    /// Requests that went to cold servers.
+    pub cold_sent: usize,
+    /// Acknowledgements that were looked up on limiters in touch.
+    pub applied: usize,
+}
+
+/// A configuration as it is read back.
+pub(crate) fn read_back(body: &str) -> Result<Chart, String> {
+    let whole = format!("{{\"upsert\":{body}}}");
+    let items =
+        read_patch(whole.as_bytes()).map_err(|wrong| format!("what is read back is unreadable: {wrong}"))?;
+    Ok(items.items.into_iter().collect())
+}
+
+impl Ledger {
+    /// An item was chosen; what is wrong with that.
+    pub fn chosen(&mut self, item: &Item) -> Option<String> {
+        let place = (item.key.clone(), item.ver);
+        let known = self.contents.entry(place).or_insert_with(|| item.body.clone());
+        let two = || format!("two contents: {:?} {} is {known:?} and {:?}", item.key, item.ver, item.body);
+        (*known != item.body).then(two)
+    }
+
+    pub fn acknowledged(&mut self, what: Acknowledged) -> Option<String> {
+        let Acknowledged::Items(items) = what;
+        for item in items {
+            let place = (item.key.clone(), item.ver);
+            let known = self.acknowledged.entry(place).or_insert_with(|| item.body.clone());
+            if *known != item.body {
+                let (one, other) = (known.clone(), &item.body);
+                return Some(format!(
+                    "two contents: {:?} {} was acknowledged as {one:?} and as {other:?}",
+                    item.key, item.ver
+                ));
+            }
+            let highest = self.highest.entry(item.key.clone()).or_default();
+            *highest = item.ver.max(*highest);
+        }
+        None
+    }
+
+    /// Whether a configuration shows what is expected.
+    pub fn shows(&self, body: &str, hope: &Deed) -> Result<(), String> {
+        let chart = read_back(body)?;
+        let find = |kind: &str, name: &str| {
+            let kind = if kind == "route" { Kind::Route } else { Kind::Service };
+            chart.get(&Key { kind, name: name.into() }).map(|item| item.ver)
+        };
+        match hope {
+            Deed::GetHolds { kind, name, ver } if find(kind, name) != Some(*ver) => {
+                Err(format!("expected that get holds {kind} {name} ver {ver}, found {:?}", find(kind, name)))
+            }
+            Deed::GetLacks { kind, name } if find(kind, name).is_some() => {
+                Err(format!("expected that get lacks {kind} {name}, found {:?}", find(kind, name)))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Whether what is read back at the end has all that was acknowledged.
+    pub fn keeps(&self, body: &str) -> Result<(), String> {
+        let chart = read_back(body)?;
+        chart.check().map_err(|wrong| format!("invalid as a whole: {wrong}"))?;
+        for (key, highest) in &self.highest {
+            let known = chart.get(key);
+            let acknowledged = &self.acknowledged[&(key.clone(), *highest)];
+            let wrong = match (known, acknowledged) {
+                (Some(item), _) if item.ver > *highest => continue,
+                (Some(item), body) => item.ver < *highest || item.body != *body,
+                // A newer drop may have been chosen without an acknowledgement.
+                (None, Some(_)) => {
+                    let newer = |((of, ver), body): (&(Key, u64), &Option<String>)| {
+                        of == key && ver > highest && body.is_none()
+                    };
+                    !self.contents.iter().any(newer)
+                }
+                (None, None) => false,
+            };
+            if wrong {
+                return Err(format!("lost: {key:?} {highest} was acknowledged, and {known:?} is read back"));
+            }
+        }
+        Ok(())
+    }
+
+    fn was_chosen(&self, item: &Item) -> bool {
+        self.contents.get(&(item.key.clone(), item.ver)) == Some(&item.body)
+    }
+}
+
+impl World {
+    /// What was acknowledged a while ago is in force on limiters in touch.
+    pub fn applied(&mut self, what: &Applied, sent: u64) {
+        if let Applied::Evacuated(zone) = what {
+            // Not if somebody took it back meanwhile.
+            let back = |order: &Option<Order>| matches!(order, Some(Order::Evacuate { zone: of, begin: false }) if of == zone);
+            if self
+                .operators
+                .calls
+                .iter()
+                .any(|call| back(&call.order) && call.ended.max(call.sent) + 1_000 > sent)
+            {
+                return;
+            }
+        }
+        let limiters: Vec<u8> =
+            self.limiters.keys().copied().filter(|limiter| self.in_touch(*limiter)).collect();
+        for limiter in limiters {
+            self.ledger.applied += 1;
+            let Some(pilot) = self.limiters.get(&limiter).and_then(|machine| machine.up.as_ref()) else {
+                continue;
+            };
+            if let Err(wrong) = self.has(pilot, what) {
+                return self.fail(format!("not applied in time: limiter-{limiter}, in touch, {wrong}"));
+            }
+        }
+    }
+
+    fn has(&self, pilot: &Pilot, what: &Applied) -> Result<(), String> {
+        match what {
+            Applied::Items(items) => {
+                let lacks =
+                    |item: &&Item| pilot.chart.get(&item.key).is_none_or(|known| known.ver < item.ver);
+                match items.iter().find(lacks) {
+                    Some(item) => Err(format!("lacks {:?} {}", item.key, item.ver)),
+                    None => Ok(()),
+                }
+            }
+            Applied::Drained(server) => match self.servers.get(server) {
+                Some(server) if server.drains && pilot.work(&server.id) == Work::Usable => {
+                    Err(format!("sends to {} after its drain", server.id))
+                }
+                _ => Ok(()),
+            },
+            Applied::Evacuated(zone) => {
+                let wrong = self.servers.values().find(|server| {
+                    server.zone == *zone && server.up && pilot.work(&server.id) == Work::Usable
+                });
+                match wrong {
+                    Some(server) => Err(format!("sends to {} in an evacuated zone", server.id)),
+                    None => Ok(()),
+                }
+            }
+        }
+    }
+
+    /// After all trouble: what must hold of all that was asked.
+    pub fn balance(&mut self, body: &str) {
+        let wrong = self.ledger.keeps(body).and_then(|()| self.refused()).and_then(|()| self.evacuations());
+        if let Err(wrong) = wrong {
+            self.fail(wrong);
+        }
+    }
+
+    /// What was refused is not in force, unless somebody else asked for the same.
+    fn refused(&self) -> Result<(), String> {
+        let calls = &self.operators.calls;
+        for call in calls.iter().filter(|call| call.status == Some(400) && call.clear) {
+            for item in call.items.iter().filter(|item| self.ledger.was_chosen(item)) {
+                let others = calls.iter().filter(|other| other.status != Some(400) || !other.clear);
+                if !others.into_iter().any(|other| other.items.contains(item)) {
+                    return Err(format!("refused and in force: {:?} {}", item.key, item.ver));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// The last order about a zone stands, where none was under way beside it.
+    fn evacuations(&self) -> Result<(), String> {
+        let mut zones: BTreeMap<&String, Vec<(u64, u64, bool)>> = BTreeMap::new();
+        for call in &self.operators.calls {
+            if let Some(Order::Evacuate { zone, begin }) = &call.order {
+                let ended = if call.status == Some(200) { call.ended } else { u64::MAX };
+                zones.entry(zone).or_default().push((call.sent, ended, *begin));
+            }
+        }
+        for (zone, orders) in zones {
+            let Some((sent, ended, begin)) = orders.iter().copied().max_by_key(|(sent, _, _)| *sent) else {
+                continue;
+            };
+            let beside = orders.iter().any(|(at, end, other)| *other != begin && *at < sent && *end >= sent);
+            if ended == u64::MAX || beside {
+                continue;
+            }
+            let key = Key { kind: Kind::Evacuation, name: zone.clone() };
+            for (limiter, machine) in &self.limiters {
+                let Some(pilot) = &machine.up else { continue };
+                let stands = pilot.chart.get(&key).is_some_and(|item| item.body.is_some());
+                if stands != begin {
+                    return Err(format!(
+                        "lost: the evacuation of {zone} was last acknowledged as {begin}, and is {stands} on \
+                         limiter-{limiter}"
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/emberpin-basin/src/lib.rs
+++ b/crates/emberpin-basin/src/lib.rs
@@ -1,2 +1,56 @@
 //! Scenarios as small text files, played on simulated time.
+//!
+//! One file, one scenario; one line, one step. Everything that is drawn (delays, what a power cut leaves on a disk, whom
+//! an operator calls) comes from one seed, so a run that fails comes back.
+//!
+//! ```text
+//! # What it shows, in a comment.
+//! cores 5                         machines with a store and a registry each, core-1 to core-5; the first three are seeds
+//! limiters 2                      limiter-1, limiter-2
+//! zones petaling ampang           machines and limiters lie in them in turn
+//! tolerance 2                     disks that may be lost at once
+//! seed 7
+//! wrong build: no-sync            with this guard taken out, the scenario must fail; see `builds`
+//! at 2s operator A patch svc=a route=r1:h1/p/:a ver=9      sent again until it is answered
+//! at 2s operator B patch via core-2 ...                    first to core-2; `only core-2`: sent once, there
+//! at 2s operator C evac petaling begin                     or `finish`
+//! at 2s server s1 up svc=a zone=petaling                   more: addr=NUMBER, cold=3s
+//! at 2s server s1 drain                                    or `leave`, `crash`, `cold 3s`
+//! at 2s server s1 says up seq 3 to core-2                  a beat that comes late
+//! at 2s kill core-1 limiter-2     processes end; `cores` and `limiters` stand for all of them
+//! at 2s power core-1              of what was not synced, some of the first writes stay; `power hard`: none
+//! at 2s wipe core-1               power is lost, and the disk with it
+//! at 2s start core-1
+//! at 2s replace core-2 core-6     core-2 goes for good, core-6 comes with an empty disk
+//! at 2s freeze core-1             until `thaw core-1`
+//! at 2s clock core-1 105%         its steady clock is fast
+//! at 2s cut core-1 core-2 | core-3 limiter-1       until `heal`; with `>`, only from left to right
+//! at 2s lose accept core-1 > core-2                messages between stores: prepare, accept, chosen, exchange
+//! at 2s network delay 1ms..40ms late 5% twice 5%   messages between stores are late, or come twice
+//! at 2s disk 1ms..8ms             how long a sync takes
+//! expect at 6s operator A told 200                 or `told nothing`
+//! expect at 6s get holds route r1 ver 9            or `svc a ver 9`; `get lacks route r1`
+//! expect at 6s limiters route h1/p/ ver 9          or one limiter; `limiters no route h1/p/`
+//! expect at 6s limiters server s1 usable           or `held`, `gone`
+//! expect at 6s voters 5
+//! expect at 6s core-1 votes                        or `waits`
+//! expect at 6s limiters ready                      or `unready`
+//! end at 9s
+//! ```
+//!
+//! A patch holds `svc=NAME`, `route=NAME:HOST/PREFIX/:SERVICE` (or `a*90+b*10`), `drop=ROUTE`, `dropsvc=NAME`, each with
+//! `@VERSION` or the `ver=` of the call, and `timeout=` for its routes; `torn` cuts its body short.
+//!
+//! After the end all trouble is over, and what must always hold is asserted: see `ledger`.
 #![forbid(unsafe_code)]
+
+pub mod builds;
+mod callers;
+mod cores;
+mod ledger;
+mod limiters;
+mod net;
+pub mod play;
+pub mod search;
+pub mod text;
+mod world;
--- /dev/null
+++ b/crates/emberpin-basin/src/net.rs
@@ -0,0 +1,238 @@
+//! Cuts, messages between stores, and connections: registries' among each other, and limiters' sessions.
+
+use crate::text::{Sort, Spot};
+use crate::world::{Due, World};
+use emberpin_muster::Message;
+use emberpin_watch::peers::{Ack, Said};
+use emberpin_watch::registry::Event;
+use emberpin_watch::session::{FromLimiter, ToLimiter};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Bytes that nobody takes end a connection after so long.
+const UNTAKEN: u64 = 1_500;
+
+/// What goes over a connection.
+#[derive(Clone, Debug)]
+pub(crate) enum Frame {
+    Said(Said),
+    Ack(Ack),
+    From(FromLimiter),
+    To(ToLimiter),
+}
+
+/// A connection; what goes over it keeps its order.
+#[derive(Debug)]
+struct Conn {
+    caller: Spot,
+    callee: Spot,
+    /// When the last frame arrives, back and forth.
+    last: [u64; 2],
+    /// What a cut holds up.
+    held: Vec<(bool, Frame)>,
+}
+
+/// The network.
+#[derive(Debug)]
+pub(crate) struct Net {
+    cuts: BTreeSet<(Spot, Spot)>,
+    losses: Vec<(Sort, Spot, Spot)>,
+    conns: BTreeMap<u64, Conn>,
+    next: u64,
+    /// Of messages between stores, from and below.
+    pub delay: (u64, u64),
+    /// Of a hundred of them, so many are late by much.
+    pub late: u64,
+    /// And so many come twice.
+    pub twice: u64,
+}
+
+impl Default for Net {
+    fn default() -> Net {
+        Net {
+            cuts: BTreeSet::new(),
+            losses: Vec::new(),
+            conns: BTreeMap::new(),
+            next: 0,
+            delay: (1, 5),
+            late: 0,
+            twice: 0,
+        }
+    }
+}
+
+impl Net {
+    pub fn is_cut(&self, from: Spot, to: Spot) -> bool {
+        self.cuts.contains(&(from, to))
+    }
+
+    pub fn calm(&mut self) {
+        (self.delay, self.late, self.twice) = ((1, 5), 0, 0);
+    }
+
+    pub fn receiver(&self, conn: u64, forth: bool) -> Option<Spot> {
+        self.conns.get(&conn).map(|conn| if forth { conn.callee } else { conn.caller })
+    }
+
+    pub fn lose(&mut self, sort: Sort, from: Spot, to: Spot) {
+        self.losses.push((sort, from, to));
+    }
+
+    fn loses(&self, from: Spot, to: Spot, message: &Message) -> bool {
+        let sort = match message {
+            Message::Prepare { .. } => Sort::Prepare,
+            Message::Accept { .. } => Sort::Accept,
+            Message::Chosen { .. } => Sort::Chosen,
+            Message::Exchange { .. } => Sort::Exchange,
+            _ => return false,
+        };
+        self.losses.contains(&(sort, from, to))
+    }
+}
+
+impl World {
+    pub fn cut(&mut self, from: &[Spot], to: &[Spot], one_way: bool) {
+        for one in from {
+            for other in to.iter().filter(|other| *other != one) {
+                self.net.cuts.insert((*one, *other));
+                if !one_way {
+                    self.net.cuts.insert((*other, *one));
+                }
+            }
+        }
+        let cuts = &self.net.cuts;
+        let cut = |conn: &Conn| {
+            cuts.contains(&(conn.caller, conn.callee)) || cuts.contains(&(conn.callee, conn.caller))
+        };
+        let conns: Vec<u64> =
+            self.net.conns.iter().filter(|(_, conn)| cut(conn)).map(|(id, _)| *id).collect();
+        let at = self.now + UNTAKEN;
+        conns.into_iter().for_each(|conn| self.at(at, Due::Untaken { conn }));
+    }
+
+    pub fn heal(&mut self) {
+        let touched: BTreeSet<Spot> =
+            std::mem::take(&mut self.net.cuts).into_iter().flat_map(|(one, other)| [one, other]).collect();
+        self.troubled(&touched.into_iter().collect::<Vec<_>>());
+        self.net.losses.clear();
+        let held: Vec<(u64, Vec<(bool, Frame)>)> =
+            self.net.conns.iter_mut().map(|(id, conn)| (*id, std::mem::take(&mut conn.held))).collect();
+        for (conn, frames) in held {
+            frames.into_iter().for_each(|(forth, frame)| self.send(conn, forth, frame));
+        }
+    }
+
+    /// A message between stores: late, twice, and in any order.
+    pub fn muster(&mut self, from: u8, to: u8, message: Message) {
+        let (one, other) = (Spot::Core(from), Spot::Core(to));
+        if self.net.is_cut(one, other) || self.net.loses(one, other, &message) {
+            return;
+        }
+        let times = if self.below(100) < self.net.twice { 2 } else { 1 };
+        for _ in 0..times {
+            let mut at = self.now + self.between(self.net.delay);
+            if self.below(100) < self.net.late {
+                at += self.below(1_500);
+            }
+            self.at(at, Due::Muster { from, to, message: message.clone() });
+        }
+    }
+
+    /// Whether a connection comes up: 'no' is told at once, 'nothing' after the caller's patience.
+    pub fn connect(&mut self, caller: Spot, callee: Spot) -> Option<u64> {
+        let joined = !self.net.is_cut(caller, callee) && !self.net.is_cut(callee, caller);
+        if !joined || !self.runs(callee) {
+            return None;
+        }
+        self.net.next += 1;
+        let at = self.now + 2 * self.net.delay.0;
+        self.net.conns.insert(self.net.next, Conn { caller, callee, last: [at, at], held: Vec::new() });
+        Some(self.net.next)
+    }
+
+    pub fn send(&mut self, id: u64, forth: bool, frame: Frame) {
+        let at = self.now + self.between(self.net.delay);
+        let Some(conn) = self.net.conns.get_mut(&id) else { return };
+        let last = &mut conn.last[usize::from(forth)];
+        *last = at.max(*last);
+        let at = *last;
+        self.at(at, Due::Frame { conn: id, forth, frame: Box::new(frame) });
+    }
+
+    pub fn arrive(&mut self, id: u64, forth: bool, frame: Frame) {
+        let Some(conn) = self.net.conns.get_mut(&id) else { return };
+        let (from, to) = if forth { (conn.caller, conn.callee) } else { (conn.callee, conn.caller) };
+        if self.net.cuts.contains(&(from, to)) || conn.held.iter().any(|(held, _)| *held == forth) {
+            conn.held.push((forth, frame));
+            return;
+        }
+        match (from, to, frame) {
+            (Spot::Core(from), Spot::Core(to), Frame::Said(said)) => {
+                if let Some(up) = self.cores.get_mut(&to).and_then(|core| core.up.as_mut()) {
+                    up.incoming.insert(from, id);
+                }
+                self.registry(to, Event::Peer { peer: ip(from), said });
+            }
+            (Spot::Core(from), Spot::Core(to), Frame::Ack(ack)) => {
+                self.registry(to, Event::Acked { peer: ip(from), ack });
+            }
+            (Spot::Limiter(_), Spot::Core(to), Frame::From(said)) => {
+                if let Some(up) = self.cores.get_mut(&to).and_then(|core| core.up.as_mut()) {
+                    up.sessions.insert(id);
+                }
+                self.registry(to, Event::Limiter { session: id, said });
+            }
+            (Spot::Core(from), Spot::Limiter(to), Frame::To(told)) => self.limiter_hears(to, id, from, told),
+            _ => {}
+        }
+    }
+
+    pub fn untaken(&mut self, id: u64) {
+        let Some(conn) = self.net.conns.get(&id) else { return };
+        if self.net.is_cut(conn.caller, conn.callee) || self.net.is_cut(conn.callee, conn.caller) {
+            self.break_conn(id, false);
+        }
+    }
+
+    /// A connection ends; both sides learn of it, unless the other one cannot say so.
+    pub fn break_conn(&mut self, id: u64, silent: bool) {
+        let Some(conn) = self.net.conns.remove(&id) else { return };
+        for (spot, other) in [(conn.caller, conn.callee), (conn.callee, conn.caller)] {
+            let mute = silent || self.net.is_cut(other, spot);
+            let wait = if mute { UNTAKEN } else { 1 + self.below(4) };
+            let (at, life) = (self.now + wait, self.life(spot));
+            self.at(at, Due::Broken { conn: id, spot, life, other });
+        }
+    }
+
+    pub fn break_all(&mut self, spot: Spot, silent: bool) {
+        let of = |conn: &Conn| conn.caller == spot || conn.callee == spot;
+        let conns: Vec<u64> = self.net.conns.iter().filter(|(_, conn)| of(conn)).map(|(id, _)| *id).collect();
+        conns.into_iter().for_each(|conn| self.break_conn(conn, silent));
+    }
+
+    pub fn broken(&mut self, id: u64, spot: Spot, life: u64, other: Spot) {
+        if self.life(spot) != life || !self.runs(spot) {
+            return;
+        }
+        match (spot, other) {
+            (Spot::Core(core), Spot::Core(peer)) => self.peer_broken(core, peer, id),
+            (Spot::Core(core), Spot::Limiter(_)) => {
+                let Some(up) = self.cores.get_mut(&core).and_then(|core| core.up.as_mut()) else { return };
+                if up.sessions.remove(&id) {
+                    self.registry(core, Event::Ended { session: id });
+                }
+            }
+            (Spot::Limiter(limiter), _) => self.session_broken(limiter, id),
+        }
+    }
+}
+
+/// A core machine's address.
+pub(crate) fn ip(core: u8) -> std::net::Ipv4Addr {
+    std::net::Ipv4Addr::new(10, 0, 0, core)
+}
+
+/// And back.
+pub(crate) fn number(ip: std::net::Ipv4Addr) -> u8 {
+    ip.octets()[3]
+}
--- /dev/null
+++ b/crates/emberpin-basin/src/play.rs
@@ -0,0 +1,261 @@
+//! Plays scenarios.
+
+use crate::builds::Build;
+use crate::text::{Deed, Scenario, Spot, Stand, Way};
+use crate::world::World;
+use emberpin_fairway::Work;
+
+/// After all trouble, so long until a call must be acknowledged.
+const CALM: u64 = 14_000;
+/// And so long until it is, and all limiters have it.
+const SERVES: u64 = 10_000;
+const APPLY: u64 = 2_500;
+
+/// What a run did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Played {
+    /// Events that were played.
+    pub events: u64,
+    /// Requests that went to cold servers.
+    pub cold_sent: usize,
+    /// Acknowledgements that were looked up on limiters in touch.
+    pub applied: usize,
+    /// Calls that were acknowledged.
+    pub acknowledged: usize,
+}
+
+/// What went wrong.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{scenario}, seed {seed}: {what}")]
+pub struct Failure {
+    /// Which scenario.
+    pub scenario: String,
+    /// With which seed.
+    pub seed: u64,
+    /// When and what.
+    pub what: String,
+}
+
+/// Plays a scenario on a build.
+///
+/// # Errors
+///
+/// [`Failure`]: what went wrong first.
+pub fn play(scenario: &Scenario, build: Build) -> Result<Played, Failure> {
+    let mut world = World::new(scenario, build);
+    for step in &scenario.steps {
+        world.run(step.at);
+        if world.wrong.is_none() {
+            world.step(step.line, &step.deed);
+        }
+    }
+    world.run(scenario.end);
+    world.settle();
+    match world.wrong.take() {
+        Some(what) => Err(Failure { scenario: scenario.name.clone(), seed: scenario.seed, what }),
+        None => Ok(Played {
+            events: world.events,
+            cold_sent: world.ledger.cold_sent,
+            applied: world.ledger.applied,
+            acknowledged: world.operators.calls.iter().filter(|call| call.status == Some(200)).count(),
+        }),
+    }
+}
+
+impl World {
+    fn step(&mut self, line: usize, deed: &Deed) {
+        match deed {
+            Deed::Kill(spots)
+            | Deed::Power { spots, .. }
+            | Deed::Wipe(spots)
+            | Deed::Start(spots)
+            | Deed::Freeze(spots)
+            | Deed::Thaw(spots) => self.troubled(spots),
+            Deed::Clock(spot, _) => self.troubled(&[*spot]),
+            Deed::Cut { from, to, .. } | Deed::Lose { from, to, .. } => {
+                self.troubled(from);
+                self.troubled(to);
+            }
+            _ => {}
+        }
+        match deed {
+            Deed::Operator { who, way, order } => self.operator(who, *way, Some(order.clone()), None),
+            Deed::Up { server, service, zone, address, cold } => {
+                self.server_up(server, service, zone, *address, *cold);
+            }
+            Deed::Drain(server) => {
+                self.servers.get_mut(server).into_iter().for_each(|server| server.drains = true);
+                self.server_speaks(server);
+            }
+            Deed::Leave(server) => {
+                self.servers.get_mut(server).into_iter().for_each(|server| server.leaves = true);
+                self.server_speaks(server);
+            }
+            Deed::Crash(server) => {
+                self.servers.get_mut(server).into_iter().for_each(|server| server.up = false);
+            }
+            Deed::Cold(server, span) => {
+                let until = self.now + span;
+                self.servers.get_mut(server).into_iter().for_each(|server| server.cold_until = until);
+                self.load_from_now();
+            }
+            Deed::Says { server, drains, seq, to } => self.server_says(server, *drains, *seq, *to),
+            Deed::Kill(spots) => spots.iter().for_each(|spot| self.stop(*spot, false)),
+            Deed::Power { spots, hard } => spots.iter().for_each(|spot| self.power(*spot, *hard)),
+            Deed::Wipe(spots) => spots.iter().for_each(|spot| self.wipe(*spot)),
+            Deed::Start(spots) => spots.iter().for_each(|spot| self.start(*spot)),
+            Deed::Replace { old, new } => self.replace(*old, *new),
+            Deed::Freeze(spots) => spots.iter().for_each(|spot| self.freeze(*spot)),
+            Deed::Thaw(spots) => spots.iter().for_each(|spot| self.thaw(*spot)),
+            Deed::Clock(spot, rate) => {
+                let now = self.now;
+                self.process(*spot).into_iter().for_each(|process| process.runs_at(now, *rate));
+            }
+            Deed::Cut { from, to, one_way } => self.cut(from, to, *one_way),
+            Deed::Lose { sort, from, to } => {
+                for one in from {
+                    to.iter().for_each(|other| self.net.lose(*sort, *one, *other));
+                }
+            }
+            Deed::Heal => self.heal(),
+            Deed::Network { delay, late, twice } => {
+                (self.net.delay, self.net.late, self.net.twice) = (*delay, *late, *twice);
+                self.ledger.slow |= *late > 0 || delay.1 > 20;
+            }
+            Deed::Disk(low, high) => {
+                self.disk = (*low, *high);
+                self.ledger.slow |= *high > 50;
+            }
+            Deed::GetHolds { .. } | Deed::GetLacks { .. } => {
+                self.operator(&format!("line {line}"), Way::Any, None, Some((line, deed.clone())));
+            }
+            hope => {
+                if let Err(found) = self.expect(hope) {
+                    self.fail(format!("line {line}: {found}"));
+                }
+            }
+        }
+    }
+
+    fn expect(&self, hope: &Deed) -> Result<(), String> {
+        match hope {
+            Deed::ToldStatus { who, status } => {
+                let call = self.operators.latest.get(who).map(|call| &self.operators.calls[*call]);
+                let found = call.ok_or_else(|| format!("operator {who} asked nothing"))?;
+                match found.status == *status {
+                    true => Ok(()),
+                    false => {
+                        let (told, body) = (found.status, &found.body);
+                        Err(format!(
+                            "expected that operator {who} was told {status:?}, found {told:?} {body}"
+                        ))
+                    }
+                }
+            }
+            Deed::Voters(count) => {
+                for (core, machine) in &self.cores {
+                    let Some(up) = &machine.up else { continue };
+                    let found = up.store.voters();
+                    if found.len() != *count {
+                        return Err(format!("expected {count} voters on core-{core}, found {found:?}"));
+                    }
+                }
+                Ok(())
+            }
+            Deed::Votes { core, votes } => {
+                let up = self.cores.get(core).and_then(|core| core.up.as_ref());
+                match up.is_some_and(|up| up.store.votes()) == *votes {
+                    true => Ok(()),
+                    false => Err(format!("expected that core-{core} votes: {votes}")),
+                }
+            }
+            Deed::Routed { limiters, host, path, ver } => self.each(limiters, |pilot| {
+                let found = pilot.fairway.matcher.find(host, path).map(|route| route.ver);
+                match found == *ver {
+                    true => Ok(()),
+                    false => {
+                        Err(format!("expected version {ver:?} of the route of {host}{path}, found {found:?}"))
+                    }
+                }
+            }),
+            Deed::Stands { limiters, server, stand } => {
+                let server = self.servers.get(server).ok_or(format!("there is no server {server}"))?;
+                let expected = match stand {
+                    Stand::Usable => Work::Usable,
+                    Stand::Held => Work::Held,
+                    Stand::Gone => Work::Gone,
+                };
+                self.each(limiters, |pilot| match pilot.work(&server.id) {
+                    found if found == expected => Ok(()),
+                    found => Err(format!("expected that {} is {expected:?}, found {found:?}", server.id)),
+                })
+            }
+            Deed::Ready { limiters, ready } => self.each(limiters, |pilot| match pilot.ready == *ready {
+                true => Ok(()),
+                false => Err(format!("expected ready: {ready}")),
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Holds for each of these limiters that runs.
+    fn each(
+        &self,
+        limiters: &[Spot],
+        holds: impl Fn(&crate::limiters::Pilot) -> Result<(), String>,
+    ) -> Result<(), String> {
+        for (number, machine) in &self.limiters {
+            let Some(pilot) = machine.up.as_ref().filter(|_| limiters.contains(&Spot::Limiter(*number)))
+            else {
+                continue;
+            };
+            holds(pilot).map_err(|wrong| format!("limiter-{number}: {wrong}"))?;
+        }
+        Ok(())
+    }
+
+    /// All trouble ends, and what must always hold is looked at.
+    fn settle(&mut self) {
+        if self.wrong.is_some() {
+            return;
+        }
+        self.calm();
+        self.run(self.now + CALM);
+        let body =
+            "{\"upsert\":{\"svcs\":[{\"name\":\"after-all\",\"hcheck\":\"/h\",\"maxconn\":1,\"ver\":1}]}}";
+        let order = crate::text::Order::Patch(body.as_bytes().to_vec());
+        self.operator("after all", Way::Any, Some(order), None);
+        self.await_answer("after all");
+        self.run(self.now + APPLY);
+        self.operator("at the end", Way::Any, None, None);
+        self.await_answer("at the end");
+        if self.wrong.is_some() {
+            return;
+        }
+        let unready =
+            self.limiters.iter().find(|(_, machine)| machine.up.as_ref().is_some_and(|pilot| !pilot.ready));
+        if let Some(unready) = unready.map(|(limiter, _)| *limiter) {
+            return self.fail(format!("does not serve again: limiter-{unready} is not ready"));
+        }
+        let unanswered =
+            self.operators.calls.iter().find(|call| call.order.is_none() && call.status.is_none());
+        if let Some(who) = unanswered.map(|call| call.who.clone()) {
+            return self.fail(format!("{who}: get has no answer"));
+        }
+        let end = self.operators.latest["at the end"];
+        let body = self.operators.calls[end].body.clone();
+        self.balance(&body);
+    }
+
+    fn await_answer(&mut self, who: &str) {
+        let call = self.operators.latest[who];
+        let until = self.now + SERVES;
+        while self.wrong.is_none() && self.operators.calls[call].status.is_none() && self.now < until {
+            self.run(self.now + 50);
+        }
+        let status = self.operators.calls[call].status;
+        if self.wrong.is_none() && status != Some(200) {
+            self.fail(format!("does not serve again: {who}, a call was told {status:?}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/emberpin-basin/src/world.rs
@@ -0,0 +1,426 @@
+//! The one clock, the queue of what is due, and the machines.
+
+use crate::builds::Build;
+use crate::callers::{Operators, Server};
+use crate::cores::Core;
+use crate::ledger::Ledger;
+use crate::limiters::Limiter;
+use crate::net::{Frame, Net};
+use crate::text::{Scenario, Spot};
+use emberpin_chart::Item;
+use emberpin_muster::Message;
+use emberpin_watch::registry::Answer;
+use oorandom::Rand64;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What will happen. Where a life is named and is over, nothing does.
+#[derive(Clone, Debug)]
+pub(crate) enum Due {
+    /// A message between stores arrives.
+    Muster { from: u8, to: u8, message: Message },
+    /// A disk has synced its first writes.
+    Synced { core: u8, life: u64, token: u64, writes: usize },
+    /// A store wakes.
+    Store { core: u8, life: u64 },
+    /// A registry wakes.
+    Registry { core: u8, life: u64 },
+    /// A registry hears what is chosen from the store beside it.
+    News { core: u8, life: u64, items: Vec<Item> },
+    /// And how that store stands.
+    Stand { core: u8, life: u64 },
+    /// A registry calls another one.
+    Dial { core: u8, life: u64, peer: u8 },
+    /// Something arrives on a connection; `forth`: from its caller.
+    Frame { conn: u64, forth: bool, frame: Box<Frame> },
+    /// A connection that was cut ends, if it still is.
+    Untaken { conn: u64 },
+    /// One side learns that a connection has ended.
+    Broken { conn: u64, spot: Spot, life: u64, other: Spot },
+    /// A limiter looks after its sessions.
+    Look { limiter: u8, life: u64 },
+    /// A call arrives at a core machine.
+    Called { call: usize, attempt: u32, core: u8 },
+    /// Its answer arrives.
+    Told { call: usize, attempt: u32, status: u16, body: String },
+    /// It was silent for too long, or failed.
+    Again { call: usize, attempt: u32 },
+    /// A server beats.
+    Beat { server: String, life: u32 },
+    /// What a server says arrives.
+    Said { server: String, life: u32, attempt: u64, core: u8, leave: bool, drains: bool, seq: u64 },
+    /// A server is answered.
+    Answered { server: String, life: u32, attempt: u64, answer: Answer, drains: bool },
+    /// A server was not answered in time.
+    Unanswered { server: String, life: u32, attempt: u64 },
+    /// Limiters ask cold servers for as much as they may.
+    Load,
+    /// What was acknowledged must be in force on machines in touch.
+    Applied { what: Applied, sent: u64 },
+}
+
+/// What must be in force.
+#[derive(Clone, Debug)]
+pub(crate) enum Applied {
+    /// Versions of items, or newer ones.
+    Items(Vec<Item>),
+    /// A server gets nothing new.
+    Drained(String),
+    /// A zone's servers get nothing.
+    Evacuated(String),
+}
+
+/// A process's steady clock, and whether it stands still.
+#[derive(Clone, Debug)]
+pub(crate) struct Process {
+    pub zone: String,
+    /// Rises with each start and end.
+    pub life: u64,
+    pub since: u64,
+    base: u64,
+    rate: u64,
+    pub frozen: bool,
+    /// What came while it stood still.
+    pub waiting: Vec<Due>,
+    /// When something was last done to it.
+    pub trouble: u64,
+    pub removed: bool,
+}
+
+impl Process {
+    pub fn new(zone: &str) -> Process {
+        Process {
+            zone: zone.into(),
+            life: 0,
+            since: 0,
+            base: 0,
+            rate: 100,
+            frozen: false,
+            waiting: Vec::new(),
+            trouble: 0,
+            removed: false,
+        }
+    }
+
+    pub fn begins(&mut self, now: u64) {
+        self.life += 1;
+        (self.since, self.base, self.frozen) = (now, 0, false);
+        self.waiting.clear();
+    }
+
+    pub fn ends(&mut self) {
+        self.life += 1;
+        self.frozen = false;
+        self.waiting.clear();
+    }
+
+    pub fn local(&self, now: u64) -> u64 {
+        self.base + (now - self.since) * self.rate / 100
+    }
+
+    /// When this clock shows so much, a millisecond from now at the earliest.
+    pub fn when(&self, now: u64, local: u64) -> u64 {
+        let at = self.since + (local.saturating_sub(self.base) * 100).div_ceil(self.rate);
+        at.max(now + 1)
+    }
+
+    pub fn runs_at(&mut self, now: u64, rate: u64) {
+        (self.base, self.since, self.rate) = (self.local(now), now, rate);
+    }
+}
+
+pub(crate) struct World {
+    pub now: u64,
+    pub rand: Rand64,
+    pub build: Build,
+    pub tolerance: usize,
+    pub cores: BTreeMap<u8, Core>,
+    pub limiters: BTreeMap<u8, Limiter>,
+    pub servers: BTreeMap<String, Server>,
+    pub operators: Operators,
+    pub ledger: Ledger,
+    pub net: Net,
+    /// How long a sync takes, from and below.
+    pub disk: (u64, u64),
+    pub loaded: bool,
+    due: BTreeMap<(u64, u64), Due>,
+    number: u64,
+    /// What went wrong first.
+    pub wrong: Option<String>,
+    /// Events that were played.
+    pub events: u64,
+}
+
+impl World {
+    pub fn new(scenario: &Scenario, build: Build) -> World {
+        let mut world = World {
+            now: 1,
+            rand: Rand64::new(u128::from(scenario.seed) + 1),
+            build,
+            tolerance: scenario.tolerance,
+            cores: BTreeMap::new(),
+            limiters: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            operators: Operators::default(),
+            ledger: Ledger::default(),
+            net: Net::default(),
+            disk: (2, 6),
+            loaded: false,
+            due: BTreeMap::new(),
+            number: 0,
+            wrong: None,
+            events: 0,
+        };
+        let zone = |number: u8| scenario.zones[usize::from(number - 1) % scenario.zones.len()].as_str();
+        for number in 1..=scenario.cores {
+            world.cores.insert(number, Core::new(Process::new(zone(number))));
+        }
+        for number in 1..=scenario.limiters {
+            world.limiters.insert(number, Limiter::new(Process::new(zone(number))));
+        }
+        for number in 1..=scenario.cores {
+            world.start_core(number, true);
+        }
+        for number in 1..=scenario.limiters {
+            world.start_limiter(number);
+        }
+        world
+    }
+
+    /// Drawn, below this.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.rand.rand_range(0..bound.max(1))
+    }
+
+    pub fn between(&mut self, span: (u64, u64)) -> u64 {
+        span.0 + self.below(span.1.saturating_sub(span.0))
+    }
+
+    pub fn at(&mut self, at: u64, due: Due) {
+        self.number += 1;
+        self.due.insert((at.max(self.now), self.number), due);
+    }
+
+    pub fn fail(&mut self, what: impl Into<String>) {
+        let now = self.now as f64 / 1000.0;
+        self.wrong.get_or_insert_with(|| format!("at {now}s: {}", what.into()));
+    }
+
+    pub fn process(&mut self, spot: Spot) -> Option<&mut Process> {
+        match spot {
+            Spot::Core(number) => self.cores.get_mut(&number).map(|core| &mut core.process),
+            Spot::Limiter(number) => self.limiters.get_mut(&number).map(|limiter| &mut limiter.process),
+        }
+    }
+
+    pub fn runs(&self, spot: Spot) -> bool {
+        match spot {
+            Spot::Core(number) => self.cores.get(&number).is_some_and(|core| core.up.is_some()),
+            Spot::Limiter(number) => self.limiters.get(&number).is_some_and(|limiter| limiter.up.is_some()),
+        }
+    }
+
+    pub fn life(&self, spot: Spot) -> u64 {
+        match spot {
+            Spot::Core(number) => self.cores.get(&number).map_or(0, |core| core.process.life),
+            Spot::Limiter(number) => self.limiters.get(&number).map_or(0, |limiter| limiter.process.life),
+        }
+    }
+
+    /// The core machines that are in use, as the operator's list and the settings have it.
+    pub fn listed(&self) -> Vec<u8> {
+        self.cores.iter().filter(|(_, core)| !core.process.removed).map(|(number, _)| *number).collect()
+    }
+
+    /// Lets time pass up to there, unless something goes wrong.
+    pub fn run(&mut self, until: u64) {
+        while self.wrong.is_none() {
+            let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= until) else { break };
+            self.now = self.now.max(entry.key().0);
+            let due = entry.remove();
+            self.events += 1;
+            self.happen(due);
+        }
+        if self.wrong.is_none() {
+            self.now = self.now.max(until);
+        }
+    }
+
+    /// Whose process has to run for it.
+    fn owner(&self, due: &Due) -> Option<Spot> {
+        match due {
+            Due::Muster { to: core, .. }
+            | Due::Synced { core, .. }
+            | Due::Store { core, .. }
+            | Due::Registry { core, .. }
+            | Due::News { core, .. }
+            | Due::Stand { core, .. }
+            | Due::Dial { core, .. }
+            | Due::Called { core, .. }
+            | Due::Said { core, .. } => Some(Spot::Core(*core)),
+            Due::Look { limiter, .. } => Some(Spot::Limiter(*limiter)),
+            Due::Broken { spot, .. } => Some(*spot),
+            Due::Frame { conn, forth, .. } => self.net.receiver(*conn, *forth),
+            _ => None,
+        }
+    }
+
+    pub fn happen(&mut self, due: Due) {
+        if let Some(process) = self.owner(&due).and_then(|spot| self.process(spot)) {
+            if process.frozen {
+                process.waiting.push(due);
+                return;
+            }
+        }
+        match due {
+            Due::Muster { from, to, message } => self.hear_store(from, to, message),
+            Due::Synced { core, life, token, writes } => self.synced(core, life, token, writes),
+            Due::Store { core, life } => self.wake_store(core, life),
+            Due::Registry { core, life } => self.wake_registry(core, life),
+            Due::News { core, life, items } => self.news(core, life, items),
+            Due::Stand { core, life } => self.stand(core, life),
+            Due::Dial { core, life, peer } => self.dial(core, life, peer),
+            Due::Frame { conn, forth, frame } => self.arrive(conn, forth, *frame),
+            Due::Untaken { conn } => self.untaken(conn),
+            Due::Broken { conn, spot, life, other } => self.broken(conn, spot, life, other),
+            Due::Look { limiter, life } => self.look(limiter, life),
+            Due::Called { call, attempt, core } => self.called(call, attempt, core),
+            Due::Told { call, attempt, status, body } => self.told(call, attempt, status, &body),
+            Due::Again { call, attempt } => self.again(call, attempt),
+            Due::Beat { server, life } => self.beat(&server, life),
+            Due::Said { server, life, attempt, core, leave, drains, seq } => {
+                self.server_said(&server, life, attempt, core, leave, drains, seq);
+            }
+            Due::Answered { server, life, attempt, answer, drains } => {
+                self.server_answered(&server, life, attempt, answer, drains);
+            }
+            Due::Unanswered { server, life, attempt } => self.server_unanswered(&server, life, attempt),
+            Due::Load => self.load(),
+            Due::Applied { what, sent } => self.applied(&what, sent),
+        }
+    }
+
+    // ---- faults
+
+    /// Something was done to these.
+    pub fn troubled(&mut self, spots: &[Spot]) {
+        let now = self.now;
+        for spot in spots {
+            if let Some(process) = self.process(*spot) {
+                process.trouble = now;
+            }
+        }
+    }
+
+    pub fn start(&mut self, spot: Spot) {
+        match spot {
+            Spot::Core(number) => self.start_core(number, false),
+            Spot::Limiter(number) => self.start_limiter(number),
+        }
+    }
+
+    /// The process ends. `silent`: nobody is told, as the machine has no power.
+    pub fn stop(&mut self, spot: Spot, silent: bool) {
+        match spot {
+            Spot::Core(number) => {
+                let Some(core) = self.cores.get_mut(&number) else { return };
+                core.up = None;
+                core.process.ends();
+            }
+            Spot::Limiter(number) => {
+                let Some(limiter) = self.limiters.get_mut(&number) else { return };
+                limiter.up = None;
+                limiter.process.ends();
+            }
+        }
+        self.break_all(spot, silent);
+    }
+
+    pub fn power(&mut self, spot: Spot, hard: bool) {
+        let kept = self.rand.rand_u64();
+        if let Some(core) = match spot {
+            Spot::Core(number) => self.cores.get_mut(&number),
+            Spot::Limiter(_) => None,
+        } {
+            core.lose_power(if hard { None } else { Some(kept) });
+        }
+        self.stop(spot, true);
+    }
+
+    pub fn wipe(&mut self, spot: Spot) {
+        if let Spot::Core(number) = spot {
+            if let Some(core) = self.cores.get_mut(&number) {
+                core.wipe();
+            }
+        }
+        self.stop(spot, true);
+    }
+
+    pub fn replace(&mut self, old: u8, new: u8) {
+        let Some(core) = self.cores.get(&old) else { return };
+        let process = Process::new(&core.process.zone);
+        self.wipe(Spot::Core(old));
+        if let Some(core) = self.cores.get_mut(&old) {
+            core.process.removed = true;
+        }
+        self.cores.insert(new, Core::new(process));
+        self.start_core(new, false);
+        self.troubled(&[Spot::Core(old), Spot::Core(new)]);
+    }
+
+    pub fn freeze(&mut self, spot: Spot) {
+        if self.runs(spot) {
+            self.process(spot).into_iter().for_each(|process| process.frozen = true);
+        }
+    }
+
+    pub fn thaw(&mut self, spot: Spot) {
+        let Some(process) = self.process(spot).filter(|process| process.frozen) else { return };
+        process.frozen = false;
+        let waiting = std::mem::take(&mut process.waiting);
+        let now = self.now;
+        waiting.into_iter().for_each(|due| self.at(now, due));
+    }
+
+    /// All trouble ends.
+    pub fn calm(&mut self) {
+        self.heal();
+        self.net.calm();
+        self.disk = (2, 6);
+        let spots = self.cores.keys().map(|number| Spot::Core(*number));
+        let spots: Vec<Spot> =
+            spots.chain(self.limiters.keys().map(|number| Spot::Limiter(*number))).collect();
+        for spot in spots {
+            self.thaw(spot);
+            self.start(spot);
+        }
+        self.ledger.slow = false;
+    }
+
+    // ---- in touch
+
+    /// Whether a limiter was in touch for `contact`, as the rules have it.
+    pub fn in_touch(&self, limiter: u8) -> bool {
+        const CONTACT: u64 = 3_000;
+        let Some(one) = self.limiters.get(&limiter).filter(|one| one.up.is_some()) else { return false };
+        let recent = |process: &Process| process.trouble > 0 && self.now < process.trouble + CONTACT;
+        let calm = |process: &Process| !process.frozen && !recent(process);
+        let settled = self.cores.values().all(|core| !recent(&core.process)) && !self.ledger.slow;
+        if !calm(&one.process) || !settled || self.now < one.process.since + CONTACT {
+            return false;
+        }
+        let listed = self.listed();
+        let up: BTreeSet<u8> = listed
+            .iter()
+            .copied()
+            .filter(|core| self.runs(Spot::Core(*core)) && !self.cores[core].process.frozen)
+            .collect();
+        let joined = |one: Spot, other: Spot| !self.net.is_cut(one, other) && !self.net.is_cut(other, one);
+        let reaches = |core: &&u8| {
+            let near = up.iter().filter(|other| joined(Spot::Core(**core), Spot::Core(**other)));
+            near.count() > listed.len() / 2
+        };
+        let majority: Vec<&u8> = up.iter().filter(reaches).collect();
+        let path = |core: &&u8| joined(Spot::Limiter(limiter), Spot::Core(**core));
+        !majority.is_empty() && majority.iter().all(path)
+    }
+}
--- a/crates/emberpin-fairway/src/cold.rs
+++ b/crates/emberpin-fairway/src/cold.rs
@@ -17,6 +17,7 @@
 //! by more than an eighth: its last life may have sent just before, and registries that start too count up
 //! from nothing.
 
+use crate::guards::Guards;
 use std::collections::{HashMap, VecDeque};
 
 /// A second as counted here: longer than the rule's, as a request may wait a little between its count and its
@@ -98,12 +99,20 @@
     swept: f64,
     /// The share last found and what for: finding it takes forty logarithms.
     last: Option<(u32, u32, Share)>,
+    pub(crate) guards: Guards,
 }
 
 impl Cold {
     /// For a life that starts at `now`.
     pub fn new(now: f64) -> Cold {
-        Cold { quiet_until: now + QUIET_MS, limiters: 0, sent: HashMap::new(), swept: now, last: None }
+        Cold {
+            quiet_until: now + QUIET_MS,
+            limiters: 0,
+            sent: HashMap::new(),
+            swept: now,
+            last: None,
+            guards: Guards::default(),
+        }
     }
 
     /// A registry that hears a majority of the others counts so many limiters.
@@ -111,18 +120,18 @@
         if limiters > self.limiters.saturating_add(self.limiters / 8) {
             self.quiet_until = self.quiet_until.max(now + QUIET_MS);
         }
-        self.limiters = self.limiters.max(limiters);
+        self.limiters = if self.guards.greatest { self.limiters.max(limiters) } else { limiters };
     }
 
     /// Whether the limiter `me` may send one more request to this cold server now. `limiters`: how many there
     /// are, 0 if nobody has said; then none may be sent.
     pub fn may(&mut self, now: f64, server: &str, cold: &Coldness, limiters: u32, me: &str) -> bool {
         self.told(now, limiters);
-        if self.limiters == 0 || now < self.quiet_until {
+        if self.limiters == 0 || (now < self.quiet_until && self.guards.quiet) {
             return false;
         }
         let share = self.share(cold.bound());
-        if fraction(server, me) >= share.admitted {
+        if fraction(server, me) >= share.admitted && self.guards.admission {
             return false;
         }
         let of_late = |sent: &VecDeque<f64>| sent.iter().filter(|at| now - **at < WINDOW_MS).count();
--- a/crates/emberpin-fairway/src/fleet.rs
+++ b/crates/emberpin-fairway/src/fleet.rs
@@ -4,6 +4,7 @@
 //! late `up` after `drain` has no effect. A limiter keeps what it knew: only a complete snapshot takes away
 //! what it does not name.
 
+use crate::guards::Guards;
 use emberpin_watch::life::{Life, Standing};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -94,6 +95,7 @@
     /// What the host was told last.
     known: BTreeMap<String, Change>,
     generation: u64,
+    pub(crate) guards: Guards,
 }
 
 impl Fleet {
@@ -133,7 +135,7 @@
 
     fn merge(&mut self, now: f64, life: &Life) {
         let told = (life.standing, life.seq);
-        if self.left.get(&life.id).is_some_and(|left| told <= *left) {
+        if self.guards.rises && self.left.get(&life.id).is_some_and(|left| told <= *left) {
             return;
         }
         let Some(entry) = self.lives.get_mut(&life.id) else {
@@ -141,7 +143,7 @@
             return;
         };
         let known = (entry.life.standing, entry.life.seq);
-        if told < known {
+        if told < known && self.guards.rises {
             return;
         }
         let until = now + f64::from(life.cold_ms);
@@ -153,7 +155,7 @@
         }
         // A later standing may come with a lower number than was seen: the higher one stays known.
         let seq = entry.life.seq.max(life.seq);
-        if told > known {
+        if told > known || !self.guards.rises {
             entry.life = Life { seq, ..life.clone() };
         }
         if until > entry.cold_until {
@@ -162,7 +164,7 @@
         entry.cold_until = until;
         if life.standing == Standing::Gone {
             self.remove(&life.id);
-        } else if told > known {
+        } else if told > known || !self.guards.rises {
             self.touch(&life.id);
         }
     }
@@ -210,7 +212,7 @@
         for id in ids {
             let Some(entry) = self.lives.get_mut(&id) else { continue };
             let (was, is) = (before.contains(&entry.life.zone), self.evacuated.contains(&entry.life.zone));
-            if was && !is {
+            if was && !is && self.guards.returned {
                 let warmup =
                     self.warmth.get(&entry.life.service).map_or(WARMUP_MS, |warmth| warmth.warmup_ms);
                 entry.returned = Some(Returned {
--- a/crates/emberpin-fairway/src/lib.rs
+++ b/crates/emberpin-fairway/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod budget;
 pub mod cold;
 pub mod fleet;
+#[doc(hidden)]
+pub mod guards;
 pub mod matcher;
 pub mod pick;
 pub mod split;
--- a/crates/emberpin-fairway/src/pick.rs
+++ b/crates/emberpin-fairway/src/pick.rs
@@ -3,6 +3,7 @@
 
 use crate::cold::{Cold, Coldness};
 use crate::fleet::{Fleet, Warmth, Work};
+use crate::guards::Guards;
 use crate::matcher::Matcher;
 use crate::Route;
 
@@ -35,6 +36,14 @@
         Fairway { me: me.into(), rule, limiters: 0, matcher, fleet, cold: Cold::new(now) }
     }
 
+    /// For tests.
+    #[doc(hidden)]
+    pub fn with_guards(now: f64, me: &str, rule: ColdRule, beat_ms: f64, guards: Guards) -> Fairway {
+        let mut fairway = Fairway::new(now, me, rule, beat_ms);
+        (fairway.fleet.guards, fairway.cold.guards) = (guards, guards);
+        fairway
+    }
+
     /// A registry that hears a majority of the others counts so many limiters.
     pub fn told(&mut self, now: f64, limiters: u32) {
         self.limiters = limiters;
--- /dev/null
+++ b/crates/emberpin-watch/src/guards.rs
@@ -0,0 +1,24 @@
+//! Parts that can be left out, to show that a test sees it.
+
+/// What keeps a registry right.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Guards {
+    /// What a server said is acknowledged once a majority has it.
+    pub majority: bool,
+    /// What a server said only rises, in whatever order it comes.
+    pub rises: bool,
+    /// A server is taken away for its silence only where silence can be trusted.
+    pub silence: bool,
+    /// What limiters knew is learned from them.
+    pub repair: bool,
+    /// A new life takes its address from the lives that had it.
+    pub displace: bool,
+    /// A place that is not known means a snapshot.
+    pub place: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Guards {
+        Guards { majority: true, rises: true, silence: true, repair: true, displace: true, place: true }
+    }
+}
--- a/crates/emberpin-watch/src/lib.rs
+++ b/crates/emberpin-watch/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod choice;
 pub mod feed;
+#[doc(hidden)]
+pub mod guards;
 pub mod life;
 pub mod lives;
 pub mod peers;
--- a/crates/emberpin-watch/src/lives.rs
+++ b/crates/emberpin-watch/src/lives.rs
@@ -103,6 +103,8 @@
     rows: BTreeMap<String, Row>,
     /// Those that are gone, the oldest first.
     tombstones: VecDeque<(u64, String)>,
+    /// Guards against words that come late are off; see [`crate::guards::Guards::rises`].
+    pub(crate) falls: bool,
 }
 
 impl Lives {
@@ -162,7 +164,7 @@
         };
         let (seen, owner) = (row.seen(), row.owner);
         let mut changed = false;
-        let standing = row.life.standing.max(told.life.standing);
+        let standing = if self.falls { told.life.standing } else { row.life.standing.max(told.life.standing) };
         if standing > row.life.standing {
             row.kept = false;
         }
--- a/crates/emberpin-watch/src/registry.rs
+++ b/crates/emberpin-watch/src/registry.rs
@@ -5,6 +5,7 @@
 
 use crate::choice;
 use crate::feed::{Change, Feed};
+use crate::guards::Guards;
 use crate::life::{Life, Standing};
 use crate::lives::{Effect, Lives, Row};
 use crate::peers::{Ack, Limiter, Said, Told};
@@ -251,6 +252,7 @@
     deaf_until: u64,
     pulse_at: u64,
     flush_at: Option<u64>,
+    guards: Guards,
 }
 
 impl Registry {
@@ -275,10 +277,19 @@
             deaf_until: 0,
             pulse_at: now,
             flush_at: None,
+            guards: Guards::default(),
             limits,
         }
     }
 
+    /// For tests.
+    #[doc(hidden)]
+    pub fn with_guards(now: u64, limits: Limits, guards: Guards) -> Registry {
+        let mut registry = Registry { guards, ..Registry::new(now, limits) };
+        registry.lives.falls = !guards.rises;
+        registry
+    }
+
     /// When [`Event::Tick`] is wanted, if nothing else comes.
     pub fn due(&self) -> u64 {
         let pending = self.pending.iter().map(|pending| {
@@ -426,7 +437,7 @@
             self.note(now, Change::Life(id.to_string()));
         }
         let up = self.lives.get(id).is_some_and(|row| row.standing() == Standing::Up);
-        if !(effect.new && displaces && up) {
+        if !(effect.new && displaces && up && self.guards.displace) {
             return Vec::new();
         }
         let displaced = self.lives.displace(now, id);
@@ -466,7 +477,8 @@
         for pending in std::mem::take(&mut self.pending) {
             let waited = now.saturating_sub(pending.since);
             let enough = self.majority(|peer| pending.taken.contains(peer));
-            if enough && (pending.waits_for.is_empty() || waited >= ALL_MS) {
+            let enough = enough || !self.guards.majority;
+            if enough && (pending.waits_for.is_empty() || waited >= ALL_MS || !self.guards.majority) {
                 self.lives.keep(&pending.id, pending.standing);
                 let zone = self.lives.life(now, &pending.id).zone;
                 let beat_at = self.beat_at(now, &pending.id, &zone);
@@ -482,7 +494,8 @@
     /// Finds lives that were not heard for too long; only while what is heard can be trusted to be all.
     fn expire(&mut self, now: u64, actions: &mut Vec<Action>) {
         let expiry = self.expiry_ms();
-        if self.settled_since.is_none_or(|since| now.saturating_sub(since) < expiry) {
+        let trusted = self.settled_since.is_some_and(|since| now.saturating_sub(since) >= expiry);
+        if !trusted && self.guards.silence {
             return;
         }
         let silent: Vec<String> = self
@@ -710,6 +723,7 @@
     fn limiter(&mut self, now: u64, session: u64, said: FromLimiter, actions: &mut Vec<Action>) {
         match said {
             FromLimiter::Hello { life, name, zone, from, lives } => {
+                let lives = if self.guards.repair { lives } else { Vec::new() };
                 let corrects = self.repair(now, lives, actions);
                 self.say_at_place(now, session, from, corrects, actions);
                 let at = self.feed.at();
@@ -764,7 +778,8 @@
         actions: &mut Vec<Action>,
     ) {
         let corrects = corrects.into_iter().map(Change::Life);
-        let told = match from.and_then(|from| self.feed.since(from)) {
+        let gap = (!self.guards.place).then(BTreeSet::new);
+        let told = match from.and_then(|from| self.feed.since(from).or(gap)) {
             Some(mut changes) => {
                 changes.extend(corrects);
                 self.changes(now, changes)
