--- a/crates/emberpin-basin/src/builds.rs
+++ b/crates/emberpin-basin/src/builds.rs
@@ -22,11 +22,13 @@
     pub settled: bool,
     /// A session with a registry that hears no majority ends.
     pub leaves: bool,
+    /// Changes that go on from a place tell all that there is, as a snapshot does.
+    pub resumes: bool,
 }
 
 impl Default for Pilot {
     fn default() -> Pilot {
-        Pilot { in_force: true, settled: true, leaves: true }
+        Pilot { in_force: true, settled: true, leaves: true, resumes: true }
     }
 }
 
@@ -52,6 +54,7 @@
     "no-in-force",
     "no-settled",
     "no-leaves",
+    "no-resumes",
 ];
 
 impl Build {
@@ -78,6 +81,7 @@
             "no-in-force" => &mut self.pilot.in_force,
             "no-settled" => &mut self.pilot.settled,
             "no-leaves" => &mut self.pilot.leaves,
+            "no-resumes" => &mut self.pilot.resumes,
             _ => return false,
         };
         *guard = false;
--- a/crates/emberpin-basin/src/ledger.rs
+++ b/crates/emberpin-basin/src/ledger.rs
@@ -59,14 +59,21 @@
         let Acknowledged::Items(items) = what;
         for item in items {
             let place = (item.key.clone(), item.ver);
-            let known = self.acknowledged.entry(place).or_insert_with(|| item.body.clone());
-            if *known != item.body {
-                let (one, other) = (known.clone(), &item.body);
+            // What a higher version had passed before has no effect, and its content is nobody's any more.
+            let newest =
+                |((key, ver), _): (&(Key, u64), &Option<String>)| *key == item.key && *ver > item.ver;
+            let passed = self.contents.iter().any(newest);
+            let chosen = self.contents.get(&place);
+            if !passed && chosen != Some(&item.body) {
+                let (key, ver, body) = (&item.key, item.ver, &item.body);
                 return Some(format!(
-                    "two contents: {:?} {} was acknowledged as {one:?} and as {other:?}",
-                    item.key, item.ver
+                    "two contents: {key:?} {ver} was acknowledged as {body:?}, and is {chosen:?}"
                 ));
             }
+            if passed && chosen.is_some_and(|chosen| *chosen != item.body) {
+                continue;
+            }
+            self.acknowledged.insert(place, item.body.clone());
             let highest = self.highest.entry(item.key.clone()).or_default();
             *highest = item.ver.max(*highest);
         }
--- a/crates/emberpin-basin/src/limiters.rs
+++ b/crates/emberpin-basin/src/limiters.rs
@@ -6,7 +6,7 @@
 use crate::world::{Due, Process, World};
 use emberpin_chart::{routes_in_force, Chart, Item, Kind, Route, Service};
 use emberpin_fairway::{ColdRule, Fairway, Warmth, Work};
-use emberpin_watch::life::Life;
+use emberpin_watch::life::{Life, Standing};
 use emberpin_watch::session::{FromLimiter, Place, ToLimiter};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -272,6 +272,8 @@
             }
             ToLimiter::Changes { at, items, lives } => {
                 pilot.places.insert(core, at);
+                // They go on from what this registry told in an earlier session.
+                pilot.sessions[index].told |= build.resumes;
                 pilot.learn(now, items, &lives, build.in_force)
             }
             ToLimiter::Pulse { settled, limiters, registries } => {
@@ -301,15 +303,14 @@
             self.servers.values().filter(|server| server.drains).map(|server| server.id.clone()).collect();
         let Some((_, pilot)) = self.pilot(limiter) else { return };
         for id in said {
-            match pilot.work(&id) {
-                Work::Usable if pilot.held.contains(&id) => {
+            // One that is not known here was not told of yet, or was not heard for long.
+            match pilot.fairway.fleet.life(&id).map(|life| life.standing) {
+                Some(Standing::Up) if pilot.held.contains(&id) => {
                     let what = format!("limiter-{limiter}: went back: {id} is usable again after its drain");
                     return self.fail(what);
                 }
-                Work::Usable => {}
-                Work::Held => _ = pilot.held.insert(id),
-                // One that nobody has told of yet is no news.
-                Work::Gone => {}
+                Some(Standing::Drain) => _ = pilot.held.insert(id),
+                _ => {}
             }
         }
     }
--- a/crates/emberpin-basin/src/play.rs
+++ b/crates/emberpin-basin/src/play.rs
@@ -84,11 +84,11 @@
                 self.server_up(server, service, zone, *address, *cold);
             }
             Deed::Drain(server) => {
-                self.servers.get_mut(server).into_iter().for_each(|server| server.drains = true);
+                self.servers.get_mut(server).into_iter().for_each(|server| server.drains |= server.up);
                 self.server_speaks(server);
             }
             Deed::Leave(server) => {
-                self.servers.get_mut(server).into_iter().for_each(|server| server.leaves = true);
+                self.servers.get_mut(server).into_iter().for_each(|server| server.leaves |= server.up);
                 self.server_speaks(server);
             }
             Deed::Crash(server) => {
--- a/crates/emberpin-pilot/src/helm.rs
+++ b/crates/emberpin-pilot/src/helm.rs
@@ -338,7 +338,11 @@
                 self.learn(items, &lives);
                 self.told.insert(session);
             }
-            ToLimiter::Changes { items, lives, .. } => self.learn(items, &lives),
+            ToLimiter::Changes { items, lives, .. } => {
+                self.learn(items, &lives);
+                // They go on from a place to which an earlier session with this registry had told everything.
+                self.told.insert(session);
+            }
             ToLimiter::Pulse { settled, limiters, .. } => {
                 if !settled {
                     return;
