Let a store that lost its disk catch up as soon as that is safe

It waited 2.8 s and then for the next comparison; rounds last 1.6 s at most, so 2 s do, and a timer is set for it.

--- a/crates/emberpin-muster/src/custodian.rs
+++ b/crates/emberpin-muster/src/custodian.rs
@@ -28,7 +28,7 @@
 const FRESH: u64 = 1_200;
 /// A store that lost its disk waits so long before it catches up: rounds that it promised something are over
 /// by then.
-const FORGOTTEN: u64 = 4 * ROUND;
+const FORGOTTEN: u64 = ROUND + 3 * MORE + 400;
 /// A voter that was silent for so long gives its place to a store that has none.
 const SILENT: u64 = 6_000;
 /// And after so long it is taken off the roster.
@@ -236,7 +236,9 @@
         let idle = self.round.is_none() && self.copies().roster().is_some();
         let begin = (idle && (!self.tasks.is_empty() || self.next.is_some())).then_some(self.round_at);
         let open = self.open_until.filter(|_| idle && self.votes()).map(|at| at.max(self.round_at));
-        tasks.chain(round).chain(begin).chain(open).fold(self.exchange_at, u64::min)
+        let recover =
+            (idle && !self.voter.voting).then(|| self.round_at.max(self.started + self.forgotten()));
+        tasks.chain(round).chain(begin).chain(open).chain(recover).fold(self.exchange_at, u64::min)
     }
 
     /// Takes one event at a time; `now`, in milliseconds, never falls.
