--- a/crates/emberpin-keeper/src/disk.rs
+++ b/crates/emberpin-keeper/src/disk.rs
@@ -15,6 +15,10 @@
 /// What this folder is; the number rises when an older program can't read it.
 const FORMAT: &[u8] = b"emberpin-keeper 1";
 
+/// So much is written before `fjall` makes tables of it, and another journal: seldom, as each takes the disk for a
+/// while.
+const MEMTABLE: u32 = 8 << 20;
+
 /// A disk that can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum Unusable {
@@ -42,7 +46,7 @@
     ///
     /// # Errors
     ///
-    /// [`Unusable`]: whatever is there is left as it is.
+    /// [`Unusable`]: nothing is begun anew in place of what is there.
     pub fn open(folder: &Path, me: Ipv4Addr) -> Result<(Disk, Option<Kept>), Unusable> {
         let store = folder.join(STORE);
         if !at(&store, store.try_exists())? {
@@ -68,11 +72,11 @@
             .compaction_workers(1)
             .cache_size(256 << 10)
             .max_journaling_size(24 << 20)
-            .max_write_buffer_size(4 << 20)
+            .max_write_buffer_size(16 << 20)
             .fsync_ms(None)
             .open()
             .map_err(wrong)?;
-        let options = || PartitionCreateOptions::default().max_memtable_size(2 << 20);
+        let options = || PartitionCreateOptions::default().max_memtable_size(MEMTABLE);
         let items = keyspace.open_partition("items", options()).map_err(wrong)?;
         let meta = keyspace.open_partition("meta", options()).map_err(wrong)?;
         Ok(Disk { keyspace, items, meta, folder: store.into() })
@@ -178,15 +182,17 @@
     at(&store, fs::rename(&forming, &store))?;
     at(folder, File::open(folder).and_then(|folder| folder.sync_all()))?;
     let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) else { return Ok(()) };
-    // The folder itself is the platform's; where its parent can't be opened, there is nothing to be done for it.
+    // The folder itself is the platform's; where its parent can't be opened, there is nothing to be done for
+    // it.
     _ = File::open(parent).and_then(|parent| parent.sync_all());
     Ok(())
 }
 
 /// Takes the end off the newest journal, so that its last write counts as begun and not ended.
 ///
-/// Each write is synced before something is said that builds on it, so only the last ones can have gaps, and nobody was
-/// told of them. `fjall` drops a last write that lacks its end, and refuses one that has its end and not what is before.
+/// Each write is synced before something is said that builds on it, so only the last ones can have gaps, and
+/// nobody was told of them. `fjall` drops a last write that lacks its end, and refuses one that has its end
+/// and not what is before.
 fn cut_last_write(store: &Path) -> io::Result<()> {
     let mut newest: Option<(u64, PathBuf)> = None;
     for entry in fs::read_dir(store.join("journals"))? {
--- a/crates/emberpin-muster/src/custodian.rs
+++ b/crates/emberpin-muster/src/custodian.rs
@@ -5,23 +5,30 @@
 use crate::message::{Ballot, Message, Pending};
 use crate::round::{majority, Outcome, Promised, Round, Task};
 use crate::voter::{Guards, Kept, Voter, Write};
-use emberpin_chart::Item;
+use emberpin_chart::{read_patch, Item};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 
 /// A call that isn't done by then is told to be sent again.
 const PATIENCE: u64 = 3_000;
+/// So many calls wait at most; more are told to come again, or to go elsewhere.
+const WAITING: usize = 64;
 /// A round that isn't done by then gives way to a new one; nothing is proposed later than that.
 const ROUND: u64 = 700;
+/// Each round that failed gives the next one so much more, for slow disks, up to three times.
+const MORE: u64 = 300;
+/// A round that one voter refused gives way after so long: the others may be a majority, or may be gone.
+const REFUSED: u64 = 150;
 /// How often stores compare what they hold.
 const EXCHANGE: u64 = 500;
 /// What is accepted and not chosen after so long is finished by whoever holds it.
 const OPEN: u64 = 300;
 /// A comparison counts for so long.
 const FRESH: u64 = 1_200;
-/// A store that lost its disk waits so long before it catches up: rounds that it promised something are over by then.
-const FORGOTTEN: u64 = 4 * ROUND;
+/// A store that lost its disk waits so long before it catches up: rounds that it promised something are over
+/// by then.
+const FORGOTTEN: u64 = ROUND + 3 * MORE + 400;
 /// A voter that was silent for so long gives its place to a store that has none.
 const SILENT: u64 = 6_000;
 /// And after so long it is taken off the roster.
@@ -225,11 +232,13 @@
     /// When [`Event::Wake`] is due, if nothing comes before.
     pub fn wake_at(&self) -> u64 {
         let tasks = self.tasks.iter().map(|task| task.until);
-        let round = self.round.as_ref().map(|round| round.since + ROUND);
+        let round = self.round.as_ref().map(|round| round.until);
         let idle = self.round.is_none() && self.copies().roster().is_some();
         let begin = (idle && (!self.tasks.is_empty() || self.next.is_some())).then_some(self.round_at);
         let open = self.open_until.filter(|_| idle && self.votes()).map(|at| at.max(self.round_at));
-        tasks.chain(round).chain(begin).chain(open).fold(self.exchange_at, u64::min)
+        let recover =
+            (idle && !self.voter.voting).then(|| self.round_at.max(self.started + self.forgotten()));
+        tasks.chain(round).chain(begin).chain(open).chain(recover).fold(self.exchange_at, u64::min)
     }
 
     /// Takes one event at a time; `now`, in milliseconds, never falls.
@@ -250,13 +259,21 @@
     }
 
     fn call(&mut self, now: u64, id: u64, call: Call, out: &mut Vec<Action>) {
-        // A call that can't be read is refused wherever it comes in.
-        if let Call::Patch(body) = &call {
-            if let Err(wrong) = emberpin_chart::read_patch(body) {
-                return out.push(Action::Answer { id, status: 400, body: wrong.to_string() });
-            }
-        }
-        self.tasks.push_back(Task { work: Work::Call { id, call }, until: now + PATIENCE, proposed: false });
+        if self.tasks.len() >= WAITING {
+            return out.push(Action::Answer { id, status: 503, body: "too many calls wait".into() });
+        }
+        let work = match call {
+            Call::Get => Work::Get { id },
+            Call::Evacuate { zone, begin } => Work::Evacuate { id, zone, begin },
+            Call::Patch(body) => match read_patch(&body) {
+                Ok(patch) => Work::Patch { id, patch },
+                // That is refused wherever it comes in.
+                Err(wrong) => {
+                    return out.push(Action::Answer { id, status: 400, body: wrong.to_string() });
+                }
+            },
+        };
+        self.tasks.push_back(Task { work, until: now + PATIENCE, proposed: false });
     }
 
     fn persisted(&mut self, token: u64, out: &mut Vec<Action>) {
@@ -339,7 +356,8 @@
                             self.open_until = Some(open + self.draw(OPEN));
                         }
                     }
-                    // Learned first or with it: in either order they are on the disk before the answer goes out.
+                    // Learned first or with it: in either order they are on the disk before the answer goes
+                    // out.
                     self.learn(&chosen, out);
                     self.answer(from, answer, true, out);
                 }
@@ -351,8 +369,8 @@
             Message::Refused { ballot, promised } => {
                 self.counter = self.counter.max(promised.counter);
                 // One's own ballot comes back if a message came twice.
-                if promised > ballot && self.round.as_ref().is_some_and(|round| round.ballot == ballot) {
-                    self.give_way(now, true);
+                if promised > ballot {
+                    self.refused(now, from, ballot);
                 }
             }
             Message::NotVoting { .. } => {}
@@ -426,7 +444,7 @@
     // ---- rounds
 
     fn settle_timers(&mut self, now: u64, out: &mut Vec<Action>) {
-        if self.round.as_ref().is_some_and(|round| now >= round.since + ROUND) {
+        if self.round.as_ref().is_some_and(|round| now >= round.until) {
             self.give_way(now, true);
         }
         let (due, kept) = self.tasks.drain(..).partition(|task| now >= task.until);
@@ -463,7 +481,8 @@
         }
         self.counter += 1;
         let ballot = Ballot { counter: self.counter, node: me.to_bits(), life: self.life };
-        let mut round = Round::new(ballot, now, roster.clone(), next.filter(|_| self.voter.guards.joint));
+        let until = now + ROUND + MORE * u64::from(self.failed.min(3));
+        let mut round = Round::new(ballot, until, roster.clone(), next.filter(|_| self.voter.guards.joint));
         round.recovers = recovers;
         let (targets, digests) = (round.targets(), self.copies().digests().to_vec());
         self.round = Some(round);
@@ -473,7 +492,8 @@
         }
     }
 
-    /// Rounds that a store promised something before it lost its disk are over after so long; there are none at first.
+    /// Rounds that a store promised something before it lost its disk are over after so long; there are none
+    /// at first.
     fn forgotten(&self) -> u64 {
         if self.options.bootstrap {
             0
@@ -482,6 +502,15 @@
         }
     }
 
+    fn refused(&mut self, now: u64, from: Ipv4Addr, ballot: Ballot) {
+        let Some(round) = self.round.as_mut().filter(|round| round.ballot == ballot) else { return };
+        round.refused.insert(from);
+        round.until = round.until.min(now + REFUSED);
+        if round.lost() {
+            self.give_way(now, true);
+        }
+    }
+
     /// Ends the round for a later one.
     fn give_way(&mut self, now: u64, pause: bool) {
         let Some(round) = self.round.take() else { return };
@@ -552,7 +581,7 @@
                 Work::Roster { ver, voters } => {
                     change.is_some() || round.next != Some(roster_item(ver + 1, voters))
                 }
-                Work::Call { .. } => round.next.is_some(),
+                _ => round.next.is_some(),
             };
             if waits && self.voter.guards.joint {
                 self.tasks.push_back(task);
@@ -673,14 +702,14 @@
 
 fn tell(outcomes: Vec<Outcome>, out: &mut Vec<Action>) {
     for Outcome { task, status, body } in outcomes {
-        if let Work::Call { id, .. } = task.work {
+        if let Some(id) = task.work.id() {
             out.push(Action::Answer { id, status, body });
         }
     }
 }
 
 fn again(task: Task, out: &mut Vec<Action>) {
-    if let Work::Call { id, .. } = task.work {
+    if let Some(id) = task.work.id() {
         out.push(Action::Answer {
             id,
             status: 503,
