Mend a late begin of an evacuation; scenarios for the hard cases, some still to catch their wrong build

Cause: a begin that waited at a cut-off store for up to 3 s began again after its caller had begun and finished the evacuation elsewhere (08-late-begin). Change: an evacuation waits 850 ms at a store, below its caller's second; guards newest, whole, late, returned.

--- a/crates/emberpin-basin/src/builds.rs
+++ b/crates/emberpin-basin/src/builds.rs
@@ -40,6 +40,10 @@
     "no-joint",
     "no-sync",
     "no-lacking",
+    "no-ballot",
+    "no-newest",
+    "no-whole",
+    "no-late",
     "no-majority",
     "no-rises",
     "no-silence",
@@ -60,6 +64,10 @@
 impl Build {
     /// Takes out the guard that a wrong build of this name lacks; whether there is one.
     pub fn without(&mut self, name: &str) -> bool {
+        if name == "no-returned" {
+            // Each of these two is enough.
+            self.watch.returned = false;
+        }
         let guard = match name {
             "no-amnesia" => &mut self.muster.amnesia,
             "no-promise" => &mut self.muster.promise,
@@ -67,6 +75,10 @@
             "no-joint" => &mut self.muster.joint,
             "no-sync" => &mut self.muster.sync,
             "no-lacking" => &mut self.muster.lacking,
+            "no-ballot" => &mut self.muster.ballot,
+            "no-newest" => &mut self.muster.newest,
+            "no-whole" => &mut self.muster.whole,
+            "no-late" => &mut self.muster.late,
             "no-majority" => &mut self.watch.majority,
             "no-rises" => &mut self.watch.rises,
             "no-silence" => &mut self.watch.silence,
--- a/crates/emberpin-basin/src/lib.rs
+++ b/crates/emberpin-basin/src/lib.rs
@@ -24,8 +24,10 @@
 //! at 2s replace core-2 core-6     core-2 goes for good, core-6 comes with an empty disk
 //! at 2s freeze core-1             until `thaw core-1`
 //! at 2s clock core-1 105%         its steady clock is fast
-//! at 2s cut core-1 core-2 | core-3 limiter-1       until `heal`; with `>`, only from left to right
+//! at 2s cut core-1 core-2 | core-3 limiter-1       with `>`, only from left to right
+//! at 2s heal                                       all cuts and losses end; `heal core-1`: the cuts of core-1
 //! at 2s lose accept core-1 > core-2                messages between stores: prepare, accept, chosen, exchange
+//! at 2s lose-nothing                               that ends
 //! at 2s network delay 1ms..40ms late 5% twice 5%   messages between stores are late, or come twice
 //! at 2s disk 1ms..8ms             how long a sync takes
 //! expect at 6s operator A told 200                 or `told nothing`
--- a/crates/emberpin-basin/src/net.rs
+++ b/crates/emberpin-basin/src/net.rs
@@ -73,6 +73,10 @@
         self.conns.get(&conn).map(|conn| if forth { conn.callee } else { conn.caller })
     }
 
+    pub fn lose_nothing(&mut self) {
+        self.losses.clear();
+    }
+
     pub fn lose(&mut self, sort: Sort, from: Spot, to: Spot) {
         self.losses.push((sort, from, to));
     }
@@ -109,11 +113,24 @@
         conns.into_iter().for_each(|conn| self.at(at, Due::Untaken { conn }));
     }
 
-    pub fn heal(&mut self) {
-        let touched: BTreeSet<Spot> =
-            std::mem::take(&mut self.net.cuts).into_iter().flat_map(|(one, other)| [one, other]).collect();
-        self.troubled(&touched.into_iter().collect::<Vec<_>>());
-        self.net.losses.clear();
+    /// The cuts of these end, or all.
+    pub fn heal(&mut self, spots: &[Spot]) {
+        let of =
+            |(one, other): &(Spot, Spot)| spots.is_empty() || spots.contains(one) || spots.contains(other);
+        let (healed, cuts): (BTreeSet<_>, BTreeSet<_>) =
+            std::mem::take(&mut self.net.cuts).into_iter().partition(of);
+        self.net.cuts = cuts;
+        // A cut between a limiter and a core machine is no trouble among the latter.
+        for (one, other) in healed {
+            match (one, other) {
+                (Spot::Core(_), Spot::Limiter(_)) => self.troubled(&[other]),
+                (Spot::Limiter(_), Spot::Core(_)) => self.troubled(&[one]),
+                _ => self.troubled(&[one, other]),
+            }
+        }
+        if spots.is_empty() {
+            self.net.losses.clear();
+        }
         let held: Vec<(u64, Vec<(bool, Frame)>)> =
             self.net.conns.iter_mut().map(|(id, conn)| (*id, std::mem::take(&mut conn.held))).collect();
         for (conn, frames) in held {
--- a/crates/emberpin-basin/src/play.rs
+++ b/crates/emberpin-basin/src/play.rs
@@ -73,8 +73,14 @@
             | Deed::Thaw(spots) => self.troubled(spots),
             Deed::Clock(spot, _) => self.troubled(&[*spot]),
             Deed::Cut { from, to, .. } | Deed::Lose { from, to, .. } => {
-                self.troubled(from);
-                self.troubled(to);
+                // A cut between a limiter and a core machine is no trouble among the latter.
+                let limiter = |spot: &&Spot| matches!(spot, Spot::Limiter(_));
+                let core = |spot: &&Spot| !limiter(spot);
+                let all = || from.iter().chain(to);
+                self.troubled(&all().filter(limiter).copied().collect::<Vec<_>>());
+                if from.iter().any(|spot| core(&spot)) && to.iter().any(|spot| core(&spot)) {
+                    self.troubled(&all().filter(core).copied().collect::<Vec<_>>());
+                }
             }
             _ => {}
         }
@@ -117,7 +123,8 @@
                     to.iter().for_each(|other| self.net.lose(*sort, *one, *other));
                 }
             }
-            Deed::Heal => self.heal(),
+            Deed::Heal(spots) => self.heal(spots),
+            Deed::Found => self.net.lose_nothing(),
             Deed::Network { delay, late, twice } => {
                 (self.net.delay, self.net.late, self.net.twice) = (*delay, *late, *twice);
                 self.ledger.slow |= *late > 0 || delay.1 > 20;
--- a/crates/emberpin-basin/src/text.rs
+++ b/crates/emberpin-basin/src/text.rs
@@ -122,7 +122,8 @@
     Clock(Spot, u64),
     Cut { from: Vec<Spot>, to: Vec<Spot>, one_way: bool },
     Lose { sort: Sort, from: Vec<Spot>, to: Vec<Spot> },
-    Heal,
+    Heal(Vec<Spot>),
+    Found,
     Network { delay: (u64, u64), late: u64, twice: u64 },
     Disk(u64, u64),
     ToldStatus { who: String, status: Option<u16> },
@@ -378,7 +379,9 @@
             word(words, ">")?;
             Deed::Lose { sort, from, to: spots(scenario, words)? }
         }
-        "heal" => Deed::Heal,
+        "heal" if words.peek().is_none() => Deed::Heal(Vec::new()),
+        "heal" => Deed::Heal(spots(scenario, words)?),
+        "lose-nothing" => Deed::Found,
         "network" => {
             word(words, "delay")?;
             let delay = span(words)?;
@@ -394,7 +397,7 @@
         other => {
             let known =
                 "operator, server, kill, power, wipe, start, replace, freeze, thaw, clock, cut, lose, \
-                         heal, network, disk";
+                         lose-nothing, heal, network, disk";
             return Err(format!("expected one of {known}, not {other:?}"));
         }
     })
--- a/crates/emberpin-basin/src/world.rs
+++ b/crates/emberpin-basin/src/world.rs
@@ -383,7 +383,8 @@
 
     /// All trouble ends.
     pub fn calm(&mut self) {
-        self.heal();
+        self.heal(&[]);
+        self.net.lose_nothing();
         self.net.calm();
         self.disk = (2, 6);
         let spots = self.cores.keys().map(|number| Spot::Core(*number));
--- a/crates/emberpin-muster/src/call.rs
+++ b/crates/emberpin-muster/src/call.rs
@@ -89,4 +89,14 @@
             },
         }
     }
+
+    /// For tests: the items of a call that would do alone.
+    pub fn alone(&self, newest: &Chart) -> Vec<Item> {
+        let Work::Patch { patch, .. } = self else { return Vec::new() };
+        let patches = patch.items.iter().map(|item| Patch { items: vec![item.clone()] });
+        patches
+            .filter(|one| matches!(judge(newest, one), Judgement::Apply(_)))
+            .flat_map(|one| one.items)
+            .collect()
+    }
 }
--- a/crates/emberpin-muster/src/custodian.rs
+++ b/crates/emberpin-muster/src/custodian.rs
@@ -12,6 +12,9 @@
 
 /// A call that isn't done by then is told to be sent again.
 const PATIENCE: u64 = 3_000;
+/// And an evacuation, which has no version: its caller asks another store after a second of silence, and may then take
+/// back what it asked for. It must not begin here after that.
+const EVACUATION: u64 = 850;
 /// So many calls wait at most; more are told to come again, or to go elsewhere.
 const WAITING: usize = 64;
 /// A round that isn't done by then gives way to a new one; nothing is proposed later than that.
@@ -273,7 +276,9 @@
                 }
             },
         };
-        self.tasks.push_back(Task { work, until: now + PATIENCE, proposed: false });
+        let evacuates = matches!(work, Work::Evacuate { .. });
+        let patience = if evacuates && self.voter.guards.late { EVACUATION } else { PATIENCE };
+        self.tasks.push_back(Task { work, until: now + patience, proposed: false });
     }
 
     fn persisted(&mut self, token: u64, out: &mut Vec<Action>) {
@@ -484,6 +489,7 @@
         let until = now + ROUND + MORE * u64::from(self.failed.min(3));
         let mut round = Round::new(ballot, until, roster.clone(), next.filter(|_| self.voter.guards.joint));
         round.recovers = recovers;
+        round.known = (!self.voter.guards.newest).then(|| self.copies().chart().clone());
         let (targets, digests) = (round.targets(), self.copies().digests().to_vec());
         self.round = Some(round);
         for to in targets {
@@ -573,7 +579,7 @@
             return self.persist(all, true, true, None, out);
         }
         let carried = !items.is_empty();
-        let mut whole = Cow::Borrowed(self.voter.copies.chart());
+        let mut whole = round.known.take().map_or(Cow::Borrowed(self.voter.copies.chart()), Cow::Owned);
         items.iter().for_each(|item| _ = whole.to_mut().merge(item.clone()));
         for mut task in std::mem::take(&mut self.tasks) {
             // A change of the roster, and what it must not hold up, each have their own rounds.
@@ -597,7 +603,12 @@
                 Verdict::Done(body) => (200, body),
                 // Something of it may be in force.
                 Verdict::Refuse(..) if task.proposed => (503, "send it again".into()),
-                Verdict::Refuse(status, body) => (status, body),
+                Verdict::Refuse(status, body) => {
+                    if !self.voter.guards.whole {
+                        items.extend(task.work.alone(&whole));
+                    }
+                    (status, body)
+                }
             };
             round.outcomes.push(Outcome { task, status, body });
         }
--- a/crates/emberpin-muster/src/round.rs
+++ b/crates/emberpin-muster/src/round.rs
@@ -3,7 +3,7 @@
 use crate::call::Work;
 use crate::copies::{bucket, voters, Copies};
 use crate::message::{Ballot, Pending};
-use emberpin_chart::{Item, Key};
+use emberpin_chart::{Chart, Item, Key};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
@@ -56,6 +56,8 @@
     /// Those that have promised a higher ballot.
     pub refused: BTreeSet<Ipv4Addr>,
     pub outcomes: Vec<Outcome>,
+    /// What was known at its start; see [`crate::Guards::newest`].
+    pub known: Option<Chart>,
 }
 
 impl Round {
@@ -75,6 +77,7 @@
             accepted: BTreeSet::new(),
             refused: BTreeSet::new(),
             outcomes: Vec::new(),
+            known: None,
         }
     }
 
--- a/crates/emberpin-muster/src/voter.rs
+++ b/crates/emberpin-muster/src/voter.rs
@@ -50,6 +50,12 @@
     pub ballot: bool,
     /// Chosen items that a voter lacks go along with what is proposed.
     pub lacking: bool,
+    /// A call is judged on what a majority knows, not on what this store knew before.
+    pub newest: bool,
+    /// Of a call that is refused, nothing is chosen.
+    pub whole: bool,
+    /// An evacuation that its caller no longer waits for is not begun.
+    pub late: bool,
 }
 
 impl Default for Guards {
@@ -62,6 +68,9 @@
             sync: true,
             ballot: true,
             lacking: true,
+            newest: true,
+            whole: true,
+            late: true,
         }
     }
 }
--- a/crates/emberpin-watch/src/guards.rs
+++ b/crates/emberpin-watch/src/guards.rs
@@ -15,10 +15,20 @@
     pub displace: bool,
     /// A place that is not known means a snapshot.
     pub place: bool,
+    /// The servers of a zone that was taken back are cold.
+    pub returned: bool,
 }
 
 impl Default for Guards {
     fn default() -> Guards {
-        Guards { majority: true, rises: true, silence: true, repair: true, displace: true, place: true }
+        Guards {
+            majority: true,
+            rises: true,
+            silence: true,
+            repair: true,
+            displace: true,
+            place: true,
+            returned: true,
+        }
     }
 }
--- a/crates/emberpin-watch/src/registry.rs
+++ b/crates/emberpin-watch/src/registry.rs
@@ -546,6 +546,9 @@
     /// What the first items of this life tell may be long over. Then the other registries know how cold their
     /// servers are; but what limiters tell where all registries have begun anew may be from before.
     fn taken_back(&mut self, now: u64, zone: &str, first: bool, actions: &mut Vec<Action>) {
+        if !self.guards.returned {
+            return;
+        }
         if first {
             self.taken_back.insert(zone.to_string(), now + self.limits.beat_ms);
         }
