--- a/crates/emberpin-muster/src/voter.rs
+++ b/crates/emberpin-muster/src/voter.rs
@@ -50,6 +50,14 @@
     pub ballot: bool,
     /// Chosen items that a voter lacks go along with what is proposed.
     pub lacking: bool,
+    /// A call is judged on what a majority knows, not on what this store knew before.
+    pub newest: bool,
+    /// Of a call that is refused, nothing is chosen.
+    pub whole: bool,
+    /// An evacuation that its caller no longer waits for is not begun.
+    pub late: bool,
+    /// What is acknowledged is on the disks of a majority, and on more than may be lost.
+    pub spread: bool,
 }
 
 impl Default for Guards {
@@ -62,6 +70,10 @@
             sync: true,
             ballot: true,
             lacking: true,
+            newest: true,
+            whole: true,
+            late: true,
+            spread: true,
         }
     }
 }
