Pass long answers on while they come; send what may run once on connections just used

Cause: downloads held whole came through a narrow link twice, and lookups waited behind them (ledger-read p50 237 ms of 94 ms of work); deeds went on idle connections to servers that had just gone, and may then have run. Change: 16 KiB are held; a mutating request takes no connection idle for over 50 ms; beyond the bound of classes a request shares figures of its own effect only.

--- a/crates/emberpin-pilot/src/desk.rs
+++ b/crates/emberpin-pilot/src/desk.rs
@@ -104,8 +104,15 @@
         let mut headers = parts.headers;
         strip(&mut headers);
         headers.remove("keep-alive");
-        let outgoing =
-            Outgoing { method: parts.method, uri: parts.uri, headers, body, may_pass: true, gate: None };
+        let outgoing = Outgoing {
+            method: parts.method,
+            uri: parts.uri,
+            headers,
+            body,
+            may_pass: true,
+            freshness: None,
+            gate: None,
+        };
         let active = self.figures.taken(ClassId(0));
         let reply = self.ask(host, outgoing, arrived, deadline, upload).await?;
         Ok(match reply {
@@ -137,7 +144,7 @@
         let id = RequestId(self.next.replace(self.next.get().wrapping_add(1)));
         let mut waiting = Waiting { commands: self.commands.clone(), id, answered: false };
         let (answer, answered) = oneshot::channel();
-        let ask = Ask { id, host, outgoing: Rc::new(outgoing), arrived, deadline, answer };
+        let ask = Ask { id, host, outgoing, arrived, deadline, answer };
         let asking = async {
             match self.commands.send(Command::Ask(Box::new(ask))).await {
                 Ok(()) => answered.await.unwrap_or(Reply::Answer(Answer::Failed)),
--- a/crates/emberpin-pilot/src/helm.rs
+++ b/crates/emberpin-pilot/src/helm.rs
@@ -8,7 +8,7 @@
 };
 use emberpin_berth::settings::Settings;
 use emberpin_chart::{routes_in_force, Chart, Item, Kind, Limits, Service as Listed};
-use emberpin_fairway::{split, Budget, ColdRule, Fairway, Route, Warmth};
+use emberpin_fairway::{split, Budget, ColdRule, Fairway, Route, RouteKind, Warmth};
 use emberpin_watch::life::Life;
 use emberpin_watch::session::ToLimiter;
 use hyper::StatusCode;
@@ -34,6 +34,9 @@
 const ASK_ON: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(800));
 /// How soon it is looked at again whether another attempt may follow one that has had its time.
 const LOOK_AGAIN: Duration = Duration::from_millis(150);
+/// What may run once only goes on no connection that was idle for longer: a server that is gone or has forgotten the
+/// connection would leave it in doubt, where a connection that comes up shows that the server is there.
+const FRESHNESS: Duration = Duration::from_millis(50);
 /// Most ends of attempts that wait.
 const INPUTS: usize = 1024;
 /// The longest body where the configuration does not say.
@@ -74,7 +77,7 @@
     /// The host that it is for.
     pub host: String,
     /// What goes on to a server.
-    pub outgoing: Rc<Outgoing>,
+    pub outgoing: Outgoing,
     /// When its head had come.
     pub arrived: Instant,
     /// For how long the client waits, if it says.
@@ -267,7 +270,9 @@
         self.budget.request(now, &name);
         let whole = ask.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
         let patience = whole.saturating_sub(MARGIN).max(whole / 2);
-        let expires = match &ask.outgoing.body {
+        let mut outgoing = ask.outgoing;
+        outgoing.freshness = Some(FRESHNESS).filter(|_| route.kind == RouteKind::Mutating);
+        let expires = match &outgoing.body {
             Upstreamed::Whole(_) => ask.arrived + patience,
             Upstreamed::Coming(_) => Instant::now() + UPLOAD_LIMIT,
         };
@@ -282,7 +287,7 @@
             ran: None,
             patience,
             expires,
-            outgoing: ask.outgoing,
+            outgoing: Rc::new(outgoing),
             answer: ask.answer,
         };
         self.requests.insert(ask.id, Going { route, service: name.clone(), sends: 0 });
--- a/crates/emberpin-pilot/src/lib.rs
+++ b/crates/emberpin-pilot/src/lib.rs
@@ -59,8 +59,9 @@
 const LEAVING_PART: f64 = 0.42;
 /// And the part after which the process ends whatever is still open.
 const GRACE_PART: f64 = 0.95;
-/// Bytes of an answer that are held whole; one that breaks off before its end may become another attempt.
-const HOLD: usize = 1 << 20;
+/// Bytes of an answer that are held whole; one that breaks off before its end may become another attempt. Longer ones
+/// are passed on while they come: held, they would come through a narrow link twice, one behind the other.
+const HOLD: usize = 16 << 10;
 
 /// Runs the proxy on this thread until it is told to end.
 ///
--- a/crates/emberpin-pilot/src/service.rs
+++ b/crates/emberpin-pilot/src/service.rs
@@ -21,7 +21,7 @@
 /// fewer, chance alone would pass it.
 const SLOTS_OUT: f64 = 2.0;
 const LEAST_PART: f64 = 3.0;
-/// Most classes of one service: beyond, requests share the last one's figures.
+/// Most classes of one service: beyond, requests share the figures of another one of the same effect.
 const CLASSES: usize = 256;
 
 /// What of a route the module goes by.
@@ -134,7 +134,11 @@
             return *known;
         }
         if self.classes.len() >= CLASSES {
-            return ClassId(CLASSES - 1);
+            // Guards the effect: beyond the bound a request shares the figures of another sort, but never its harmlessness.
+            let alike = self.classes.iter().find(|(known, _)| known.repeatable == sort.repeatable);
+            if let Some((_, known)) = alike {
+                return *known;
+            }
         }
         let effect = if sort.repeatable { Effect::Safe } else { Effect::Unsafe };
         let class = self.engine.gateway.add_class(Class {
--- a/crates/emberpin/src/front/clients.rs
+++ b/crates/emberpin/src/front/clients.rs
@@ -172,6 +172,7 @@
             headers: parts.headers,
             body,
             may_pass: self.idempotency.is_none(),
+            freshness: None,
             gate: None,
         };
         let reply = self.taken(asked, outgoing, patience, expires).await;
--- a/crates/emberpin/src/messages.rs
+++ b/crates/emberpin/src/messages.rs
@@ -40,6 +40,9 @@
     pub body: Upstreamed,
     /// Answers that are too long to be held may be passed on in pieces.
     pub may_pass: bool,
+    /// It goes on no connection that has been idle for longer, where that is bounded: what is sent on one that the
+    /// server has just given up may have run.
+    pub freshness: Option<Duration>,
     /// Asked before each attempt, where work outlives its limiter.
     pub gate: Option<Rc<dyn Gate>>,
 }
--- a/crates/emberpin/src/stages/takeover.rs
+++ b/crates/emberpin/src/stages/takeover.rs
@@ -395,6 +395,7 @@
                 headers,
                 body: Upstreamed::Whole(carried.body.into()),
                 may_pass: false,
+                freshness: None,
                 gate: Some(Rc::new(gate)),
             },
             ran: Ran { ago: went.ago, zone: went.hall.zone as usize, cell: went.hall.cell },
--- a/crates/emberpin/src/upstream/servers.rs
+++ b/crates/emberpin/src/upstream/servers.rs
@@ -169,10 +169,13 @@
         }
     }
 
-    /// The connection that was used last, unless it is too old.
-    fn take(&self, key: u64) -> Option<Conn> {
+    /// The connection that was used last, unless it is too old or has been idle for longer than may be.
+    fn take(&self, key: u64, freshness: Option<Duration>) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let at = idle.iter().rposition(|idle| idle.key == key)?;
+        if freshness.is_some_and(|most| idle[at].since.elapsed() > most) {
+            return None;
+        }
         let idle = Some(idle.remove(at)).filter(|idle| self.is_fresh(idle))?;
         Some(Conn { idle: idle.since.elapsed(), ..idle.conn })
     }
@@ -272,7 +275,7 @@
                 let outcome = outcome.unwrap_or(Outcome::Cancelled);
                 (Exchange { sent: true, ..Exchange::of(outcome) }, Duration::ZERO)
             }
-            ended = self.exchange(request, true, outgoing.may_pass, started, timeout) => ended,
+            ended = self.exchange(request, Some(&outgoing), started, timeout) => ended,
         };
         self.describe(started + late, ended)
     }
@@ -284,7 +287,7 @@
         *request.uri_mut() = Uri::from_static("/health/live");
         request.headers_mut().insert(HOST, HeaderValue::from_static("service.internal"));
         let limit = self.pool.limits.connect;
-        self.describe(started, self.exchange(request, false, false, started, limit).await.0)
+        self.describe(started, self.exchange(request, None, started, limit).await.0)
     }
 
     /// What came of an exchange, in the terms of whoever asked for it.
@@ -316,13 +319,15 @@
     async fn exchange(
         self: &Rc<Self>,
         mut request: Request<Upstreamed>,
-        counts: bool,
-        may_pass: bool,
+        outgoing: Option<&Outgoing>,
         started: Instant,
         timeout: Duration,
     ) -> (Exchange, Duration) {
         let nothing = |outcome| (Exchange::of(outcome), Duration::ZERO);
-        let connecting = timeout_at(started + timeout.min(self.pool.limits.connect), self.connect());
+        // A probe is no client's: it is not counted, and its answer is held.
+        let (counts, may_pass) = (outgoing.is_some(), outgoing.is_some_and(|outgoing| outgoing.may_pass));
+        let freshness = outgoing.and_then(|outgoing| outgoing.freshness);
+        let connecting = timeout_at(started + timeout.min(self.pool.limits.connect), self.connect(freshness));
         let conn = match connecting.await {
             Ok(Ok(conn)) => conn,
             Ok(Err(Refused::NoSocket)) => return nothing(Outcome::Moot),
@@ -407,7 +412,7 @@
 
     /// Whether it takes a connection now; the connection is kept for whoever needs one next.
     pub async fn answers(&self) -> bool {
-        match tokio::time::timeout(self.pool.limits.connect, self.connect()).await {
+        match tokio::time::timeout(self.pool.limits.connect, self.connect(None)).await {
             Ok(Ok(conn)) => {
                 self.pool.keep(self.key, conn);
                 true
@@ -417,8 +422,8 @@
         }
     }
 
-    async fn connect(&self) -> Result<Conn, Refused> {
-        while let Some(mut conn) = self.pool.take(self.key) {
+    async fn connect(&self, freshness: Option<Duration>) -> Result<Conn, Refused> {
+        while let Some(mut conn) = self.pool.take(self.key, freshness) {
             // A request written to a connection that the server has closed would count as one that may have
             // run, and what stands unread on one would be taken for its answer.
             conn.drive(std::future::ready(())).await;
