--- /dev/null
+++ b/crates/emberpin-pilot/tests/wire.rs
@@ -0,0 +1,156 @@
+//! What servers are told, and what is made of their answers.
+#![allow(missing_docs)]
+
+use dillpass::Outcome;
+use emberpin::host::{Described, Wire};
+use emberpin_pilot::wire::SystemWire;
+use googletest::prelude::*;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::Response;
+use std::time::Duration;
+
+fn headers(all: &[(&'static str, &'static str)]) -> HeaderMap {
+    let named = |(name, value): &(&'static str, &'static str)| {
+        (HeaderName::from_static(name), HeaderValue::from_static(value))
+    };
+    all.iter().map(named).collect()
+}
+
+fn answer(status: u16, all: &[(&'static str, &'static str)]) -> Response<()> {
+    let mut answer = Response::new(());
+    *answer.status_mut() = status.try_into().expect("a status");
+    *answer.headers_mut() = headers(all);
+    answer
+}
+
+fn judge(status: u16, all: &[(&'static str, &'static str)]) -> Outcome {
+    SystemWire.judge(None, &answer(status, all))
+}
+
+fn describe(status: u16, all: &[(&'static str, &'static str)]) -> Described {
+    let answer = answer(status, all);
+    SystemWire.describe(SystemWire.judge(None, &answer), answer)
+}
+
+/// Holds the three arms of `belongs`.
+#[gtest]
+fn an_answer_with_another_try_id_belongs_to_another_request() {
+    let mark = SystemWire.mark(&headers(&[("try-id", "a1")]));
+    let belongs = |all: &[(&'static str, &'static str)]| SystemWire.belongs(mark.as_ref(), &headers(all));
+    expect_true!(belongs(&[("try-id", "a1"), ("seal", "s")]));
+    expect_false!(belongs(&[("try-id", "a2"), ("seal", "s")]));
+    expect_false!(belongs(&[("try-id", "a1 "), ("seal", "s")]) && belongs(&[("try-id", "A1")]));
+    // A sealed answer names its request; what stands before a server and refuses may name none.
+    expect_false!(belongs(&[("seal", "s")]));
+    expect_true!(belongs(&[]));
+    expect_true!(SystemWire.belongs(None, &headers(&[("try-id", "a1")])));
+}
+
+/// Holds `sealed` in `judge`.
+#[gtest]
+fn a_success_is_sealed_and_in_the_servers_own_bytes() {
+    expect_that!(judge(200, &[("seal", "s")]), eq(Outcome::Ok));
+    expect_that!(judge(204, &[("seal", "s")]), eq(Outcome::Ok));
+    expect_that!(judge(200, &[]), eq(Outcome::Error));
+    expect_that!(judge(200, &[("seal", "s"), ("content-encoding", "gzip")]), eq(Outcome::Error));
+    // A 2xx that is no success is nobody's answer.
+    expect_false!(describe(200, &[]).stands);
+    expect_false!(describe(200, &[("seal", "s"), ("content-encoding", "gzip")]).stands);
+}
+
+/// Holds `Verdict::NotRun => Outcome::Full`, and what counts as one.
+#[gtest]
+fn not_run_and_421_have_never_run() {
+    for (status, all) in [
+        (503, &[("not-run", "1")][..]),
+        (429, &[("not-run", "1")]),
+        (400, &[("not-run", "1")]),
+        // Not even a sealed success that says so.
+        (200, &[("not-run", "1"), ("seal", "s")]),
+        (421, &[]),
+    ] {
+        expect_that!(judge(status, all), eq(Outcome::Full), "{status}");
+    }
+    for status in [500, 502, 503, 504, 429, 408, 404] {
+        expect_that!(judge(status, &[("seal", "s")]), eq(Outcome::Error), "{status}");
+        expect_false!(judge(status, &[]).never_ran(), "{status}");
+    }
+    expect_true!(Outcome::Full.never_ran());
+    expect_true!(describe(421, &[("not-run", "1")]).misdirected);
+    expect_false!(describe(503, &[("not-run", "1")]).misdirected);
+}
+
+/// Holds `promises` in `describe`.
+#[gtest]
+fn a_promise_without_the_servers_word_does_not_stand() {
+    for status in [408, 421, 429, 503] {
+        expect_false!(describe(status, &[("seal", "s")]).stands, "{status}");
+        expect_false!(describe(status, &[("not-run", "1")]).stands, "{status}");
+    }
+}
+
+/// Holds the rest of `stands`.
+#[gtest]
+fn a_servers_own_failure_stands_unaltered() {
+    for status in [500, 504, 404, 413, 301] {
+        let told = describe(status, &[("seal", "s"), ("try-id", "a1"), ("x-note", "n")]);
+        expect_true!(told.stands, "{status}");
+        expect_that!(told.head.status.as_u16(), eq(status));
+        for (name, value) in [("seal", "s"), ("try-id", "a1"), ("x-note", "n")] {
+            expect_that!(told.head.headers.get(name).map(HeaderValue::as_bytes), some(eq(value.as_bytes())));
+        }
+    }
+}
+
+/// Holds `strip` and the removal of `Keep-Alive` in `describe`.
+#[gtest]
+fn what_concerns_the_servers_connection_is_not_passed_on() {
+    let told = describe(
+        200,
+        &[
+            ("connection", "close, x-hop"),
+            ("x-hop", "1"),
+            ("keep-alive", "timeout=5"),
+            ("transfer-encoding", "chunked"),
+            ("trailer", "x-end"),
+            ("upgrade", "h2c"),
+            ("seal", "s"),
+        ],
+    );
+    let names: Vec<&str> = told.head.headers.keys().map(HeaderName::as_str).collect();
+    expect_that!(names, elements_are![eq(&"seal")]);
+}
+
+/// Holds `keeps_idle`: the part for safety, and what cannot be read.
+#[gtest]
+fn the_time_that_a_server_states_is_kept_with_a_margin() {
+    let idle = |stated: &'static str| SystemWire.keeps_idle(&headers(&[("keep-alive", stated)]));
+    let seven = some(all![ge(Duration::from_millis(5_000)), le(Duration::from_millis(9_000))]);
+    expect_that!(idle("timeout=10"), seven);
+    expect_that!(idle("max=3, timeout=10"), eq(idle("timeout=10")));
+    expect_that!(idle("timeout=0"), some(eq(Duration::ZERO)));
+    for stated in ["", "timeout", "timeout=", "timeout=-1", "timeout=soon", "max=3"] {
+        expect_that!(idle(stated), none(), "{stated}");
+    }
+    expect_that!(SystemWire.keeps_idle(&headers(&[])), none());
+}
+
+/// Holds both headers in `address`.
+#[gtest]
+fn a_server_is_told_the_time_left_and_which_life_is_meant() {
+    let mut told = headers(&[("deadline", "9000"), ("want-instance", "i-client"), ("try-id", "a1")]);
+    let life = HeaderValue::from_static("i-1");
+    SystemWire.address(&mut told, Duration::from_micros(1_234_900), Some(&life));
+    let all = |told: &HeaderMap, name: &str| -> Vec<String> {
+        let texts = told.get_all(name).iter().filter_map(|value| value.to_str().ok());
+        texts.map(str::to_string).collect()
+    };
+    expect_that!(all(&told, "deadline"), elements_are![eq("1234")]);
+    expect_that!(all(&told, "want-instance"), elements_are![eq("i-1")]);
+    expect_that!(all(&told, "try-id"), elements_are![eq("a1")]);
+    // A client's wish is not passed on, also where no life is meant.
+    let mut told = headers(&[("want-instance", "i-client")]);
+    SystemWire.address(&mut told, Duration::ZERO, None);
+    expect_that!(all(&told, "want-instance"), is_empty());
+    expect_that!(all(&told, "deadline"), elements_are![eq("0")]);
+}
