Send a request on from a server that takes no connection without asking the budget

Cause: in `Helm::end` a further attempt needed room in the budget of second arrivals even where nothing of the request had gone out. A new life has no such room before ten requests, and none is left in trouble; so a request whose first server was dead was answered 503 though others were free. Line: `let again = sends < going.route.tries && self.budget.may(..)`, whose `sends` already left such attempts out.

Change: where nothing has gone out, what follows is the first arrival and is not asked of the budget; it is not booked there either, as before. Tests of servers beside: who takes no connection, drains, is in an evacuated zone, is cold.

Not held by a test alone: the line of a server that drains, as the way to it is shut as well.

--- a/crates/emberpin-pilot/src/helm.rs
+++ b/crates/emberpin-pilot/src/helm.rs
@@ -297,9 +297,10 @@
         };
         let Some(going) = self.requests.get(&request) else { return };
         let (now, name) = (self.now(), going.service.clone());
-        // What never went out was no try of a server's.
+        // What never went out was no try of a server's: what follows it is the first, and not the budget's.
         let sends = going.sends.saturating_sub(u32::from(!ended.sent));
-        let again = sends < going.route.tries && self.budget.may(now, &name, self.limiters);
+        let may = sends == 0 || self.budget.may(now, &name, self.limiters);
+        let again = sends < going.route.tries && may;
         let misdirected = ended.misdirected;
         if let Some(going) = self.requests.get_mut(&request) {
             going.sends = sends;
--- /dev/null
+++ b/crates/emberpin-pilot/tests/servers.rs
@@ -0,0 +1,240 @@
+//! Which servers get something, whatever happens to them; against the proxy's process.
+#![allow(missing_docs)]
+
+mod common;
+
+use common::{item, life, until, usual, Figures, Pilot, Server, FIGURES};
+use dillpass::Outcome;
+use emberpin::host::{Figures as Counters, Outgoing, Place, Pool, PoolLimits, Room, Upstream, Upstreamed};
+use emberpin_chart::Kind;
+use emberpin_pilot::wire::SystemWire;
+use emberpin_watch::life::{Life, Standing};
+use googletest::prelude::*;
+use hyper::header::HeaderMap;
+use std::future::{poll_fn, Future};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::oneshot;
+use tokio::time::{interval, timeout};
+
+/// The rules' own budget: a new life has none before ten requests.
+const BOUND: Figures = Figures { retry_ratio: 0.2, retry_extra: 60, ..FIGURES };
+
+/// An address that is taken, and at which nobody listens yet.
+fn closed() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).expect("bound");
+    let address = socket.local_addr().expect("bound");
+    (socket, address)
+}
+
+fn away(life: Life) -> Life {
+    Life { zone: "south".into(), ..life }
+}
+
+/// Asks until this server is asked.
+async fn is_asked_again(pilot: &Pilot, server: &mut Server) {
+    let mut number = 0;
+    let asking = async {
+        loop {
+            number += 1;
+            pilot.ask("GET", "/read/a", &format!("again-{number}")).await;
+        }
+    };
+    let asked = tokio::select! {
+        asked = server.next() => asked,
+        () = asking => return,
+    };
+    asked.answer(200, &[], "back").await;
+}
+
+/// Holds `unreachable` in `end`, `ask_on` and `heard`; and that what never went out needs nothing of the
+/// budget.
+#[tokio::test]
+async fn who_takes_no_connection_is_passed_over_until_it_does() -> googletest::Result<()> {
+    let (socket, address) = closed();
+    let other = Server::anywhere().await;
+    // The own zone comes first, so that the first request meets the closed one.
+    let lives = vec![life("i-closed", address), away(life("i-open", other.address))];
+    other.serve("open");
+    let (pilot, _session) = Pilot::ready(BOUND, usual(), lives).await;
+    for number in 0..10 {
+        let begun = Instant::now();
+        let answered = pilot.ask("POST", "/write/a", &format!("t{number}")).await;
+        verify_that!((answered.status, answered.text().as_str()), eq((200, "open")))?;
+        verify_that!(begun.elapsed(), lt(Duration::from_secs(3)))?;
+    }
+    let mut server = Server::on(socket.listen(16)?);
+    is_asked_again(&pilot, &mut server).await;
+    Ok(())
+}
+
+/// Holds `silent` in `works`: a request that came would wait for as long as a connection may take.
+#[tokio::test]
+async fn no_request_is_tried_at_who_takes_no_connection() -> googletest::Result<()> {
+    let (socket, address) = closed();
+    // One connection that nobody accepts fills the queue, and the system answers no other.
+    let _listener = socket.listen(0)?;
+    let _filler = TcpStream::connect(address).await?;
+    let (pilot, _session) = Pilot::ready(BOUND, usual(), vec![life("i-1", address)]).await;
+    let begun = Instant::now();
+    let first = pilot.ask("POST", "/write/a", "t0").await;
+    verify_that!(first.status, eq(503))?;
+    verify_that!(begun.elapsed(), ge(Duration::from_millis(150)))?;
+    let mut least = Duration::MAX;
+    for number in 1..=10 {
+        let begun = Instant::now();
+        let answered = pilot.ask("POST", "/write/a", &format!("t{number}")).await;
+        verify_that!(answered.status, eq(503))?;
+        verify_that!(answered.read.header("retry-after"), some(anything()))?;
+        least = least.min(begun.elapsed());
+    }
+    // Ten chances, as the machine may be busy; each that tried would take longer.
+    verify_that!(least, lt(Duration::from_millis(100)))
+}
+
+/// Holds `Standing::Drain` on its way to the module; the way to the server is shut, and its line says so too.
+#[tokio::test]
+async fn nothing_new_goes_to_who_drains() -> googletest::Result<()> {
+    let (mut leaving, other) = (Server::anywhere().await, Server::anywhere().await);
+    let lives = vec![life("i-1", leaving.address), away(life("i-2", other.address))];
+    other.serve("other");
+    let (pilot, mut session) = Pilot::ready(FIGURES, usual(), lives).await;
+    let answering = async { leaving.next().await.answer(200, &[], "here").await };
+    let (answered, ()) = tokio::join!(pilot.ask("GET", "/read/a", "t0"), answering);
+    verify_that!(answered.text(), eq("here"))?;
+    // One that it works on is not broken off.
+    let mut held = pilot.client().await;
+    held.send("POST", "/write/a", &[("try-id", "t1"), ("deadline", "8000")], b"").await;
+    let at_work = leaving.next().await;
+    let drains = Life { seq: 2, standing: Standing::Drain, ..life("i-1", leaving.address) };
+    session.change(vec![], vec![drains]).await;
+    at_work.answer(200, &[], "done").await;
+    verify_that!(held.answer().await.map(|answered| answered.text()), some(eq("done")))?;
+    // Both are idle, and it is the near one.
+    for number in 2..12 {
+        let answered = pilot.ask("GET", "/read/a", &format!("t{number}")).await;
+        verify_that!((answered.status, answered.text().as_str()), eq((200, "other")))?;
+    }
+    verify_that!(leaving.is_unasked(), eq(true))
+}
+
+/// Holds `evacuated` on its way from the item to the module, and back.
+#[tokio::test]
+async fn nothing_new_goes_to_an_evacuated_zone() -> googletest::Result<()> {
+    let (mut near, other) = (Server::anywhere().await, Server::anywhere().await);
+    let lives = vec![life("i-1", near.address), away(life("i-2", other.address))];
+    other.serve("other");
+    let (pilot, mut session) = Pilot::ready(FIGURES, usual(), lives).await;
+    session.change(vec![item(Kind::Evacuation, "north", 1, Some("{}".into()))], vec![]).await;
+    for number in 0..10 {
+        let answered = pilot.ask("GET", "/read/a", &format!("t{number}")).await;
+        verify_that!((answered.status, answered.text().as_str()), eq((200, "other")))?;
+    }
+    // Nor to one that comes up there meanwhile.
+    let mut late = Server::anywhere().await;
+    session.change(vec![], vec![life("i-3", late.address)]).await;
+    verify_that!(pilot.ask("GET", "/read/a", "t10").await.text(), eq("other"))?;
+    verify_that!(near.is_unasked() && late.is_unasked(), eq(true))?;
+    session.change(vec![item(Kind::Evacuation, "north", 2, None)], vec![]).await;
+    is_asked_again(&pilot, &mut near).await;
+    Ok(())
+}
+
+/// Holds the look at `is_open` between the connection's coming up and the first byte.
+#[tokio::test]
+async fn a_request_that_is_still_connecting_does_not_go_to_who_drains() -> googletest::Result<()> {
+    let mut server = Server::anywhere().await;
+    let limits = PoolLimits {
+        connect: common::SOON,
+        idle: common::SOON,
+        most_idle: 4,
+        sockets: 40,
+        unacknowledged: None,
+        hold: 1 << 20,
+    };
+    let counters = Counters::new(&["all".to_string()]).expect("figures");
+    let pool = Pool::new(limits, Rc::new(SystemWire), counters, Rc::new(Room::new(None)));
+    let upstream = Upstream::new(Place { address: server.address, boot_ms: 0.0 }, pool);
+    let outgoing = Outgoing {
+        method: "POST".parse()?,
+        uri: "/write/a".parse()?,
+        headers: HeaderMap::new(),
+        body: Upstreamed::Whole(bytes::Bytes::new()),
+        may_pass: true,
+        gate: None,
+    };
+    let (_cancel, cancelled) = oneshot::channel();
+    let mut attempt = pin!(upstream.clone().attempt(Rc::new(outgoing), common::SOON, cancelled));
+    // It has begun to connect, and nothing has had a turn since.
+    poll_fn(|context| {
+        assert!(attempt.as_mut().poll(context).is_pending());
+        std::task::Poll::Ready(())
+    })
+    .await;
+    upstream.shut();
+    let ended = timeout(common::SOON, attempt).await?;
+    verify_that!((ended.outcome, ended.sent), eq((Outcome::Moot, false)))?;
+    verify_that!(server.is_unasked(), eq(true))
+}
+
+/// A server of the service `s` that is cold for a minute.
+fn cold(address: SocketAddr) -> Life {
+    Life { cold_ms: 60_000, ..life("i-1", address) }
+}
+
+/// Holds `bears` in `works` and `look_at` behind each send: with the 20 that a cold server bears in a second
+/// and the 16 limiters that may be there, one of them sends one.
+#[tokio::test]
+async fn a_cold_server_gets_this_limiters_share() -> googletest::Result<()> {
+    let server = Server::anywhere().await;
+    let lives = vec![cold(server.address)];
+    let served = server.serve("cold");
+    let (pilot, _session) = Pilot::ready(FIGURES, usual(), lives).await;
+    let mut beat = interval(Duration::from_millis(10));
+    let mut refused = 0;
+    while served.lock().expect("one writer").len() < 3 {
+        beat.tick().await;
+        // Two at a time, as both might pass before either is counted.
+        let both = tokio::join!(pilot.ask("POST", "/write/a", "t1"), pilot.ask("GET", "/read/a", "t2"));
+        for answered in [both.0, both.1] {
+            verify_that!(answered.status, any![eq(200), eq(503)])?;
+            refused += u32::from(answered.status == 503);
+        }
+    }
+    verify_that!(refused, gt(10))?;
+    let served = served.lock().expect("one writer");
+    for two in served.windows(2) {
+        verify_that!(two[1].1 - two[0].1, ge(Duration::from_secs(1)))?;
+    }
+    Ok(())
+}
+
+/// Holds `limiters == 0` in `may`: nobody has said how many share the server.
+#[tokio::test]
+async fn a_cold_server_gets_nothing_while_nobody_counts_the_limiters() -> googletest::Result<()> {
+    let server = Server::anywhere().await;
+    let address = server.address;
+    let served = server.serve("cold");
+    let pilot = Pilot::start(FIGURES).await;
+    let mut session = pilot.session().await;
+    session.snapshot(usual(), vec![cold(address)]).await;
+    // Longer than a new life waits for the count to be steady.
+    let begun = Instant::now();
+    let mut beat = interval(Duration::from_millis(20));
+    while begun.elapsed() < Duration::from_millis(3_500) {
+        beat.tick().await;
+        verify_that!(pilot.ask("GET", "/read/a", "t0").await.status, eq(503))?;
+    }
+    verify_that!(served.lock().expect("one writer").len(), eq(0))?;
+    session.keep_settled(1);
+    until("the count and a request", || async {
+        pilot.ask("GET", "/read/a", "t1").await;
+        (!served.lock().expect("one writer").is_empty()).then_some(())
+    })
+    .await;
+    Ok(())
+}
