Try a server again after an evacuation that had given no sign of life before it

Cause: `Service::change` kept `silent` over an evacuation. Whoever asks a silent server on ends when the way to it is shut, and nobody asked again once the zone was back: it got nothing for the rest of its life. Line: `let silent = known.is_some_and(|known| known.silent) && !moved`.

Change: a server that may get nothing is not silent; after the evacuation's end it is tried as any other.

--- a/crates/emberpin-pilot/src/service.rs
+++ b/crates/emberpin-pilot/src/service.rs
@@ -164,7 +164,8 @@
         );
         let usable = change.work == Work::Usable;
         let moved = known.is_some_and(|known| known.change.address != change.address);
-        let silent = known.is_some_and(|known| known.silent) && !moved;
+        // Who asked it on has ended with the way to it: it is tried again once something may go there.
+        let silent = known.is_some_and(|known| known.silent) && usable && !moved;
         if !usable || moved {
             if let Some(upstream) = self.engine.upstreams.remove(&id) {
                 upstream.shut();
--- a/crates/emberpin-pilot/tests/servers.rs
+++ b/crates/emberpin-pilot/tests/servers.rs
@@ -96,6 +96,25 @@
     verify_that!(least, lt(Duration::from_millis(100)))
 }
 
+/// Holds `usable` beside `silent` in `change`: nobody asks a server on for which nothing is to be had.
+#[tokio::test]
+async fn who_took_no_connection_before_an_evacuation_is_tried_after_it() -> googletest::Result<()> {
+    let (socket, address) = closed();
+    let other = Server::anywhere().await;
+    let lives = vec![life("i-closed", address), away(life("i-open", other.address))];
+    other.serve("open");
+    let (pilot, mut session) = Pilot::ready(FIGURES, usual(), lives).await;
+    verify_that!(pilot.ask("GET", "/read/a", "t0").await.text(), eq("open"))?;
+    session.change(vec![item(Kind::Evacuation, "north", 1, Some("{}".into()))], vec![]).await;
+    // Long enough for who asks on to find that nothing may go there.
+    let begun = Instant::now();
+    until("time to pass", || async { (begun.elapsed() > Duration::from_millis(1_200)).then_some(()) }).await;
+    session.change(vec![item(Kind::Evacuation, "north", 2, None)], vec![]).await;
+    let mut server = Server::on(socket.listen(16)?);
+    is_asked_again(&pilot, &mut server).await;
+    Ok(())
+}
+
 /// Holds `Standing::Drain` on its way to the module; the way to the server is shut, and its line says so too.
 #[tokio::test]
 async fn nothing_new_goes_to_who_drains() -> googletest::Result<()> {
