Give a long body's request the client's time, and never break it off early

Cause: since attempts outlast the module's patience, a request whose body is passed on while it comes (over 64 KiB) had the whole 900 s of an upload: its server was told `Deadline: 899999`, and a silent one was waited for that long. And where patience ended, such an attempt was broken off although what has passed on cannot go to another server. Lines: in `Engine::send`, `whole`, from `expires`, as the attempt's time; `give_up`, which did not ask whether the body is held.

Change: its time is the request's patience, counted from its last byte; `give_up` leaves it alone. Nothing changes for hosts that are not patient.

--- a/crates/emberpin-pilot/tests/attempts.rs
+++ b/crates/emberpin-pilot/tests/attempts.rs
@@ -257,3 +257,22 @@
     silent.answer(200, &[], "late").await;
     verify_that!(client.answer().await.map(|answered| answered.status), some(eq(200)))
 }
+
+/// Holds `is_held` beside patience: what has passed on a long body cannot be repeated, and nothing could
+/// follow.
+#[tokio::test]
+async fn a_silent_server_is_waited_for_where_the_body_has_passed() -> googletest::Result<()> {
+    let (mut one, mut other, lives) = two().await;
+    let route = RouteTo { aim_ms: SHORT_AIM_MS, ..READ };
+    let (pilot, _session) = Pilot::ready(FIGURES, vec![service("s", 1, 10.0), route.item()], lives).await;
+    let mut client = pilot.client().await;
+    client.send("POST", "/read/a", &[("try-id", "t1"), ("deadline", "4000")], &[b'x'; 200_000]).await;
+    let (silent, rest, _) = either(&mut one, &mut other).await;
+    verify_that!(silent.read.body.len(), eq(200_000))?;
+    let mut byte = [0];
+    let kept = tokio::time::timeout(Duration::from_millis(1_500), silent.stream.peek(&mut byte)).await;
+    verify_that!(kept.is_err(), eq(true))?;
+    verify_that!(rest.is_unasked(), eq(true))?;
+    silent.answer(200, &[], "late").await;
+    verify_that!(client.answer().await.map(|answered| answered.status), some(eq(200)))
+}
--- a/crates/emberpin/src/upstream/engine.rs
+++ b/crates/emberpin/src/upstream/engine.rs
@@ -1,7 +1,7 @@
 //! Hosts one decision module: feeds it what happened and carries out what it says about requests and attempts. Keeps its
 //! timers and the table of requests. No decision is taken here.
 
-use crate::messages::{Answer, Call, Ended, Input, Outgoing, Reply};
+use crate::messages::{Answer, Call, Ended, Input, Outgoing, Reply, Upstreamed};
 use crate::operate::clock::Clock;
 use crate::upstream::servers::Upstream;
 use dillpass::*;
@@ -17,6 +17,8 @@
 struct Held {
     outgoing: Rc<Outgoing>,
     expires: Instant,
+    /// How long it may take once its body has ended.
+    patience: Duration,
     answer: Option<oneshot::Sender<Reply>>,
     attempts: u32,
     /// The attempt that is out.
@@ -98,6 +100,7 @@
         let held = Held {
             outgoing: call.outgoing,
             expires: call.expires,
+            patience: call.patience,
             answer: Some(call.answer),
             attempts: 0,
             out: None,
@@ -156,9 +159,11 @@
         self.release(request);
     }
 
-    /// Ends an attempt that is out as one that has had its time; its end comes as any other.
+    /// Ends an attempt that is out as one that has had its time; its end comes as any other. Not one whose body
+    /// has passed on, as no other could follow it.
     pub fn give_up(&mut self, request: RequestId, attempt: u32) {
         let held = self.requests.get_mut(&request).filter(|held| held.attempts == attempt + 1);
+        let held = held.filter(|held| held.outgoing.is_held());
         let cancel = held.and_then(|held| held.out.as_mut()).and_then(|out| out.cancel.take());
         if let Some(cancel) = cancel {
             _ = cancel.send(Outcome::Timeout);
@@ -252,6 +257,11 @@
         let timeout = match self.patient {
             false => timeout.min(whole),
             true => {
+                let whole = match &outgoing.body {
+                    Upstreamed::Whole(_) => whole,
+                    // Its time begins with its last byte, and is no longer than any other's.
+                    Upstreamed::Coming(_) => held.patience,
+                };
                 if timeout < whole {
                     let inputs = inputs.clone();
                     spawn_local(async move {
