Test what hosts ask of and tell the module beside events

Cause: `add_class`, `bear`, `away` and `would_repeat` came with the proxy, and had no test of their own.

Change: 13 tests of them through the interface, with a hand-set clock.

--- /dev/null
+++ b/crates/dillpass/tests/asked.rs
@@ -0,0 +1,281 @@
+//! What hosts ask and tell beside events: classes that come later, what servers bear, whether another attempt
+//! would follow, and servers that are away.
+#![allow(missing_docs)]
+
+mod common;
+use common::*;
+use dillpass::*;
+
+const SAFE: usize = 0;
+const UNSAFE: usize = 1;
+const KEYED: usize = 2;
+
+/// As the proxy has it: one gateway alone, in zone 0, and no quota.
+fn alone() -> Settings {
+    let mut settings = Settings { group_size: 1, ..settings() };
+    settings.plans[0] = Plan { rate: 0.0, burst: 0.0, ..settings.plans[0] };
+    settings
+}
+
+fn timeout(actions: &[Action]) -> Option<Millis> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { timeout, .. } => Some(*timeout),
+        _ => None,
+    })
+}
+
+// ---- Classes ----
+
+/// Holds the push to `settings.classes`: whoever names what is not there is refused.
+#[test]
+fn a_class_is_known_from_its_adding_on() {
+    let mut bench = Bench::fresh(Settings { classes: vec![], ..alone() }, 2);
+    let (_, actions) = bench.arrive(0, 0, 1);
+    assert!(refused(&actions), "{actions:?}");
+    let added = [class(Effect::Safe), class(Effect::Unsafe)].map(|class| bench.gateway.add_class(class));
+    assert_eq!(added, [ClassId(0), ClassId(1)]);
+    for class in added {
+        let (_, actions) = bench.arrive(class.0, 0, 1);
+        assert!(sent(&actions).is_some(), "{actions:?}");
+    }
+    assert!(refused(&bench.arrive(2, 0, 1).1));
+}
+
+/// Holds the first figures of `latency`: a quarter of the aim and a tenth of it beside, as for classes of the
+/// start.
+#[test]
+fn an_added_class_has_the_patience_of_one_of_the_start() {
+    let added = |aim: Millis, effect: Effect| {
+        let mut bench = Bench::fresh(Settings { classes: vec![], ..alone() }, 2);
+        let class = bench.gateway.add_class(Class { aim, ..class(effect) });
+        timeout(&bench.arrive(class.0, 0, 1).1)
+    };
+    let known = |aim: Millis, effect: Effect| {
+        let classes = vec![Class { aim, ..class(effect) }];
+        timeout(&Bench::fresh(Settings { classes, ..alone() }, 2).arrive(0, 0, 1).1)
+    };
+    assert_eq!(added(400.0, Effect::Safe), Some(340.0));
+    assert_eq!(added(400.0, Effect::Safe), known(400.0, Effect::Safe));
+    assert_eq!(added(800.0, Effect::Safe), known(800.0, Effect::Safe));
+    // What may not run twice has all of its time.
+    assert_eq!(added(400.0, Effect::Unsafe), Some(2_000.0));
+    assert_eq!(added(400.0, Effect::Unsafe), known(400.0, Effect::Unsafe));
+}
+
+/// Holds the aim that `add_class` lowers: without it the onset of a gateway that began with no class is
+/// endless.
+#[test]
+fn an_added_class_counts_for_the_onset() {
+    let mut bench = Bench::fresh(Settings { classes: vec![], ..alone() }, 2);
+    bench.gateway.add_class(class(Effect::Safe));
+    bench.serve_for(20.0, 3_000.0);
+    assert!(is_congested_with(&mut bench, 40));
+}
+
+// ---- What servers bear ----
+
+/// Brings so many attempts out, and tells whether that is too many. Chance leaves it at under one in 10 000.
+fn is_congested_with(bench: &mut Bench, out: usize) -> bool {
+    let held: Vec<_> = (0..=out).map(|k| bench.arrive(SAFE, 0, 100 + k as u64)).collect();
+    let (first, actions) = &held[0];
+    bench.ends(*first, 0, sent(actions).expect("is sent"), Outcome::Ok);
+    let mut turned_away = false;
+    for k in 0..50 {
+        let (request, actions) = bench.arrive(SAFE, 0, 50_000 + k);
+        match sent(&actions) {
+            Some(_) => drop(bench.handle(Event::Abandoned { request })),
+            None => turned_away = true,
+        }
+    }
+    turned_away
+}
+
+/// A gateway whose throughput is known and small: what it was seen to carry stands for less than the least
+/// onset.
+fn quiet() -> Bench {
+    let mut bench = Bench::fresh(alone(), 12);
+    bench.serve_for(20.0, 3_000.0);
+    bench
+}
+
+/// Holds the guess where nobody says more: two for each of twelve servers.
+#[test]
+fn the_least_onset_is_guessed_by_the_number_of_servers() {
+    assert!(!is_congested_with(&mut quiet(), 24));
+    assert!(is_congested_with(&mut quiet(), 25));
+}
+
+/// Holds `borne` in the onset, both ways.
+#[test]
+fn what_servers_say_that_they_bear_stands_in_place_of_the_guess() {
+    let borne = |out: f64| {
+        let mut bench = quiet();
+        bench.gateway.bear(out);
+        bench
+    };
+    assert!(!is_congested_with(&mut borne(40.0), 40), "more than the guess");
+    assert!(is_congested_with(&mut borne(40.0), 41));
+    assert!(!is_congested_with(&mut borne(6.0), 6), "less than the guess");
+    assert!(is_congested_with(&mut borne(6.0), 7));
+    // What was seen to be carried still stands over it: 100 a second of half a second's aim, and a third of
+    // that.
+    let mut bench = Bench::fresh(alone(), 12);
+    bench.serve_for(100.0, 5_000.0);
+    bench.gateway.bear(3.0);
+    assert!(!is_congested_with(&mut bench, 12));
+    // Nothing said is the guess again.
+    assert!(!is_congested_with(&mut borne(0.0), 24));
+    assert!(is_congested_with(&mut borne(0.0), 25));
+}
+
+// ---- Servers that are away ----
+
+/// Server 0 is in this gateway's zone, server 1 is not.
+fn near_and_far(away: f64) -> Bench {
+    Bench::fresh(Settings { away, ..alone() }, 2)
+}
+
+fn chosen(bench: &mut Bench) -> (RequestId, u32) {
+    let (id, actions) = bench.arrive(SAFE, 0, 1);
+    (id, sent(&actions).expect("is sent").0)
+}
+
+/// Holds `settings.away` in `cost`.
+#[test]
+fn the_own_zone_comes_first_until_it_is_as_many_times_slower() {
+    let mut bench = near_and_far(2.5);
+    let to: Vec<u32> = (0..3).map(|_| chosen(&mut bench).1).collect();
+    // The third would be the third there, and wait for three usual answers; away it is the first, for two and
+    // a half.
+    assert_eq!(to, [0, 0, 1]);
+    let mut bench = near_and_far(2.0);
+    for _ in 0..50 {
+        let (id, to) = chosen(&mut bench);
+        assert_eq!(to, 0);
+        bench.ends(id, 0, ServerId(to), Outcome::Ok);
+    }
+}
+
+/// Where the next request goes, with nothing out, after answers of the near server took so many times as
+/// long.
+fn next_where_near_takes(near: f64) -> u32 {
+    let mut bench = near_and_far(2.0);
+    for _ in 0..40 {
+        let held: Vec<_> = (0..6).map(|_| chosen(&mut bench)).collect();
+        assert!(held.iter().any(|(_, to)| *to == 0) && held.iter().any(|(_, to)| *to == 1));
+        for (request, to) in held {
+            bench.now += 1.0;
+            let elapsed = if to == 0 { 20.0 * near } else { 20.0 };
+            bench.handle(Event::Attempt(Attempt {
+                request,
+                attempt: 0,
+                server: ServerId(to),
+                outcome: Outcome::Ok,
+                elapsed,
+                ended: true,
+                repeatable: true,
+                report: Report::default(),
+                units: None,
+                metered: None,
+            }));
+        }
+    }
+    chosen(&mut bench).1
+}
+
+/// Holds `server.ratio` beside `away`: bytes between zones cost, and slowness costs more.
+#[test]
+fn another_zone_comes_first_where_the_own_one_is_far_slower() {
+    assert_eq!(next_where_near_takes(1.0), 0);
+    assert_eq!(next_where_near_takes(1.5), 0);
+    assert_eq!(next_where_near_takes(4.0), 1);
+}
+
+/// Holds the 1.0 of the platform's limiter: zones make no difference there.
+#[test]
+fn zones_are_alike_where_nothing_is_away() {
+    let mut bench = near_and_far(1.0);
+    let mut to: Vec<u32> = (0..2).map(|_| chosen(&mut bench).1).collect();
+    to.sort_unstable();
+    assert_eq!(to, [0, 1]);
+    let mut bench = near_and_far(1.0);
+    let mut counts = [0; 2];
+    for _ in 0..50 {
+        let (id, to) = chosen(&mut bench);
+        counts[to as usize] += 1;
+        bench.ends(id, 0, ServerId(to), Outcome::Ok);
+    }
+    assert!(counts.iter().all(|count| *count >= 10), "{counts:?}");
+}
+
+// ---- Whether another attempt would follow ----
+
+fn would(bench: &Bench, request: RequestId) -> bool {
+    bench.gateway.would_repeat(bench.now, request)
+}
+
+#[test]
+fn only_a_safe_request_would_be_repeated() {
+    let mut bench = Bench::fresh(alone(), 2);
+    assert!(!would(&bench, RequestId(99)), "one that is not known");
+    for (class, expected) in [(SAFE, true), (UNSAFE, false), (KEYED, false)] {
+        let (request, actions) = bench.arrive(class, 0, 1);
+        assert!(sent(&actions).is_some());
+        assert_eq!(would(&bench, request), expected, "class {class}");
+    }
+}
+
+/// Holds `time`: one usual answer of 125 ms must fit.
+#[test]
+fn none_would_follow_that_could_not_end_in_time() {
+    let mut bench = Bench::fresh(alone(), 2);
+    let (request, _) = bench.arrive_for(SAFE, 0, 1, 1.0, 1, 1_000.0);
+    bench.now += 875.0;
+    assert!(would(&bench, request));
+    bench.now += 1.0;
+    assert!(!would(&bench, request));
+}
+
+/// Holds `others`, in each way in which a server is none.
+#[test]
+fn none_would_follow_without_another_server() {
+    let mut bench = Bench::fresh(alone(), 1);
+    let (request, _) = bench.arrive(SAFE, 0, 1);
+    assert!(!would(&bench, request));
+    bench.list(Membership::Changes(vec![server(1)]));
+    assert!(would(&bench, request));
+    bench.list(Membership::Changes(vec![Server { condition: Condition::Draining, ..server(1) }]));
+    assert!(!would(&bench, request));
+    bench.list(Membership::Changes(vec![server(1)]));
+    bench.handle(Event::Maintenance { server: ServerId(1), out: true });
+    assert!(!would(&bench, request));
+}
+
+/// Holds `load.level`.
+#[test]
+fn none_would_follow_while_congested() {
+    let mut bench = quiet();
+    let (request, _) = bench.arrive(SAFE, 0, 1);
+    assert!(would(&bench, request));
+    assert!(is_congested_with(&mut bench, 40));
+    assert!(!would(&bench, request));
+}
+
+/// Holds `retries`, and that what would not follow does not.
+#[test]
+fn none_would_follow_beyond_the_budget() {
+    let mut bench = Bench::fresh(alone(), 12);
+    let mut repeats = 0;
+    loop {
+        let (request, actions) = bench.arrive(SAFE, 0, 1);
+        let to = sent(&actions).expect("is sent");
+        let expected = would(&bench, request);
+        let again = sent(&bench.ends(request, 0, to, Outcome::Error));
+        assert_eq!(again.is_some(), expected, "after {repeats}");
+        let Some(again) = again else { break };
+        bench.ends(request, 1, again, Outcome::Ok);
+        repeats += 1;
+        assert!(repeats < 100, "there is no end to it");
+    }
+    assert!(repeats >= 10, "{repeats}");
+}
