--- a/crates/emberpin-lookout/src/calls.rs
+++ b/crates/emberpin-lookout/src/calls.rs
@@ -39,8 +39,11 @@
 const SILENT: Duration = Duration::from_secs(2);
 /// So many KiB of changes are read or passed on at once. Small ones never wait for one another.
 const ROOM: usize = 20 << 10;
-/// Connections beyond these are closed at once.
-const CONNECTIONS: usize = 2_048;
+/// Connections beyond these are closed at once; beyond the second figure each ends with its answer, so that there is
+/// always a place for the operator when the servers of a lost registry come here. Both leave room under 4,096
+/// descriptors for sessions and files.
+const CONNECTIONS: usize = 3_200;
+const CROWDED: usize = 2_400;
 
 /// What calls need.
 pub struct Calls {
@@ -91,7 +94,14 @@
             let calls = self.clone();
             tokio::spawn(async move {
                 _ = stream.set_nodelay(true);
-                let service = service_fn(|request| calls.answer(request));
+                let service = service_fn(|request| async {
+                    let mut answered = calls.answer(request).await;
+                    if let (Ok(answer), true) = (&mut answered, calls.open.load(Ordering::Relaxed) > CROWDED)
+                    {
+                        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                    }
+                    answered
+                });
                 let served = hyper::server::conn::http1::Builder::new()
                     .timer(TokioTimer::new())
                     .header_read_timeout(COMES)
--- a/crates/emberpin-lookout/src/links.rs
+++ b/crates/emberpin-lookout/src/links.rs
@@ -25,7 +25,7 @@
 /// there is.
 const BEHIND: usize = 128;
 /// No more connections than these come in here.
-const CONNECTIONS: u64 = 512;
+const CONNECTIONS: u64 = 640;
 
 /// Connections that ended as somebody said what cannot be read.
 pub static UNREADABLE: AtomicU64 = AtomicU64::new(0);
--- a/crates/emberpin-pilot/src/helm.rs
+++ b/crates/emberpin-pilot/src/helm.rs
@@ -122,6 +122,7 @@
     /// Lives that were cold when last looked at.
     cold: BTreeSet<String>,
     zones: Vec<String>,
+    evacuated: BTreeSet<String>,
     /// Sessions that have told all that there is.
     told: BTreeSet<usize>,
     random: oorandom::Rand64,
@@ -157,6 +158,7 @@
             requests: BTreeMap::new(),
             cold: BTreeSet::new(),
             zones,
+            evacuated: BTreeSet::new(),
             told: BTreeSet::new(),
             random: oorandom::Rand64::new(u128::from(drawn())),
             view: Rc::new(View {
@@ -256,9 +258,10 @@
             _ = ask.answer.send(if unknown { refuse(NO_ROUTES) } else { own(StatusCode::NOT_FOUND) });
             return;
         };
-        let fleet = &self.fairway.fleet;
+        let services = &self.services;
+        let usable = |service: &str| services.get(service).is_some_and(Service::is_usable);
         let draw = self.random.rand_float();
-        let target = split::target(&route.targets, draw, |service| fleet.usable(service));
+        let target = split::target(&route.targets, draw, usable);
         let Some(name) = target.map(str::to_string) else {
             _ = ask.answer.send(refuse(NO_SERVER));
             return;
@@ -304,9 +307,10 @@
         };
         let Some(going) = self.requests.get(&request) else { return };
         let (now, name) = (self.now(), going.service.clone());
-        // What never went out was no try of a server's.
+        // What never went out was no try of a server's: what follows it is the first, and not the budget's.
         let sends = going.sends.saturating_sub(u32::from(!ended.sent));
-        let again = sends < going.route.tries && self.budget.may(now, &name, self.limiters);
+        let may = sends == 0 || self.budget.may(now, &name, self.limiters);
+        let again = sends < going.route.tries && may;
         let misdirected = ended.misdirected;
         if let Some(going) = self.requests.get_mut(&request) {
             going.sends = sends;
@@ -470,8 +474,13 @@
             }
         }
         self.fairway.fleet.warmth(warmth);
+        let returned = self.evacuated.iter().any(|zone| !evacuated.contains(zone));
+        self.evacuated.clone_from(&evacuated);
         self.fairway.fleet.evacuated(self.now(), evacuated);
         self.apply_changes();
+        if !returned {
+            return;
+        }
         let now = self.now();
         // A zone that has come back is cold.
         let lives: Vec<String> = self.fairway.fleet.lives(now).into_iter().map(|life| life.id).collect();
@@ -493,7 +502,7 @@
             let zone = self.zone(&change.zone);
             let name = change.service.clone();
             if !self.services.contains_key(&name) {
-                let mut service = Service::new(self.pool.clone(), self.inputs.clone(), drawn());
+                let mut service = Service::new(self.pool.clone(), self.inputs.clone(), drawn(), self.begun);
                 service.shared_by(self.limiters);
                 self.services.insert(name.clone(), service);
             }
--- a/crates/emberpin-pilot/src/service.rs
+++ b/crates/emberpin-pilot/src/service.rs
@@ -9,7 +9,9 @@
 use hyper::header::HeaderValue;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// The module may choose so often for one request; how often one goes out is its route's.
 const TRIES: u32 = 8;
@@ -21,6 +23,8 @@
 /// fewer, chance alone would pass it.
 const SLOTS_OUT: f64 = 2.0;
 const LEAST_PART: f64 = 3.0;
+/// Where modules' timers fall.
+const TICKS: Duration = Duration::from_millis(100);
 /// Most classes of one service: beyond, requests share the figures of another one of the same effect.
 const CLASSES: usize = 256;
 
@@ -77,11 +81,13 @@
     names: BTreeMap<ServerId, String>,
     next: u32,
     limiters: u32,
+    /// Lives that may get work, as far as is told.
+    usable: usize,
 }
 
 impl Service {
     /// Of which nothing is known yet; ends of its attempts come as inputs.
-    pub fn new(pool: Rc<Pool>, inputs: mpsc::Sender<Input>, seed: u64) -> Service {
+    pub fn new(pool: Rc<Pool>, inputs: mpsc::Sender<Input>, seed: u64, begun: Instant) -> Service {
         let clock = Clock::start();
         let settings = Settings {
             me: GatewayId(0),
@@ -119,8 +125,19 @@
         let mut engine = Engine::new(gateway, clock, inputs);
         engine.refusals_promise = true;
         engine.patient = true;
+        // All services' modules tick together: else each wakes the process for itself.
+        engine.grid = Some((begun, TICKS));
         let lives = BTreeMap::new();
-        Service { engine, pool, classes: HashMap::new(), lives, names: BTreeMap::new(), next: 0, limiters: 1 }
+        Service {
+            engine,
+            pool,
+            classes: HashMap::new(),
+            lives,
+            names: BTreeMap::new(),
+            next: 0,
+            limiters: 1,
+            usable: 0,
+        }
     }
 
     /// The class of requests on this route.
@@ -168,7 +185,8 @@
         );
         let usable = change.work == Work::Usable;
         let moved = known.is_some_and(|known| known.change.address != change.address);
-        let silent = known.is_some_and(|known| known.silent) && !moved;
+        // Who asked it on has ended with the way to it: it is tried again once something may go there.
+        let silent = known.is_some_and(|known| known.silent) && usable && !moved;
         if !usable || moved {
             if let Some(upstream) = self.engine.upstreams.remove(&id) {
                 upstream.shut();
@@ -182,6 +200,8 @@
                 self.engine.upstreams.insert(id, upstream);
             }
         }
+        let was = self.lives.get(&change.id).is_some_and(|known| known.change.work == Work::Usable);
+        self.usable = self.usable + usize::from(usable) - usize::from(was);
         let name = change.id.clone();
         let known = Known { change, id, zone, bears, silent };
         let line = known.line();
@@ -220,6 +240,11 @@
         self.tell(line);
     }
 
+    /// Whether some server of it may get work, as far as is told.
+    pub fn is_usable(&self) -> bool {
+        self.usable > 0
+    }
+
     /// So many limiters share the servers.
     pub fn shared_by(&mut self, limiters: u32) {
         self.limiters = limiters.max(1);
--- a/crates/emberpin/src/upstream/engine.rs
+++ b/crates/emberpin/src/upstream/engine.rs
@@ -1,7 +1,7 @@
 //! Hosts one decision module: feeds it what happened and carries out what it says about requests and attempts. Keeps its
 //! timers and the table of requests. No decision is taken here.
 
-use crate::messages::{Answer, Call, Ended, Input, Outgoing, Reply};
+use crate::messages::{Answer, Call, Ended, Input, Outgoing, Reply, Upstreamed};
 use crate::operate::clock::Clock;
 use crate::upstream::servers::Upstream;
 use dillpass::*;
@@ -17,6 +17,8 @@
 struct Held {
     outgoing: Rc<Outgoing>,
     expires: Instant,
+    /// How long it may take once its body has ended.
+    patience: Duration,
     answer: Option<oneshot::Sender<Reply>>,
     attempts: u32,
     /// The attempt that is out.
@@ -47,6 +49,8 @@
     /// Attempts go on when the time that the module gives them is over, until the owner ends them: it is told by
     /// [`Input::Overdue`].
     pub patient: bool,
+    /// Timers fire on a grid of so wide steps from this moment on, where engines are to wake together.
+    pub grid: Option<(Instant, Duration)>,
     /// A refusal promises that nothing has run: what may have run fails instead.
     pub refusals_promise: bool,
     requests: BTreeMap<RequestId, Held>,
@@ -66,6 +70,7 @@
             beyond: Vec::new(),
             sent: Vec::new(),
             patient: false,
+            grid: None,
             refusals_promise: false,
             requests: BTreeMap::new(),
             timers: BinaryHeap::new(),
@@ -98,6 +103,7 @@
         let held = Held {
             outgoing: call.outgoing,
             expires: call.expires,
+            patience: call.patience,
             answer: Some(call.answer),
             attempts: 0,
             out: None,
@@ -159,12 +165,15 @@
     /// Whether this attempt is out and may be ended.
     pub fn is_out(&self, request: RequestId, attempt: u32) -> bool {
         let held = self.requests.get(&request).filter(|held| held.attempts == attempt + 1);
+        let held = held.filter(|held| held.outgoing.is_held());
         held.and_then(|held| held.out.as_ref()).is_some_and(|out| out.cancel.is_some())
     }
 
-    /// Ends an attempt that is out as one that has had its time; its end comes as any other.
+    /// Ends an attempt that is out as one that has had its time; its end comes as any other. Not one whose body
+    /// has passed on, as no other could follow it.
     pub fn give_up(&mut self, request: RequestId, attempt: u32) {
         let held = self.requests.get_mut(&request).filter(|held| held.attempts == attempt + 1);
+        let held = held.filter(|held| held.outgoing.is_held());
         let cancel = held.and_then(|held| held.out.as_mut()).and_then(|out| out.cancel.take());
         if let Some(cancel) = cancel {
             _ = cancel.send(Outcome::Timeout);
@@ -216,7 +225,8 @@
             }
             Action::Schedule { delay, token } => {
                 let delay = Duration::try_from_secs_f64(delay / 1000.0).unwrap_or_default();
-                self.timers.push(Reverse((Instant::now() + delay, token)));
+                let due = Instant::now() + delay;
+                self.timers.push(Reverse((self.grid.map_or(due, |grid| on_grid(due, grid)), token)));
             }
             // No deployment has the counter service.
             Action::Count { name, .. } => self.pending.push_back(Event::Counted { name, total: None }),
@@ -258,6 +268,11 @@
         let timeout = match self.patient {
             false => timeout.min(whole),
             true => {
+                let whole = match &outgoing.body {
+                    Upstreamed::Whole(_) => whole,
+                    // Its time begins with its last byte, and is no longer than any other's.
+                    Upstreamed::Coming(_) => held.patience,
+                };
                 if timeout < whole {
                     let inputs = inputs.clone();
                     spawn_local(async move {
@@ -304,3 +319,12 @@
 fn left(expires: Instant) -> Duration {
     expires.saturating_duration_since(Instant::now())
 }
+
+/// The next step of a grid that is not before this time.
+fn on_grid(due: Instant, (from, step): (Instant, Duration)) -> Instant {
+    let over = due.saturating_duration_since(from).as_nanos() % step.as_nanos().max(1);
+    match over {
+        0 => due,
+        over => due + step.saturating_sub(Duration::from_nanos(over as u64)),
+    }
+}
