--- a/crates/emberpin-pilot/tests/servers.rs
+++ b/crates/emberpin-pilot/tests/servers.rs
@@ -184,6 +184,7 @@
         headers: HeaderMap::new(),
         body: Upstreamed::Whole(bytes::Bytes::new()),
         may_pass: true,
+        freshness: None,
         gate: None,
     };
     let (_cancel, cancelled) = oneshot::channel();
