Count a session as told all only where it goes on from a place of its registry

Changes counted towards readiness in any session, while a test asked that none count. A session that goes on from a place up to which the same registry had told everything does know all with its first changes (that is readiness.rs, a proxy that stayed at 503 for good); one that began from nothing does not. Change: the helm is told how a session begins.

--- a/crates/emberpin-pilot/src/helm.rs
+++ b/crates/emberpin-pilot/src/helm.rs
@@ -94,6 +94,8 @@
     Gone(RequestId),
     /// A registry has told something, in this session.
     News { session: usize, message: ToLimiter },
+    /// A session begins; `resumed`: with a place of an earlier one with the same registry.
+    Begun { session: usize, resumed: bool },
     /// A session has ended.
     Lost { session: usize },
     /// A server that was silent takes connections again.
@@ -125,6 +127,8 @@
     evacuated: BTreeSet<String>,
     /// Sessions that have told all that there is.
     told: BTreeSet<usize>,
+    /// Sessions that have gone on from a place and told nothing yet.
+    resumed: BTreeSet<usize>,
     random: oorandom::Rand64,
     view: Rc<View>,
     reception: Rc<Reception>,
@@ -160,6 +164,7 @@
             zones,
             evacuated: BTreeSet::new(),
             told: BTreeSet::new(),
+            resumed: BTreeSet::new(),
             random: oorandom::Rand64::new(u128::from(drawn())),
             view: Rc::new(View {
                 ready: Cell::new(false),
@@ -236,7 +241,17 @@
                 self.forget(request);
             }
             Command::News { session, message } => self.hear(session, message),
-            Command::Lost { session } => _ = self.told.remove(&session),
+            Command::Begun { session, resumed } => {
+                self.told.remove(&session);
+                self.resumed.remove(&session);
+                if resumed {
+                    self.resumed.insert(session);
+                }
+            }
+            Command::Lost { session } => {
+                self.told.remove(&session);
+                self.resumed.remove(&session);
+            }
             Command::Heard { service: name, server } => {
                 if let Some(service) = self.services.get_mut(&name) {
                     service.heard(server);
@@ -405,8 +420,10 @@
             }
             ToLimiter::Changes { items, lives, .. } => {
                 self.learn(items, &lives);
-                // Also where they begin a session: they go on from a place up to which this registry has told all.
-                self.told.insert(session);
+                // Where a session goes on from a place up to which this registry had told everything, it knows all now.
+                if self.resumed.remove(&session) {
+                    self.told.insert(session);
+                }
             }
             ToLimiter::Pulse { settled, limiters, .. } => {
                 if !settled {
--- a/crates/emberpin-pilot/src/sessions.rs
+++ b/crates/emberpin-pilot/src/sessions.rs
@@ -143,6 +143,10 @@
         }
         let Ok(lives) = known.await else { return "the helm ended".into() };
         let from = self.places.borrow().get(&registry).copied();
+        let begun = Command::Begun { session: number, resumed: from.is_some() };
+        if self.commands.send(begun).await.is_err() {
+            return "the helm ended".into();
+        }
         let hello = FromLimiter::Hello { life: self.life, name, zone, from, lives };
         let (mut reads, mut writes) = stream.into_split();
         let at = Rc::new(Cell::new(from));
