--- a/crates/emberpin/src/upstream/servers.rs
+++ b/crates/emberpin/src/upstream/servers.rs
@@ -438,7 +438,8 @@
             // Guards against machines without power and behind cuts, which answer nothing, not even a close.
             let socket = SockRef::from(&stream);
             _ = socket.set_tcp_user_timeout(Some(longest));
-            let probes = TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER);
+            let probes =
+                TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER).with_retries(2);
             _ = socket.set_tcp_keepalive(&probes);
         }
         let stream = Rc::new(RefCell::new(stream));
