--- a/crates/emberpin-keeper/src/host.rs
+++ b/crates/emberpin-keeper/src/host.rs
@@ -23,6 +23,11 @@
 const STANDING: u64 = 450;
 /// How often links that nobody uses are ended.
 const PRUNE: u64 = 10_000;
+/// Of a hundred parts of the disk, so many may be taken before changes are refused: what others have chosen
+/// and what is tidied still needs room.
+const FULL: u64 = 80;
+/// How long a store that is told to end waits to be off the roster.
+const LEAVE: u64 = 700;
 /// The shortest sleep: timers are in milliseconds.
 const NAP: u64 = 2;
 
@@ -110,6 +115,8 @@
         standing: (false, Vec::new()),
         standing_at: 0,
         prune_at: PRUNE,
+        ends_at: None,
+        full: false,
     };
     host.act(actions)?;
     let (inputs, mut waiting) = mpsc::channel(WAITING);
@@ -117,7 +124,16 @@
     loop {
         tokio::select! {
             biased;
-            _ = term.recv() => break,
+            _ = term.recv() => {
+                // Told twice, it ends at once.
+                if host.ends_at.is_some() {
+                    break;
+                }
+                host.ends_at = Some(host.now() + LEAVE);
+                let mut actions = Vec::new();
+                host.custodian.handle(host.now(), Event::Leave, &mut actions);
+                host.act(actions)?;
+            }
             _ = int.recv() => break,
             _ = hup.recv() => {}
             input = waiting.recv() => {
@@ -136,6 +152,9 @@
                 host.act(actions)?;
             }
         }
+        if host.ends_at.is_some_and(|at| host.custodian.left() || host.now() >= at) {
+            break;
+        }
         host.stand();
     }
     Ok(host.disk.sync()?)
@@ -154,6 +173,10 @@
     standing: (bool, Vec<Ipv4Addr>),
     standing_at: u64,
     prune_at: u64,
+    /// When it ends, once it is told to.
+    ends_at: Option<u64>,
+    /// The disk has no room for changes.
+    full: bool,
 }
 
 impl Host<'_> {
@@ -162,7 +185,7 @@
     }
 
     fn pause(&self) -> Duration {
-        let at = self.custodian.wake_at().min(self.standing_at);
+        let at = self.custodian.wake_at().min(self.standing_at).min(self.ends_at.unwrap_or(u64::MAX));
         Duration::from_millis(at.saturating_sub(self.now()).max(NAP))
     }
 
@@ -196,6 +219,10 @@
                 return self.tell(connection, &Told::Answer { id, status: 404, body });
             }
         }
+        if self.full && !matches!(call, Call::Get) {
+            let body = "the disk is nearly full".into();
+            return self.tell(connection, &Told::Answer { id, status: 503, body });
+        }
         self.next_call += 1;
         self.calls.insert(self.next_call, (connection, id));
         self.custodian.handle(self.now(), Event::Call { id: self.next_call, call }, actions);
@@ -245,11 +272,29 @@
         Ok(())
     }
 
+    /// Looks how much of the disk is taken.
+    fn measure(&mut self) {
+        let most = (self.settings.disk_mb << 20) / 100 * FULL;
+        if most == 0 {
+            return;
+        }
+        match self.disk.used() {
+            Ok(used) => {
+                if used >= most && !self.full {
+                    log::error!("{used} bytes on the disk, of {most} that may be: changes are refused");
+                }
+                self.full = used >= most;
+            }
+            Err(error) => log::warn!("the disk can't be measured: {error}"),
+        }
+    }
+
     /// Tells followers how the store stands, when it is due and when it changes.
     fn stand(&mut self) {
         let now = self.now();
         let standing = (self.custodian.settled(now), self.custodian.voters());
         if now >= self.standing_at || standing != self.standing {
+            self.measure();
             self.standing_at = now + STANDING;
             self.standing = standing.clone();
             let (settled, voters) = standing;
