--- a/crates/emberpin-fairway/src/cold.rs
+++ b/crates/emberpin-fairway/src/cold.rs
@@ -9,7 +9,7 @@
 //! - `2N > B`: a limiter may send one in any second, and only if the hash of the server's id and its own
 //!   name, as a part of all hashes, lies under `p`. With `2N` limiters the number of those that may is a
 //!   binomial sum with mean `2Np`; by Chernoff's bound it passes `B` with a probability of at most `exp(-2N x
-//!   KL((B+1)/2N || p))`, and `p` is the greatest for which this is at most [`RISK`] for a server. So `B`
+//!   KL((B+1)/2N || p))`, and `p` is the greatest for which this is at most `RISK` for a server. So `B`
 //!   holds also if there are twice as many limiters as was told, and whatever they know of each other.
 //!
 //! The count is a floor of what each knew: a limiter that was cut off keeps its greatest. One that has just
