Take an answer for a millisecond at least when servers are compared

Seen: it was heard of at 0.7 s and not chosen. Ruled out: its ejection (1 s), the question in the background. Line at fault: health.rs, learn_latency, where the mean counts as a millisecond at least and the answer's own time does not, so that a server that answers in 0.2 ms passed for five times as fast as one that has not answered yet. Change: both count as a millisecond.

--- a/crates/dillpass/src/brain/health.rs
+++ b/crates/dillpass/src/brain/health.rs
@@ -61,7 +61,9 @@
         self.aim += (self.settings.classes[class].aim - self.aim) * (GAIN * GAIN).max(1.0 / self.load.aims);
         let latency = &mut self.latency[class];
         latency.learn(units, elapsed, GAIN);
-        let relative = elapsed / latency.of(units).mean.max(1.0);
+        // Both count as a millisecond at least: else whoever answers sooner seems faster than any that has
+        // not answered yet.
+        let relative = elapsed.max(1.0) / latency.of(units).mean.max(1.0);
         let usual = if self.load.usual > 0.0 { self.load.usual } else { latency.all.mean };
         self.load.usual = usual + (latency.all.mean - usual) * GAIN;
         if let Some(server) = self.servers.get_mut(&id) {
--- a/crates/dillpass/tests/asked.rs
+++ b/crates/dillpass/tests/asked.rs
@@ -191,6 +191,34 @@
     assert_eq!(next_where_near_takes(4.0), 1);
 }
 
+/// Holds the floor under an answer's own time in `learn_latency`: beside one that answers within a part of a millisecond, a
+/// server of the own zone that has not answered yet would never be chosen.
+#[test]
+fn who_answers_within_a_millisecond_is_not_taken_for_faster_than_who_has_not_answered() {
+    let mut bench = near_and_far(2.0);
+    let near = |condition| Membership::Changes(vec![Server { condition, ..server(0) }]);
+    bench.list(near(Condition::Draining));
+    for _ in 0..400 {
+        let (request, to) = chosen(&mut bench);
+        assert_eq!(to, 1);
+        bench.now += 1.0;
+        bench.handle(Event::Attempt(Attempt {
+            request,
+            attempt: 0,
+            server: ServerId(to),
+            outcome: Outcome::Ok,
+            elapsed: 0.2,
+            ended: true,
+            repeatable: true,
+            report: Report::default(),
+            units: None,
+            metered: None,
+        }));
+    }
+    bench.list(near(Condition::InService));
+    assert_eq!(chosen(&mut bench).1, 0);
+}
+
 /// Holds the 1.0 of the platform's limiter: zones make no difference there.
 #[test]
 fn zones_are_alike_where_nothing_is_away() {
