Add locks, counters and cells as a core, and the messages that carry them

With it come the requests and replies between registries and stores (version 4 of the protocol) and the setting that switches coordination on (defs.invariants names coord). Nothing uses them yet.

--- a/crates/emberpin-config/src/configuration.rs
+++ b/crates/emberpin-config/src/configuration.rs
@@ -122,9 +122,11 @@
                 self.checkpoint
                     .admits(history.subject(), history.newest_version())
             }),
-            ItemKind::Roster | ItemKind::Evacuation | ItemKind::Limits | ItemKind::Checkpoint => {
-                true
-            }
+            ItemKind::Roster
+            | ItemKind::Evacuation
+            | ItemKind::Limits
+            | ItemKind::Checkpoint
+            | ItemKind::Register => true,
         }
     }
 
--- a/crates/emberpin-config/src/consistency.rs
+++ b/crates/emberpin-config/src/consistency.rs
@@ -58,9 +58,11 @@
         ItemKind::Service => Service::from_item(item).map(drop),
         ItemKind::Limits => Limits::from_item(item).map(drop),
         ItemKind::Route => Route::from_item(item).map(drop),
-        ItemKind::Roster | ItemKind::Evacuation | ItemKind::History | ItemKind::Checkpoint => {
-            Ok(())
-        }
+        ItemKind::Roster
+        | ItemKind::Evacuation
+        | ItemKind::History
+        | ItemKind::Checkpoint
+        | ItemKind::Register => Ok(()),
     }
 }
 
--- a/crates/emberpin-config/src/export.rs
+++ b/crates/emberpin-config/src/export.rs
@@ -20,7 +20,11 @@
                     routes_by_host.entry(host).or_default().push(route);
                 }
             }
-            ItemKind::Roster | ItemKind::Evacuation | ItemKind::History | ItemKind::Checkpoint => {}
+            ItemKind::Roster
+            | ItemKind::Evacuation
+            | ItemKind::History
+            | ItemKind::Checkpoint
+            | ItemKind::Register => {}
         }
     }
     let hosts: Vec<String> = routes_by_host
--- a/crates/emberpin-config/src/item.rs
+++ b/crates/emberpin-config/src/item.rs
@@ -22,6 +22,9 @@
     History,
     /// Which tombstones were removed; see [`Checkpoint`](crate::Checkpoint). Only the stores write it.
     Checkpoint,
+    /// A lock, counter or cell of applications, or what belongs to one. The stores write it for calls of applications,
+    /// and keep it apart from the configuration.
+    Register,
 }
 
 impl ItemKind {
@@ -32,9 +35,11 @@
             ItemKind::Service => 's',
             ItemKind::Route => 'r',
             ItemKind::Limits => 'l',
-            ItemKind::Roster | ItemKind::Evacuation | ItemKind::History | ItemKind::Checkpoint => {
-                '-'
-            }
+            ItemKind::Roster
+            | ItemKind::Evacuation
+            | ItemKind::History
+            | ItemKind::Checkpoint
+            | ItemKind::Register => '-',
         }
     }
 
@@ -78,6 +83,7 @@
             ItemKind::Route => write!(formatter, "route {name}"),
             ItemKind::History => write!(formatter, "history {name}"),
             ItemKind::Checkpoint => formatter.write_str("checkpoint"),
+            ItemKind::Register => write!(formatter, "register {name}"),
         }
     }
 }
--- a/crates/emberpin-consensus/src/call.rs
+++ b/crates/emberpin-consensus/src/call.rs
@@ -1,7 +1,9 @@
 //! Calls of clients.
 
 use emberpin_config::Version;
+use emberpin_coordination::{Operation, Outcome};
 use serde::{Deserialize, Serialize};
+use std::net::Ipv4Addr;
 
 /// Identifies a call until it is replied to; chosen by the host.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -25,6 +27,52 @@
         /// call which its caller has given up changes nothing after a later one was acknowledged.
         precondition: Version,
     },
+    /// An operation of an application on registers. Answered by [`Action::ReplyToApplication`].
+    ///
+    /// [`Action::ReplyToApplication`]: crate::Action::ReplyToApplication
+    Coordinate {
+        /// What to do.
+        operation: Operation,
+        /// What this replica does if another one leads.
+        when_led: WhenLed,
+    },
+}
+
+/// What a replica does with an operation while another replica leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WhenLed {
+    /// It names the leader, and leaves the operation to it.
+    Redirect,
+    /// It takes the lead, as the caller has found the leader to be unreachable.
+    TakeOver,
+}
+
+/// The reply to [`Call::Coordinate`]. The order of variants and fields is the encoding on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CoordinationReply {
+    /// The operation is done.
+    Done(Outcome),
+    /// Another replica leads. The operation can be sent to it.
+    NotLeader {
+        /// The leader's address.
+        leader: Ipv4Addr,
+        /// Whether this replica may have carried the operation out.
+        effect: PossibleEffect,
+    },
+    /// The operation was not decided.
+    Undecided {
+        /// Whether this replica may have carried the operation out.
+        effect: PossibleEffect,
+    },
+}
+
+/// Whether an operation without an outcome may have taken effect, or may still.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PossibleEffect {
+    /// It has had no effect, and never will.
+    None,
+    /// It was proposed, and may be chosen.
+    Unknown,
 }
 
 /// Whether an evacuation begins or ends.
--- a/crates/emberpin-consensus/src/event.rs
+++ b/crates/emberpin-consensus/src/event.rs
@@ -1,6 +1,6 @@
 //! The interface between a replica and its host: options at the start, events in, actions out.
 
-use crate::call::{Call, CallId};
+use crate::call::{Call, CallId, CoordinationReply};
 use crate::message::Message;
 use crate::storage::{WriteBatch, WriteToken};
 use emberpin_config::Item;
@@ -86,6 +86,13 @@
         /// The body of the reply.
         body: String,
     },
+    /// Reply to [`Call::Coordinate`]. Each such call gets exactly one reply.
+    ReplyToApplication {
+        /// The call.
+        call_id: CallId,
+        /// The reply.
+        reply: CoordinationReply,
+    },
     /// Tell the followers of the configuration that these items are chosen.
     Learned {
         /// The chosen items, without histories.
--- a/crates/emberpin-consensus/src/lib.rs
+++ b/crates/emberpin-consensus/src/lib.rs
@@ -38,7 +38,7 @@
 
 pub use ballot::{AcceptedProposal, Ballot};
 pub use bootstrap::{BootstrapCandidate, BootstrapNonce};
-pub use call::{Call, CallId, EvacuationChange};
+pub use call::{Call, CallId, CoordinationReply, EvacuationChange, PossibleEffect, WhenLed};
 pub use event::{Action, Event, ReplicaOptions};
 pub use guards::Guards;
 pub use incarnation::{Incarnation, LatestIncarnations};
--- a/crates/emberpin-consensus/src/replica/calls.rs
+++ b/crates/emberpin-consensus/src/replica/calls.rs
@@ -33,6 +33,7 @@
             return Err(CallError::QueueFull);
         }
         let operation = match call {
+            Call::Coordinate { .. } => return Err(CallError::QueueFull),
             Call::Get => Operation::Get { call_id },
             Call::Evacuate {
                 zone,
--- a/crates/emberpin-consensus/tests/cluster/mod.rs
+++ b/crates/emberpin-consensus/tests/cluster/mod.rs
@@ -352,6 +352,7 @@
                     status,
                     body,
                 } => self.on_reply(call_id.0 as usize, Reply { status, body }),
+                Action::ReplyToApplication { .. } => {}
                 Action::Learned { items } => self.on_learned(ip, &items),
             }
         }
--- /dev/null
+++ b/crates/emberpin-coordination/src/lock.rs
@@ -0,0 +1,140 @@
+//! Locks.
+//!
+//! A holder counts its hold from the moment at which it sent the call, on its own clock. Replicas count from the moment
+//! at which they learned the hold, which is later. So a replica that has known a hold for longer than the hold itself,
+//! and than the clocks may differ in that time, knows that the holder no longer counts itself as one. A replica that
+//! starts counts from its start: a lock may be free later than it could be, and never sooner.
+
+use crate::evaluate::Evaluation;
+use crate::operation::Fence;
+use crate::outcome::Outcome;
+use crate::register::{read, write, InvalidRegister, RegisterKey, RegisterKind, Registers};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Two steady clocks differ by less than one part in this many.
+const MAX_CLOCK_DRIFT_DIVISOR: u32 = 200;
+/// The resolution of replicas' clocks, with a margin.
+const CLOCK_RESOLUTION: Duration = Duration::from_millis(5);
+
+/// A hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Hold {
+    owner: String,
+    /// How long it lasts from its last renewal on, in milliseconds.
+    millis: u64,
+}
+
+/// The register of a lock.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Lock {
+    /// The token granted last; 0 before the first.
+    fence: Fence,
+    /// The present hold; `None` if the lock was released.
+    hold: Option<Hold>,
+    /// How often the lock was granted or renewed. Makes the content of each renewal differ from the one before.
+    renewals: u64,
+}
+
+/// By how much longer than its duration a replica waits for the end of a hold.
+pub fn clock_tolerance(hold: Duration) -> Duration {
+    hold / MAX_CLOCK_DRIFT_DIVISOR + CLOCK_RESOLUTION
+}
+
+/// Grants the lock if it is free or its hold is over. The present owner gets its hold anew, with the same token.
+pub fn begin(
+    registers: &impl Registers,
+    name: &str,
+    owner: &str,
+    hold: Duration,
+) -> Result<Evaluation, InvalidRegister> {
+    let key = RegisterKey::new(RegisterKind::Lock, name);
+    let mut lock: Lock = read(registers, &key)?;
+    let age = registers.age(&key);
+    match &lock.hold {
+        Some(held) if held.owner == owner => {}
+        Some(held) if !is_over(held, age) => {
+            return Ok(Evaluation::unchanged(Outcome::LockDenied));
+        }
+        _ => lock.fence = Fence(lock.fence.0 + 1),
+    }
+    let outcome = Outcome::LockGranted { fence: lock.fence };
+    Ok(extend(key, lock, owner, hold, age, outcome))
+}
+
+/// Renews the lock if the owner still has it with this token, also when its hold is over and nobody else came.
+pub fn renew(
+    registers: &impl Registers,
+    name: &str,
+    owner: &str,
+    fence: Fence,
+    hold: Duration,
+) -> Result<Evaluation, InvalidRegister> {
+    let key = RegisterKey::new(RegisterKind::Lock, name);
+    let lock: Lock = read(registers, &key)?;
+    if !is_held_by(&lock, owner, fence) {
+        return Ok(Evaluation::unchanged(Outcome::LockDenied));
+    }
+    let age = registers.age(&key);
+    Ok(extend(key, lock, owner, hold, age, Outcome::LockRenewed))
+}
+
+/// Releases the lock if the owner has it with this token; otherwise there is nothing to do.
+pub fn finish(
+    registers: &impl Registers,
+    name: &str,
+    owner: &str,
+    fence: Fence,
+) -> Result<Evaluation, InvalidRegister> {
+    let key = RegisterKey::new(RegisterKind::Lock, name);
+    let mut lock: Lock = read(registers, &key)?;
+    if !is_held_by(&lock, owner, fence) {
+        return Ok(Evaluation::unchanged(Outcome::LockFinished));
+    }
+    lock.hold = None;
+    Ok(Evaluation::Complete {
+        outcome: Outcome::LockFinished,
+        changes: vec![write(key, &lock)],
+    })
+}
+
+/// The lock with a new hold of the owner. It does not end before the owner's present one: the owner counts by that one
+/// if the response to this call is lost.
+fn extend(
+    key: RegisterKey,
+    mut lock: Lock,
+    owner: &str,
+    hold: Duration,
+    age: Duration,
+    outcome: Outcome,
+) -> Evaluation {
+    let present = lock.hold.filter(|held| held.owner == owner);
+    let remaining = present.map_or(Duration::ZERO, |held| {
+        Duration::from_millis(held.millis).saturating_sub(age)
+    });
+    lock.hold = Some(Hold {
+        owner: owner.into(),
+        millis: whole_millis(hold.max(remaining)),
+    });
+    lock.renewals += 1;
+    Evaluation::Complete {
+        outcome,
+        changes: vec![write(key, &lock)],
+    }
+}
+
+fn is_held_by(lock: &Lock, owner: &str, fence: Fence) -> bool {
+    let is_owner = lock.hold.as_ref().is_some_and(|hold| hold.owner == owner);
+    is_owner && lock.fence == fence
+}
+
+/// Whether a hold that was chosen this long ago, at least, is over by its holder's clock.
+fn is_over(hold: &Hold, age: Duration) -> bool {
+    let duration = Duration::from_millis(hold.millis);
+    age > duration + clock_tolerance(duration)
+}
+
+/// A duration in whole milliseconds, rounded up.
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros().div_ceil(1000)).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/emberpin-coordination/src/operation.rs
@@ -0,0 +1,111 @@
+//! What applications ask for.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// The fencing token of a lock's holder. That of a later holder is higher.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Fence(pub u64);
+
+/// The number of a change in a group of cells: the first one is 1. The revision of a cell is that of its last change;
+/// 0 for a cell that does not exist.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+impl Revision {
+    /// The revision of a cell that does not exist, and of a group without changes.
+    pub const NONE: Revision = Revision(0);
+
+    /// The revision that follows this one.
+    #[must_use]
+    pub fn next(self) -> Revision {
+        Revision(self.0 + 1)
+    }
+}
+
+/// An operation on a lock, a counter or a cell. Each may be executed twice without harm, as long as the second time
+/// comes before its caller has gone on.
+///
+/// The order of variants and fields is the encoding on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Operation {
+    /// Acquires a lock, or renews it for the owner that holds it.
+    BeginLock {
+        /// The lock's name.
+        lock: String,
+        /// Who acquires it. A caller keeps this name from one hold to the next.
+        owner: String,
+        /// How long the caller counts itself holder, from the moment at which it sent the call.
+        hold: Duration,
+    },
+    /// Renews a lock.
+    RenewLock {
+        /// The lock's name.
+        lock: String,
+        /// Who holds it.
+        owner: String,
+        /// The token that the holder was granted.
+        fence: Fence,
+        /// How long the caller counts itself holder, from the moment at which it sent the call.
+        hold: Duration,
+    },
+    /// Releases a lock, if the owner still holds it.
+    FinishLock {
+        /// The lock's name.
+        lock: String,
+        /// Who held it.
+        owner: String,
+        /// The token that the holder was granted.
+        fence: Fence,
+    },
+    /// Takes a number that is above all that the counter has given before.
+    NextNumber {
+        /// The counter's name.
+        counter: String,
+    },
+    /// Writes a cell, if nobody has written it since the caller read it. No two values of a cell are the same.
+    PutCell {
+        /// The cell's name.
+        cell: String,
+        /// What is written.
+        value: String,
+        /// The revision that the cell must have; [`Revision::NONE`] if it must not exist.
+        expected: Revision,
+    },
+    /// Reads a cell.
+    GetCell {
+        /// The cell's name.
+        cell: String,
+    },
+    /// Reads the changes of a group above a revision, and waits for the first one if there are none.
+    WatchGroup {
+        /// The group's name; see [`group_of`].
+        group: String,
+        /// The revision up to which the caller knows all changes; [`Revision::NONE`] asks for the present revision
+        /// only.
+        after: Revision,
+        /// How long to wait for a change.
+        wait: Duration,
+    },
+}
+
+impl Operation {
+    /// Whether the operation changes nothing.
+    pub fn is_read(&self) -> bool {
+        matches!(
+            self,
+            Operation::GetCell { .. } | Operation::WatchGroup { .. }
+        )
+    }
+}
+
+/// The group of a cell: its name up to and including the first dot, or the whole name if there is none.
+pub fn group_of(cell: &str) -> &str {
+    cell.find('.').map_or(cell, |dot| &cell[..=dot])
+}
--- /dev/null
+++ b/crates/emberpin-coordination/src/outcome.rs
@@ -0,0 +1,68 @@
+//! What applications are told.
+
+use crate::operation::{Fence, Revision};
+use serde::{Deserialize, Serialize};
+
+/// One change of a cell.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CellEvent {
+    /// The cell's name.
+    pub name: String,
+    /// What was written.
+    pub value: String,
+    /// The revision of the change.
+    pub revision: Revision,
+}
+
+/// The result of an operation.
+///
+/// The order of variants and fields is the encoding on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The caller holds the lock.
+    LockGranted {
+        /// Its fencing token.
+        fence: Fence,
+    },
+    /// The caller still holds the lock, for another hold.
+    LockRenewed,
+    /// The caller does not hold the lock.
+    LockFinished,
+    /// Another owner holds the lock, or the caller's hold was lost.
+    LockDenied,
+    /// A number of a counter.
+    Number {
+        /// The number.
+        value: u64,
+    },
+    /// The cell was written, now or by an earlier attempt of the same call.
+    CellWritten {
+        /// The revision of the change.
+        revision: Revision,
+    },
+    /// The cell does not have the expected revision, and nothing was written.
+    CellChanged {
+        /// The cell's revision.
+        revision: Revision,
+    },
+    /// What a cell holds.
+    Cell {
+        /// Its value.
+        value: String,
+        /// Its revision.
+        revision: Revision,
+    },
+    /// There is no such cell.
+    NoCell,
+    /// The changes of a group above the revision that the caller named, in the order of their revisions.
+    Events {
+        /// The changes; empty if there were none while the caller waited, or if it asked for the revision only.
+        events: Vec<CellEvent>,
+        /// The revision up to which the changes are complete.
+        revision: Revision,
+    },
+    /// Some of the changes that the caller asked for are no longer kept.
+    EventsDropped,
+    /// There is no room for another lock, counter or cell. Nothing was done.
+    OutOfSpace,
+}
--- a/crates/emberpin-proxy/src/controller/configuration.rs
+++ b/crates/emberpin-proxy/src/controller/configuration.rs
@@ -25,7 +25,11 @@
                         self.apply_limits(&limits);
                     }
                 }
-                ItemKind::Route | ItemKind::Roster | ItemKind::History | ItemKind::Checkpoint => {}
+                ItemKind::Route
+                | ItemKind::Roster
+                | ItemKind::History
+                | ItemKind::Checkpoint
+                | ItemKind::Register => {}
             }
         }
         self.free_unused(&warmup_profiles);
--- a/crates/emberpin-registry/src/store_subscription.rs
+++ b/crates/emberpin-registry/src/store_subscription.rs
@@ -177,7 +177,7 @@
                 age: age_ms.map(Duration::from_millis),
             }),
             // Calls have connections of their own.
-            StoreReply::Response { .. } => None,
+            StoreReply::Response { .. } | StoreReply::Coordinated { .. } => None,
         }
     }
 }
--- a/crates/emberpin-registry/tests/common/fake_store.rs
+++ b/crates/emberpin-registry/tests/common/fake_store.rs
@@ -106,7 +106,7 @@
                     precondition,
                 } => (id, format!("{zone} {change:?} {precondition}")),
                 StoreRequest::Subscribe => return self.serve_subscription(stream).await,
-                StoreRequest::ConfirmFreshness { .. } => continue,
+                StoreRequest::ConfirmFreshness { .. } | StoreRequest::Coordinate { .. } => continue,
             };
             if self.confirmed_age_ms.is_none() {
                 continue;
--- a/crates/emberpin-runtime/src/protocol_version.rs
+++ b/crates/emberpin-runtime/src/protocol_version.rs
@@ -16,6 +16,8 @@
     /// Long messages are split into several frames, items are sent in batches, and evacuations name the version that
     /// they change.
     pub const V3: ProtocolVersion = ProtocolVersion(3);
+    /// Stores keep registers for applications.
+    pub const V4: ProtocolVersion = ProtocolVersion(4);
 }
 
 impl fmt::Display for ProtocolVersion {
@@ -37,7 +39,7 @@
     /// The versions that this build speaks.
     pub const SUPPORTED: VersionRange = VersionRange {
         oldest: ProtocolVersion::V2,
-        newest: ProtocolVersion::V3,
+        newest: ProtocolVersion::V4,
     };
 
     /// The versions that this build speaks, up to this one; `None` if it speaks none of them.
--- a/crates/emberpin-runtime/src/settings/mod.rs
+++ b/crates/emberpin-runtime/src/settings/mod.rs
@@ -74,6 +74,9 @@
     /// How many voting machines may be lost at once (`defs.tolerance.nodes`). A change is acknowledged once it is on
     /// more disks than this.
     pub tolerated_node_losses: usize,
+    /// Whether applications may call for locks, counters and cells (`defs.invariants` names `coord`; default: false).
+    /// Without it, stores keep no registers and registries answer such calls with 404.
+    pub has_coordination: bool,
     /// The bounds that the platform sets.
     pub bounds: Bounds,
 }
@@ -199,6 +202,7 @@
             zone_regions,
             heartbeat_interval: table.duration("infra.hb")?,
             tolerated_node_losses: table.integer("defs.tolerance.nodes")?,
+            has_coordination: read_has_coordination(table)?,
             bounds: Bounds::from_table(table)?,
         })
     }
@@ -252,6 +256,18 @@
         .collect()
 }
 
+/// Whether `coord` is among the parts of the rules that are in force.
+fn read_has_coordination(table: &SettingsTable) -> Result<bool, SettingsError> {
+    const FIELD: &str = "defs.invariants";
+    if table.get(FIELD).is_none() {
+        return Ok(false);
+    }
+    let invariants = table.list(FIELD)?;
+    Ok(invariants
+        .iter()
+        .any(|invariant| invariant.as_str() == Some("coord")))
+}
+
 fn read_data_dir(table: &SettingsTable) -> Result<Option<PathBuf>, SettingsError> {
     match table.get("self.datadir") {
         Some(_) => Ok(Some(PathBuf::from(table.string("self.datadir")?))),
--- a/crates/emberpin-simulator/src/simulation/stores.rs
+++ b/crates/emberpin-simulator/src/simulation/stores.rs
@@ -95,6 +95,8 @@
                     status,
                     body,
                 } => self.send_operator_response(call_id.0, status, body),
+                // Scenarios do not call for coordination.
+                Action::ReplyToApplication { .. } => {}
                 Action::Learned { items } => self.report_chosen_items(core, items),
             }
         }
--- a/crates/emberpin-simulator/src/state/proxy.rs
+++ b/crates/emberpin-simulator/src/state/proxy.rs
@@ -163,7 +163,8 @@
                 | ItemKind::Roster
                 | ItemKind::Limits
                 | ItemKind::History
-                | ItemKind::Checkpoint => {}
+                | ItemKind::Checkpoint
+                | ItemKind::Register => {}
             }
         }
         self.router.endpoints.set_warmup_profiles(profiles);
--- a/crates/emberpin-store/src/host.rs
+++ b/crates/emberpin-store/src/host.rs
@@ -219,6 +219,7 @@
                 };
                 (id, call)
             }
+            StoreRequest::Coordinate { .. } => return,
             StoreRequest::Subscribe => return self.subscribe(connection),
             StoreRequest::ConfirmFreshness { nonce } => {
                 let age = self.replica.confirmed_age(self.replica_now());
@@ -252,7 +253,7 @@
                 return Some((404, format!("zone {zone:?}: is not known")));
             }
             Call::Get => return None,
-            Call::Patch(_) | Call::Evacuate { .. } => {}
+            Call::Patch(_) | Call::Evacuate { .. } | Call::Coordinate { .. } => {}
         }
         rejection_reason(self.disk_state()).map(|reason| (503, reason.into()))
     }
@@ -282,6 +283,7 @@
                     self.metrics.count_call(status);
                     self.registries.complete_call(call_id, status, body);
                 }
+                Action::ReplyToApplication { .. } => {}
                 Action::Learned { items } => {
                     for items in item_batches(items) {
                         self.registries.publish(&StoreReply::Items { items });
--- a/crates/emberpin-store/src/protocol.rs
+++ b/crates/emberpin-store/src/protocol.rs
@@ -8,7 +8,8 @@
 //! their order must not as long as peers of this protocol version are in service.
 
 use emberpin_config::{Item, Version};
-use emberpin_consensus::{EvacuationChange, Message};
+use emberpin_consensus::{CoordinationReply, EvacuationChange, Message, WhenLed};
+use emberpin_coordination::Operation;
 use emberpin_runtime::protocol_version::ProtocolVersion;
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
@@ -26,6 +27,13 @@
         /// The consensus message itself.
         message: Message,
     },
+    /// As [`ToStore::Consensus`], between the replicas of the registers of applications.
+    RegisterConsensus {
+        /// The sender's address, which identifies it in the roster.
+        from: Ipv4Addr,
+        /// The consensus message itself.
+        message: Message,
+    },
 }
 
 /// Correlates a response with its request; unique among the pending requests of a connection.
@@ -85,6 +93,16 @@
         /// chosen.
         precondition: Version,
     },
+    /// Sent for calls of applications. The store replies with one [`StoreReply::Coordinated`] of the same id, unless the
+    /// connection breaks first.
+    Coordinate {
+        /// Repeated in the reply.
+        id: RequestId,
+        /// What the application asks for.
+        operation: Operation,
+        /// What the store does if another one leads.
+        when_led: WhenLed,
+    },
 }
 
 impl StoreRequest {
@@ -92,6 +110,7 @@
     pub fn oldest_version(&self) -> ProtocolVersion {
         match self {
             StoreRequest::ChangeEvacuation { .. } => ProtocolVersion::V3,
+            StoreRequest::Coordinate { .. } => ProtocolVersion::V4,
             _ => ProtocolVersion::V2,
         }
     }
@@ -137,6 +156,13 @@
         /// voters; `None` if it has not completed such a comparison.
         age_ms: Option<u64>,
     },
+    /// Answers [`StoreRequest::Coordinate`].
+    Coordinated {
+        /// The id of the request.
+        id: RequestId,
+        /// The reply.
+        reply: CoordinationReply,
+    },
 }
 
 /// Which writes a store's disk accepts.
--- a/crates/emberpin-store/tests/recordings/recorder.rs
+++ b/crates/emberpin-store/tests/recordings/recorder.rs
@@ -111,7 +111,9 @@
                     }
                 }
                 Action::Reply { status, .. } => self.reply_status = Some(status),
-                Action::Send { .. } | Action::Learned { .. } => {}
+                Action::Send { .. }
+                | Action::Learned { .. }
+                | Action::ReplyToApplication { .. } => {}
             }
         }
     }
