--- a/crates/emberpin-consensus/src/acceptor.rs
+++ b/crates/emberpin-consensus/src/acceptor.rs
@@ -4,7 +4,7 @@
 use crate::bootstrap::BootstrapCandidate;
 use crate::guards::Guards;
 use crate::incarnation::{Incarnation, LatestIncarnations};
-use crate::message::{Accepted, Message, NotVoting, Promise, Rejected};
+use crate::message::{Accepted, AcceptedLed, Message, NotVoting, Promise, Rejected};
 use crate::state::{Merged, State};
 use crate::storage::PersistedState;
 use emberpin_config::{Item, ItemKey, ItemKind};
@@ -103,6 +103,31 @@
         Message::Accepted(Accepted { ballot })
     }
 
+    /// The voter's answer to [`AcceptLed`](crate::message::AcceptLed). The caller learns the chosen items that came
+    /// along.
+    pub fn accept_led(&mut self, ballot: Ballot, next_ballot: Ballot, items: Vec<Item>) -> Message {
+        if !self.voting {
+            return Message::NotVoting(NotVoting { ballot });
+        }
+        // The answer may have been lost, and the proposal is then sent again.
+        let is_repeated = ballot == self.accepted.ballot && next_ballot == self.promised;
+        if ballot < self.promised && !is_repeated && self.guards.keep_promises {
+            return Message::Rejected(Rejected {
+                ballot,
+                promised: self.promised,
+            });
+        }
+        self.promised = next_ballot;
+        self.accepted = AcceptedProposal { ballot, items };
+        self.clear_accepted_if_chosen();
+        Message::AcceptedLed(AcceptedLed {
+            ballot,
+            next_ballot,
+            incarnation: self.incarnation,
+            latest_incarnations: self.latest_incarnations.clone(),
+        })
+    }
+
     /// Takes chosen items.
     pub fn learn(&mut self, items: &[Item]) -> Learned {
         let mut learned = Learned::default();
--- a/crates/emberpin-consensus/src/event.rs
+++ b/crates/emberpin-consensus/src/event.rs
@@ -19,10 +19,22 @@
     /// How many disks may be lost at once. An item counts as chosen only once it is on more disks than this, and a
     /// roster is kept large enough to have a majority without them.
     pub tolerated_failures: usize,
+    /// How proposers follow one another.
+    pub rounds: Rounds,
     /// Seed of the replica's pseudo-random numbers; to be drawn anew at each start, as ballots must not repeat.
     pub random_seed: u64,
 }
 
+/// How proposers follow one another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rounds {
+    /// Whichever replica takes a call proposes it. Suits changes that are rare.
+    Leaderless,
+    /// The proposer of the last round leads: it begins the next round without phase 1, and other replicas redirect
+    /// callers to it. Suits changes that follow one another.
+    Led,
+}
+
 /// An input of [`Replica::handle`](crate::Replica::handle).
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/emberpin-consensus/src/lib.rs
+++ b/crates/emberpin-consensus/src/lib.rs
@@ -39,7 +39,7 @@
 pub use ballot::{AcceptedProposal, Ballot};
 pub use bootstrap::{BootstrapCandidate, BootstrapNonce};
 pub use call::{Call, CallId, CoordinationReply, EvacuationChange, PossibleEffect, WhenLed};
-pub use event::{Action, Event, ReplicaOptions};
+pub use event::{Action, Event, ReplicaOptions, Rounds};
 pub use guards::Guards;
 pub use incarnation::{Incarnation, LatestIncarnations};
 pub use message::Message;
--- a/crates/emberpin-consensus/src/message.rs
+++ b/crates/emberpin-consensus/src/message.rs
@@ -67,6 +67,12 @@
     CandidacyQuery(CandidacyQuery),
     /// A seed knows no roster, and has the seeds of the query.
     CandidacyReply(CandidacyReply),
+    /// Phase 2 of a round of a leader, together with phase 1 of its next one.
+    AcceptLed(AcceptLed),
+    /// A voter has accepted a proposal of a leader, and promises the leader's next ballot.
+    AcceptedLed(AcceptedLed),
+    /// A replica asks for the chosen items of some buckets that are newer than its own.
+    FetchNewer(FetchNewer),
 }
 
 /// Phase 1, from a proposer to all voters of its roster. A voter that has promised no higher ballot answers [`Promise`]
@@ -270,3 +276,46 @@
     /// The round's ballot.
     pub ballot: Ballot,
 }
+
+/// Phase 2 of a round of a leader, from the leader to all voters of its roster. A voter that has promised no higher
+/// ballot answers [`AcceptedLed`] once the proposal and the promise are on its disk.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptLed {
+    /// The round's ballot.
+    pub ballot: Ballot,
+    /// The ballot of the leader's next round.
+    pub next_ballot: Ballot,
+    /// As in [`Prepare`].
+    pub roster: Item,
+    /// Chosen items that some voter may lack: those of the leader's last round, or those that some voter lacked when it
+    /// promised.
+    pub chosen: Vec<Item>,
+    /// The proposed items; empty if the round only reads.
+    pub items: Vec<Item>,
+}
+
+/// Answers [`AcceptLed`] as [`Accepted`] and [`Promise`] do. Once a quorum has, the items are chosen, and the leader's
+/// next round needs no phase 1: the proposal that each of its promises would tell is this one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedLed {
+    /// The round's ballot.
+    pub ballot: Ballot,
+    /// The ballot that the voter promises.
+    pub next_ballot: Ballot,
+    /// As in [`Promise`].
+    pub incarnation: Incarnation,
+    /// As in [`Promise`].
+    pub latest_incarnations: LatestIncarnations,
+}
+
+/// Answers [`DigestDiffers`] in place of [`FetchBuckets`] among replicas whose items change all the time. Answered by
+/// [`BucketItems`] with the newer items only.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FetchNewer {
+    /// The comparison that this belongs to.
+    pub comparison_id: ComparisonId,
+    /// The differing buckets.
+    pub buckets: Vec<u8>,
+    /// The versions that the sender knows in these buckets.
+    pub known: Vec<ItemVersion>,
+}
--- a/crates/emberpin-consensus/src/replica.rs
+++ b/crates/emberpin-consensus/src/replica.rs
@@ -6,14 +6,17 @@
 mod calls;
 mod comparison;
 mod contact;
+mod coordination;
 mod disk_failure;
 mod late_candidacy;
+mod leadership;
 mod membership;
 mod messages;
 mod pacing;
 mod persistence;
 mod proposal;
 mod proposer;
+mod register_view;
 mod timers;
 
 pub use comparison::COMPARISON_INTERVAL;
@@ -33,9 +36,11 @@
 use crate::time::{as_whole_millis, Timestamp};
 use bootstrap::Bootstrap;
 use comparison::{Comparisons, COMPARISON_VALIDITY};
+use coordination::Coordination;
 use disk_failure::DiskState;
 use emberpin_config::Item;
 use late_candidacy::LateCandidacy;
+use leadership::{KnownLeader, Leadership};
 use pacing::{Adaptation, Pacing};
 use persistence::{AcceptedChange, DeferredMessage};
 use std::collections::{BTreeMap, VecDeque};
@@ -96,6 +101,11 @@
     roster_unconfirmed: bool,
     /// When this replica finishes what it has accepted and does not know to be chosen; `None`, if there is nothing.
     repair_at: Option<Timestamp>,
+    /// The round that this replica may begin without phase 1; `None`, if it does not lead.
+    leadership: Option<Leadership>,
+    /// The replica whose proposal of a leader was accepted here last.
+    known_leader: Option<KnownLeader>,
+    coordination: Coordination,
     last_write: WriteToken,
     /// Messages that wait for a write to be synced.
     deferred_messages: BTreeMap<WriteToken, DeferredMessage>,
@@ -158,6 +168,9 @@
             is_leaving: false,
             roster_unconfirmed: false,
             repair_at,
+            leadership: None,
+            known_leader: None,
+            coordination: Coordination::default(),
             last_write: WriteToken::default(),
             deferred_messages: BTreeMap::new(),
             messages_to_self: VecDeque::new(),
@@ -252,6 +265,7 @@
             self.repair_at = None;
         }
         self.confirm_comparisons();
+        self.coordination.note_learned(&new, self.now);
         let accepted = if had_unchosen_items && !has_unchosen_items {
             AcceptedChange::Changed
         } else {
--- a/crates/emberpin-consensus/src/replica/calls.rs
+++ b/crates/emberpin-consensus/src/replica/calls.rs
@@ -1,9 +1,9 @@
 //! Calls of clients: which are queued for a round, and which get a reply at once.
 
 use super::{Action, Replica};
-use crate::call::{Call, CallId};
+use crate::call::{Call, CallId, CoordinationReply};
 use crate::error::CallError;
-use crate::task::{Operation, Outcome, Task};
+use crate::task::{Operation, Outcome, Task, TaskResult};
 use emberpin_config::parse_patch;
 use std::time::Duration;
 
@@ -15,6 +15,13 @@
 impl Replica {
     /// Queues a call for a round, or rejects it at once.
     pub(super) fn on_call(&mut self, call_id: CallId, call: Call, actions: &mut Vec<Action>) {
+        if let Call::Coordinate {
+            operation,
+            when_led,
+        } = call
+        {
+            return self.on_operation(call_id, operation, when_led, actions);
+        }
         match self.task_for(call_id, call) {
             Ok(mut task) => {
                 task.contact_check = self.begin_contact_check(actions);
@@ -33,6 +40,7 @@
             return Err(CallError::QueueFull);
         }
         let operation = match call {
+            // Handled by `on_operation`.
             Call::Coordinate { .. } => return Err(CallError::QueueFull),
             Call::Get => Operation::Get { call_id },
             Call::Evacuate {
@@ -54,6 +62,22 @@
         Ok(Task::new(operation, self.now + CALL_TIMEOUT))
     }
 
+    /// Replies to the calls of a round that is done.
+    pub(super) fn complete(&mut self, outcomes: Vec<Outcome>, actions: &mut Vec<Action>) {
+        for Outcome { task, result } in outcomes {
+            let Some(call_id) = task.operation.call_id() else {
+                continue;
+            };
+            match result {
+                TaskResult::Operator(result) => actions.push(reply(call_id, result)),
+                TaskResult::Application(reply) => {
+                    actions.push(Action::ReplyToApplication { call_id, reply });
+                }
+                TaskResult::AwaitsChange => self.begin_watch(task),
+            }
+        }
+    }
+
     /// Replies 503 to the calls whose deadline has passed. Those whose items are proposed are among them: they may
     /// still come to be chosen, which a 503 leaves open.
     pub(super) fn expire_tasks(&mut self, actions: &mut Vec<Action>) {
@@ -72,9 +96,7 @@
             if !is_rejected(task) {
                 return true;
             }
-            if let Some(call_id) = task.operation.call_id() {
-                actions.push(reply(call_id, Err(error.clone())));
-            }
+            actions.extend(rejection(task, error.clone()));
             false
         };
         self.tasks.retain(&mut keep);
@@ -84,13 +106,17 @@
     }
 }
 
-/// Replies to the calls of a round that is done.
-pub(super) fn reply_all(outcomes: Vec<Outcome>, actions: &mut Vec<Action>) {
-    for Outcome { task, result } in outcomes {
-        if let Some(call_id) = task.operation.call_id() {
-            actions.push(reply(call_id, result));
-        }
+/// The reply to a task that is given up; `None`, if nobody called for it.
+pub(super) fn rejection(task: &Task, error: CallError) -> Option<Action> {
+    let call_id = task.operation.call_id()?;
+    if !task.is_coordination() {
+        return Some(reply(call_id, Err(error)));
     }
+    let effect = task.possible_effect();
+    Some(Action::ReplyToApplication {
+        call_id,
+        reply: CoordinationReply::Undecided { effect },
+    })
 }
 
 /// The reply to a call: 200 with a body, or why it is not acknowledged.
--- a/crates/emberpin-consensus/src/replica/comparison.rs
+++ b/crates/emberpin-consensus/src/replica/comparison.rs
@@ -6,11 +6,14 @@
 //! began it knows those versions, or newer ones, to be chosen.
 
 use super::{Action, Replica};
+use crate::event::Rounds;
 use crate::message::{
     BucketItems, Chosen, CompareDigest, ComparisonId, DigestDiffers, DigestMatches, FetchBuckets,
-    ItemVersion, Message,
+    FetchNewer, ItemVersion, Message,
 };
 use crate::time::Timestamp;
+use emberpin_config::{Item, ItemKey, Version};
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -165,6 +168,9 @@
             }
         }
         let buckets = self.state().differing(&digests);
+        if self.options.rounds == Rounds::Led {
+            return self.fetch_newer(from, comparison_id, buckets, actions);
+        }
         let items = self.state().in_buckets(&buckets);
         if !items.is_empty() {
             self.send(from, Message::Chosen(Chosen { items }), actions);
@@ -190,6 +196,54 @@
         self.send(from, Message::BucketItems(answer), actions);
     }
 
+    /// Asks for the items of differing buckets that are newer than those known here: while items change all the time,
+    /// most items of these buckets are the same.
+    fn fetch_newer(
+        &mut self,
+        from: Ipv4Addr,
+        comparison_id: ComparisonId,
+        buckets: Vec<u8>,
+        actions: &mut Vec<Action>,
+    ) {
+        let items = self.state().in_buckets(&buckets).into_iter();
+        let known = items.map(|item| ItemVersion {
+            key: item.key,
+            version: item.version,
+        });
+        let fetch = FetchNewer {
+            comparison_id,
+            known: known.collect(),
+            buckets,
+        };
+        self.send(from, Message::FetchNewer(fetch), actions);
+    }
+
+    pub(super) fn on_fetch_newer(
+        &mut self,
+        from: Ipv4Addr,
+        fetch: &FetchNewer,
+        actions: &mut Vec<Action>,
+    ) {
+        let known: BTreeMap<&ItemKey, Version> = fetch
+            .known
+            .iter()
+            .map(|version| (&version.key, version.version))
+            .collect();
+        let is_newer = |item: &Item| {
+            known
+                .get(&item.key)
+                .is_none_or(|version| *version < item.version)
+        };
+        let mut items = self.state().in_buckets(&fetch.buckets);
+        items.retain(is_newer);
+        let answer = BucketItems {
+            comparison_id: fetch.comparison_id,
+            items,
+            voting: self.acceptor.voting,
+        };
+        self.send(from, Message::BucketItems(answer), actions);
+    }
+
     pub(super) fn on_bucket_items(
         &mut self,
         from: Ipv4Addr,
--- a/crates/emberpin-consensus/src/replica/disk_failure.rs
+++ b/crates/emberpin-consensus/src/replica/disk_failure.rs
@@ -7,7 +7,7 @@
 //! the disk fails, no vote is given and no round begun meanwhile, and votes start again only after all of memory
 //! is synced.
 
-use super::calls::reply;
+use super::calls::rejection;
 use super::{Action, Replica};
 use crate::ballot::Ballot;
 use crate::error::CallError;
@@ -55,12 +55,14 @@
         // The round's tasks go back to the queue. Those whose items were proposed may still come to be chosen, which
         // a 503 leaves open.
         self.end_round();
-        let calls = self.tasks.drain(..);
-        for call_id in calls.filter_map(|task| task.operation.call_id()) {
-            let reason = reason.clone();
-            let error = CallError::DiskUnavailable { reason };
-            actions.push(reply(call_id, Err(error)));
-        }
+        let error = CallError::DiskUnavailable {
+            reason: reason.clone(),
+        };
+        let rejections = self
+            .tasks
+            .drain(..)
+            .filter_map(|task| rejection(&task, error.clone()));
+        actions.extend(rejections);
         self.disk_state = DiskState::Unavailable { reason };
     }
 
--- a/crates/emberpin-consensus/src/replica/messages.rs
+++ b/crates/emberpin-consensus/src/replica/messages.rs
@@ -39,6 +39,9 @@
             Message::DiskUnavailable(unavailable) => self.on_disk_unavailable(from, unavailable),
             Message::CandidacyQuery(query) => self.on_candidacy_query(from, query, actions),
             Message::CandidacyReply(reply) => self.on_candidacy_reply(from, reply, actions),
+            Message::AcceptLed(accept) => self.on_accept_led(from, accept, actions),
+            Message::AcceptedLed(accepted) => self.on_accepted_led(from, accepted, actions),
+            Message::FetchNewer(fetch) => self.on_fetch_newer(from, &fetch, actions),
         }
     }
 
@@ -85,7 +88,7 @@
 
     /// Whether this replica may vote in a round: its disk takes writes, and it knows no newer roster than the round's.
     /// If not, the proposer is told why. Otherwise the roster is learned, as proposers only use chosen ones.
-    fn may_vote(
+    pub(super) fn may_vote(
         &mut self,
         from: Ipv4Addr,
         ballot: Ballot,
@@ -111,14 +114,17 @@
     }
 
     /// Sends a voter's answer: a vote once it is on the disk, a rejection at once.
-    fn answer_proposer(
+    pub(super) fn answer_proposer(
         &mut self,
         to: Ipv4Addr,
         answer: Message,
         accepted: AcceptedChange,
         actions: &mut Vec<Action>,
     ) {
-        if matches!(answer, Message::Promise(_) | Message::Accepted(_)) {
+        if matches!(
+            answer,
+            Message::Promise(_) | Message::Accepted(_) | Message::AcceptedLed(_)
+        ) {
             self.persist_then_send(accepted, to, answer, actions);
         } else {
             self.send(to, answer, actions);
--- a/crates/emberpin-consensus/src/replica/persistence.rs
+++ b/crates/emberpin-consensus/src/replica/persistence.rs
@@ -143,7 +143,10 @@
         for deferred in due.into_values() {
             let sync_time = self.now.saturating_since(deferred.deferred_at);
             self.pacing.record_delay(self.now, sync_time);
-            let is_accepted = matches!(deferred.message, Message::Accepted(_));
+            let is_accepted = matches!(
+                deferred.message,
+                Message::Accepted(_) | Message::AcceptedLed(_)
+            );
             if is_accepted && self.acceptor.guards.adaptive_timeouts {
                 // Counted anew from here: the round is not late because this disk is.
                 self.schedule_repair();
--- a/crates/emberpin-consensus/src/replica/proposal.rs
+++ b/crates/emberpin-consensus/src/replica/proposal.rs
@@ -1,14 +1,14 @@
 //! Between the two phases of a round: what may be chosen already, the evaluation of tasks on top of it, and the
 //! proposal.
 
-use super::calls::reply_all;
+use super::register_view::ProposedItems;
 use super::{Action, Replica};
 use crate::ballot::AcceptedProposal;
 use crate::error::CallError;
 use crate::incarnation::Incarnation;
 use crate::roster::{roster_item, roster_key};
 use crate::round::{Proposal, Round};
-use crate::task::{Operation, Outcome, Task, Verdict};
+use crate::task::{Operation, Outcome, Task, TaskResult, Verdict};
 use emberpin_config::Item;
 use std::borrow::Cow;
 
@@ -30,15 +30,20 @@
             return self.finish_recovery(&round, carried, actions);
         }
         let items = self.evaluate_tasks(&mut round, carried);
-        if items.is_empty() {
+        if items.is_empty() && !round.needs_acceptance() {
             self.pacing.record_success();
-            return reply_all(round.outcomes, actions);
+            return self.complete(round.outcomes, actions);
         }
-        let transferred = if self.guards().transfer_missing_items {
+        let transferred = if round.is_led {
+            std::mem::take(&mut round.unannounced)
+        } else if self.guards().transfer_missing_items {
             round.missing_items(self.state())
         } else {
             Vec::new()
         };
+        if round.next_voters.is_empty() {
+            round.next_ballot = self.reserve_next_ballot();
+        }
         round.proposal = Some(Proposal { items, transferred });
         self.start_phase(round, actions);
     }
@@ -87,6 +92,10 @@
         for item in &carried {
             configuration.to_mut().merge(item.clone());
         }
+        let mut registers = ProposedItems::new();
+        if self.tasks.iter().any(Task::is_coordination) {
+            registers.extend(carried.iter().map(|item| (item.key.clone(), item.clone())));
+        }
         let mut items = carried;
         let mut tasks = std::mem::take(&mut self.tasks);
         while let Some(mut task) = tasks.pop_front() {
@@ -94,6 +103,13 @@
                 self.tasks.push_back(task);
                 continue;
             }
+            if let Operation::Coordinate { operation, .. } = &task.operation {
+                let (result, changes) = self.evaluate_operation(operation, &registers);
+                task.proposed |= !changes.is_empty();
+                registers.extend(changes.into_iter().map(|item| (item.key.clone(), item)));
+                round.outcomes.push(Outcome { task, result });
+                continue;
+            }
             let verdict = task
                 .operation
                 .evaluate(&configuration, &self.acceptor.guards);
@@ -119,8 +135,11 @@
                     Err(error)
                 }
             };
+            let result = TaskResult::Operator(result);
             round.outcomes.push(Outcome { task, result });
         }
+        items.retain(|item| !registers.contains_key(&item.key));
+        items.extend(registers.into_values());
         items
     }
 }
--- a/crates/emberpin-consensus/src/replica/proposer.rs
+++ b/crates/emberpin-consensus/src/replica/proposer.rs
@@ -1,9 +1,10 @@
 //! The proposer's side of a round: beginning, sending, answers, and the end.
 
-use super::calls::reply_all;
 use super::{Action, Replica};
 use crate::ballot::Ballot;
-use crate::message::{Accept, Accepted, Chosen, Message, Prepare, Promise, Rejected, StaleRoster};
+use crate::message::{
+    Accept, AcceptLed, Accepted, Chosen, Message, Prepare, Promise, Rejected, StaleRoster,
+};
 use crate::roster::{roster_item, roster_key};
 use crate::round::{Round, VoterPromise};
 use crate::task::{Operation, Task};
@@ -40,8 +41,16 @@
         let next_roster = self
             .take_next_roster()
             .filter(|_| self.guards().joint_quorums);
-        let ballot = self.next_ballot();
         let timeout = self.pacing.round_timeout(self.now);
+        if next_roster.is_none() && !recovers && !repairs {
+            if let Some(round) = self.begin_led_round(&roster, timeout) {
+                self.round = Some(round);
+                return self.propose(actions);
+            }
+        }
+        self.announce(actions);
+        self.leadership = None;
+        let ballot = self.next_ballot();
         let mut round = Round::new(ballot, self.now, timeout, roster, next_roster);
         round.recovers = recovers;
         round.initial_state =
@@ -61,7 +70,7 @@
         })
     }
 
-    fn next_ballot(&mut self) -> Ballot {
+    pub(super) fn next_ballot(&mut self) -> Ballot {
         self.highest_counter += 1;
         Ballot {
             counter: self.highest_counter,
@@ -102,14 +111,21 @@
     fn send_to_voters(&mut self, voters: BTreeSet<Ipv4Addr>, actions: &mut Vec<Action>) {
         let Some(round) = &self.round else { return };
         let (ballot, roster) = (round.ballot, round.roster.clone());
-        let message = match &round.proposal {
-            Some(proposal) => Message::Accept(Accept {
+        let message = match (&round.proposal, round.next_ballot) {
+            (Some(proposal), Some(next_ballot)) => Message::AcceptLed(AcceptLed {
+                ballot,
+                next_ballot,
+                roster,
+                chosen: proposal.transferred.clone(),
+                items: proposal.items.clone(),
+            }),
+            (Some(proposal), None) => Message::Accept(Accept {
                 ballot,
                 roster,
                 chosen: proposal.transferred.clone(),
                 items: proposal.items.clone(),
             }),
-            None => Message::Prepare(Prepare {
+            (None, _) => Message::Prepare(Prepare {
                 ballot,
                 roster,
                 digests: self.state().digests().to_vec(),
@@ -206,15 +222,29 @@
         self.learn(&items, actions);
         // As long as its own majority may not have a new roster, the loss of one disk could leave nobody who knows it.
         self.roster_unconfirmed |= items.iter().any(|item| item.key == roster_key());
+        self.pacing.record_success();
+        match round.next_ballot {
+            Some(next_ballot) => {
+                self.lead(&mut round, next_ballot, items);
+                self.complete(round.outcomes, actions);
+                self.serve_watches(actions);
+            }
+            None => {
+                self.notify_chosen(&round, &items, actions);
+                self.complete(round.outcomes, actions);
+            }
+        }
+    }
+
+    /// Notifies all replicas that the items of a round are chosen.
+    fn notify_chosen(&mut self, round: &Round, items: &[Item], actions: &mut Vec<Action>) {
         let mut receivers = round.all_voters();
         receivers.extend(self.comparison_peers());
         receivers.remove(&self.options.address);
         for to in receivers {
-            let items = items.clone();
+            let items = items.to_vec();
             self.send(to, Message::Chosen(Chosen { items }), actions);
         }
-        self.pacing.record_success();
-        reply_all(round.outcomes, actions);
     }
 
     /// A voter has promised a higher ballot. The round goes on for a while, as the other voters may be a majority.
--- /dev/null
+++ b/crates/emberpin-consensus/src/replica/register_view.rs
@@ -0,0 +1,81 @@
+//! Registers as a proposer sees them in a round: what is chosen, and on top of it what the round proposes.
+
+use crate::time::Timestamp;
+use emberpin_config::{Configuration, Item, ItemKey, ItemKind, Version};
+use emberpin_coordination::{Change, RegisterKey, RegisterKind, Registers};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Items that a round proposes, by key: of several changes of an item only the last one.
+pub(super) type ProposedItems = BTreeMap<ItemKey, Item>;
+
+/// The registers in a round.
+pub(super) struct RegisterView<'a> {
+    pub chosen: &'a Configuration,
+    pub proposed: &'a ProposedItems,
+    /// When this replica learned the present content of each lock.
+    pub locks_learned_at: &'a BTreeMap<ItemKey, Timestamp>,
+    pub now: Timestamp,
+}
+
+impl RegisterView<'_> {
+    fn item(&self, key: &ItemKey) -> Option<&Item> {
+        self.proposed.get(key).or_else(|| self.chosen.get(key))
+    }
+
+    /// The item that a change of a register makes.
+    pub fn item_of(&self, change: Change) -> Item {
+        let key = item_key(&change.key);
+        let version = self
+            .item(&key)
+            .map_or(Version::NEVER_SET, |item| item.version);
+        Item {
+            key,
+            version: version.next(),
+            body: Some(change.content),
+        }
+    }
+}
+
+impl Registers for RegisterView<'_> {
+    fn content(&self, key: &RegisterKey) -> Option<&str> {
+        self.item(&item_key(key))?.body.as_deref()
+    }
+
+    fn age(&self, key: &RegisterKey) -> Duration {
+        let key = item_key(key);
+        if self.proposed.contains_key(&key) {
+            return Duration::ZERO;
+        }
+        self.locks_learned_at
+            .get(&key)
+            .map_or(Duration::ZERO, |at| self.now.saturating_since(*at))
+    }
+
+    fn size_bytes(&self) -> usize {
+        self.chosen.encoded_len()
+    }
+}
+
+/// Whether an item is the register of a lock.
+pub(super) fn is_lock(key: &ItemKey) -> bool {
+    key.kind == ItemKind::Register && key.name.starts_with(prefix(RegisterKind::Lock))
+}
+
+/// The item of a register. Stored, so it must not change.
+fn item_key(key: &RegisterKey) -> ItemKey {
+    ItemKey {
+        kind: ItemKind::Register,
+        name: [prefix(key.kind), &key.name].concat(),
+    }
+}
+
+fn prefix(kind: RegisterKind) -> &'static str {
+    match kind {
+        RegisterKind::Lock => "lock/",
+        RegisterKind::Counter => "counter/",
+        RegisterKind::Cell => "cell/",
+        RegisterKind::CellGroup => "group/",
+        RegisterKind::HistorySegment => "history/",
+    }
+}
--- a/crates/emberpin-consensus/src/replica/timers.rs
+++ b/crates/emberpin-consensus/src/replica/timers.rs
@@ -19,6 +19,8 @@
             .chain(self.next_round_due_at())
             .chain(self.next_bootstrap_query_at())
             .chain(self.next_candidacy_query_at())
+            .chain(self.next_announcement_at())
+            .chain(self.coordination.next_watch_end())
             .fold(self.next_comparison_at, Timestamp::min)
     }
 
@@ -58,6 +60,7 @@
         }
         self.expire_tasks(actions);
         self.finish_contact_checks(actions);
+        self.end_watches(actions);
         if self.now >= self.next_comparison_at {
             self.next_comparison_at = self.now + COMPARISON_INTERVAL;
             self.compare_with_peers(actions);
@@ -72,6 +75,7 @@
         if self.round.is_none() && self.now >= self.earliest_round_at() {
             self.begin_round(actions);
         }
+        self.announce_if_due(actions);
         self.resend(actions);
     }
 }
--- a/crates/emberpin-consensus/src/round.rs
+++ b/crates/emberpin-consensus/src/round.rs
@@ -69,6 +69,14 @@
     pub accepted: BTreeSet<Ipv4Addr>,
     /// The voters that have promised a higher ballot, or cannot write.
     pub rejected: BTreeSet<Ipv4Addr>,
+    /// Whether the proposer leads: its last round had this round's phase 1.
+    pub is_led: bool,
+    /// If it does: the chosen items of its last round, which voters do not know to be chosen.
+    pub unannounced: Vec<Item>,
+    /// The ballot that voters promise when they accept; `None`, if the proposer does not become the leader.
+    pub next_ballot: Option<Ballot>,
+    /// The promises of that ballot.
+    pub next_promises: BTreeMap<Ipv4Addr, VoterPromise>,
     /// Replies to send once the proposal is chosen.
     pub outcomes: Vec<Outcome>,
     /// For tests with [`crate::Guards::evaluate_on_quorum_state`] off: what was known when the round began.
@@ -100,6 +108,10 @@
             proposal: None,
             accepted: BTreeSet::new(),
             rejected: BTreeSet::new(),
+            is_led: false,
+            unannounced: Vec::new(),
+            next_ballot: None,
+            next_promises: BTreeMap::new(),
             outcomes: Vec::new(),
             initial_state: None,
         }
@@ -143,6 +155,16 @@
             .retain(|voter, promise| !latest.is_superseded(*voter, promise.incarnation));
     }
 
+    /// Whether the proposal is sent to voters even if it is empty: a leader learns only from their answers that no other
+    /// one was promised a higher ballot since, and becomes or stays the leader by them.
+    pub fn needs_acceptance(&self) -> bool {
+        self.is_led
+            || self
+                .outcomes
+                .iter()
+                .any(|outcome| outcome.task.is_coordination())
+    }
+
     /// Whether enough voters have promised for the round to go on.
     pub fn has_promise_quorum(&self, proposer: Ipv4Addr) -> bool {
         self.in_each_roster(|voters| {
--- a/crates/emberpin-consensus/src/task.rs
+++ b/crates/emberpin-consensus/src/task.rs
@@ -1,6 +1,6 @@
 //! Tasks of a replica: what clients or the replica itself want, and how it is judged on everything that is chosen.
 
-use crate::call::{CallId, EvacuationChange};
+use crate::call::{CallId, CoordinationReply, EvacuationChange, PossibleEffect};
 use crate::error::CallError;
 use crate::guards::Guards;
 use crate::replica::ContactCheck;
@@ -40,6 +40,11 @@
         change: EvacuationChange,
         precondition: Version,
     },
+    /// An operation of an application on registers.
+    Coordinate {
+        call_id: CallId,
+        operation: emberpin_coordination::Operation,
+    },
     /// Replaces the roster of the version `ver`; no client asks for it.
     ChangeRoster {
         version: Version,
@@ -62,8 +67,18 @@
 #[derive(Debug)]
 pub(crate) struct Outcome {
     pub task: Task,
+    pub result: TaskResult,
+}
+
+/// What the caller of a task is told.
+#[derive(Debug)]
+pub(crate) enum TaskResult {
     /// The body of an acknowledgement, or why there is none.
-    pub result: Result<String, CallError>,
+    Operator(Result<String, CallError>),
+    /// The reply to an application.
+    Application(CoordinationReply),
+    /// Nothing yet: the application waits for a change of a group of cells.
+    AwaitsChange,
 }
 
 impl Task {
@@ -81,6 +96,20 @@
         matches!(self.operation, Operation::ChangeRoster { .. })
     }
 
+    /// Whether it is an operation of an application.
+    pub fn is_coordination(&self) -> bool {
+        matches!(self.operation, Operation::Coordinate { .. })
+    }
+
+    /// Whether the operation of an application may have taken effect, or may still.
+    pub fn possible_effect(&self) -> PossibleEffect {
+        if self.proposed {
+            PossibleEffect::Unknown
+        } else {
+            PossibleEffect::None
+        }
+    }
+
     /// Whether it replaces the roster of this version.
     pub fn replaces_roster(&self, replaced: Version) -> bool {
         matches!(self.operation, Operation::ChangeRoster { version, .. } if version == replaced)
@@ -93,7 +122,8 @@
         match self {
             Operation::Patch { call_id, .. }
             | Operation::Get { call_id }
-            | Operation::Evacuate { call_id, .. } => Some(*call_id),
+            | Operation::Evacuate { call_id, .. }
+            | Operation::Coordinate { call_id, .. } => Some(*call_id),
             Operation::ChangeRoster { .. } => None,
         }
     }
@@ -115,6 +145,8 @@
             Operation::ChangeRoster { version, voters } => {
                 evaluate_roster_change(*version, voters, configuration)
             }
+            // Evaluated on registers; see `replica/coordination.rs`.
+            Operation::Coordinate { .. } => Verdict::Complete(String::new()),
         }
     }
 
--- a/crates/emberpin-consensus/tests/cluster/mod.rs
+++ b/crates/emberpin-consensus/tests/cluster/mod.rs
@@ -19,7 +19,7 @@
     Item, ItemKey, ItemKind, Retention, MAX_CONFIGURATION_BYTES, MAX_HISTORY_BYTES,
 };
 use emberpin_consensus::{
-    Action, Ballot, Event, Guards, Message, Replica, ReplicaOptions, Timestamp, WriteBatch,
+    Action, Ballot, Event, Guards, Message, Replica, ReplicaOptions, Rounds, Timestamp, WriteBatch,
     WriteToken,
 };
 use node::Node;
@@ -257,6 +257,7 @@
             seeds,
             bootstrap: start == Start::Bootstrap,
             tolerated_failures: self.tolerated_failures,
+            rounds: Rounds::Leaderless,
             random_seed,
         };
         let node = self.node(ip);
--- a/crates/emberpin-consensus/tests/cluster/replica.rs
+++ b/crates/emberpin-consensus/tests/cluster/replica.rs
@@ -4,7 +4,8 @@
 use emberpin_config::{Item, ItemKey, ItemKind, Version};
 use emberpin_consensus::message::{Chosen, Message};
 use emberpin_consensus::{
-    Action, Ballot, Event, Guards, PersistedState, Replica, ReplicaOptions, Timestamp, WriteBatch,
+    Action, Ballot, Event, Guards, PersistedState, Replica, ReplicaOptions, Rounds, Timestamp,
+    WriteBatch,
 };
 
 /// When [`voter`] starts.
@@ -17,6 +18,7 @@
         seeds: vec![ip(1), ip(2), ip(3)],
         bootstrap: false,
         tolerated_failures: 1,
+        rounds: Rounds::Leaderless,
         random_seed: host.into(),
     };
     let persisted = PersistedState {
--- a/crates/emberpin-coordination/src/operation.rs
+++ b/crates/emberpin-coordination/src/operation.rs
@@ -96,6 +96,19 @@
 }
 
 impl Operation {
+    /// The operation's name in metrics and log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Operation::BeginLock { .. } => "lock_begin",
+            Operation::RenewLock { .. } => "lock_renew",
+            Operation::FinishLock { .. } => "lock_finish",
+            Operation::NextNumber { .. } => "number",
+            Operation::PutCell { .. } => "cell_put",
+            Operation::GetCell { .. } => "cell_get",
+            Operation::WatchGroup { .. } => "watch",
+        }
+    }
+
     /// Whether the operation changes nothing.
     pub fn is_read(&self) -> bool {
         matches!(
--- a/crates/emberpin-simulator/src/simulation/core_nodes.rs
+++ b/crates/emberpin-simulator/src/simulation/core_nodes.rs
@@ -7,7 +7,7 @@
 use crate::state::process::ProcessIncarnation;
 use crate::state::HEARTBEAT_INTERVAL;
 use emberpin_config::Item;
-use emberpin_consensus::{Replica, ReplicaOptions, WriteBatch, WriteToken};
+use emberpin_consensus::{Replica, ReplicaOptions, Rounds, WriteBatch, WriteToken};
 use emberpin_membership::clock::Timestamp;
 use emberpin_membership::ids::Incarnation;
 use emberpin_membership::registry::{Registry, RegistryConfig};
@@ -39,6 +39,7 @@
                 seeds: seeds.clone(),
                 bootstrap,
                 tolerated_failures,
+                rounds: Rounds::Leaderless,
                 random_seed,
             },
             node.disk.recover(),
--- a/crates/emberpin-store/src/host.rs
+++ b/crates/emberpin-store/src/host.rs
@@ -1,23 +1,25 @@
-//! The event loop around a replica: it passes events to the replica, and carries out the actions that come back.
+//! The event loop around the replicas: it passes events to them, and carries out the actions that come back.
 //!
-//! What is decided, and when, is up to [`Replica`]. The host has the clock, the sockets and the disk.
+//! What is decided, and when, is up to [`Replica`]. The host has the clocks, the sockets and the disks.
 
 use crate::disk::worker::DiskEvent;
 use crate::disk::DiskError;
-use crate::disk_monitor::{rejection_reason, DiskMonitor, DISK_FULL_REASON, DISK_STALLED_REASON};
+use crate::disk_monitor::rejection_reason;
 use crate::error::StoreError;
+use crate::hosted_replica::HostedReplica;
 use crate::input::{ConnectionId, Input};
 use crate::item_batches::item_batches;
 use crate::loop_event::{EventSources, LoopEvent};
 use crate::metrics::StoreMetrics;
 use crate::peer_links::PeerLinks;
-use crate::protocol::{oldest_version, DiskState, StoreReply, StoreRequest, ToStore};
+use crate::protocol::{DiskState, RequestId, StoreReply, StoreRequest};
 use crate::registry_sessions::RegistrySessions;
-use crate::send_queue::Frame;
 use crate::signals::Signal;
 use crate::system_record::{self, SystemRecord};
-use emberpin_consensus::{Action, Call, Event, Message, Replica, Timestamp};
-use emberpin_runtime::frames;
+use emberpin_consensus::{
+    Action, Call, CoordinationReply, Event, PossibleEffect, Replica, WhenLed,
+};
+use emberpin_coordination::Operation;
 use emberpin_runtime::identity::ProcessIdentity;
 use emberpin_runtime::settings::Settings;
 use emberpin_runtime::system_id::SystemId;
@@ -46,13 +48,20 @@
     disk: DiskState,
 }
 
-/// The replica with everything around it.
+/// What the replicas want done after some inputs.
+#[derive(Default)]
+struct ReplicaActions {
+    configuration: Vec<Action>,
+    registers: Vec<Action>,
+}
+
+/// The replicas with everything around them.
 pub struct Host<'a> {
     settings: &'a Settings,
-    /// The origin of the replica's clock.
-    started_at: Instant,
-    replica: Replica,
-    pub disk: DiskMonitor,
+    /// The replica of the configuration.
+    pub configuration: HostedReplica,
+    /// The replica of the registers of applications; `None` if there are none in this deployment.
+    pub registers: Option<HostedReplica>,
     peers: PeerLinks,
     registries: RegistrySessions,
     identity: Arc<ProcessIdentity>,
@@ -67,11 +76,11 @@
 }
 
 impl Host<'_> {
-    /// A host whose replica was just created at the zero of its clock.
+    /// A host whose replicas were just created.
     pub fn new<'a>(
         settings: &'a Settings,
-        replica: Replica,
-        disk: DiskMonitor,
+        configuration: HostedReplica,
+        registers: Option<HostedReplica>,
         peers: PeerLinks,
         identity: Arc<ProcessIdentity>,
         system: SystemRecord,
@@ -80,9 +89,8 @@
         let started_at = Instant::now();
         Host {
             settings,
-            started_at,
-            replica,
-            disk,
+            configuration,
+            registers,
             peers,
             registries: RegistrySessions::default(),
             identity,
@@ -95,11 +103,6 @@
         }
     }
 
-    /// The time of the replica's clock.
-    fn replica_now(&self) -> Timestamp {
-        Timestamp::ZERO + self.started_at.elapsed()
-    }
-
     /// Handles events until the store is to end.
     ///
     /// # Errors
@@ -117,20 +120,29 @@
 
     /// How long the event loop may sleep.
     fn time_until_due(&self) -> Duration {
-        let replica_due = Duration::from_millis(self.replica.next_tick_at().as_millis());
-        let replica = replica_due.saturating_sub(self.started_at.elapsed());
+        let configuration = self.configuration.time_until_due();
+        let registers = self
+            .registers
+            .as_ref()
+            .map_or(Duration::MAX, HostedReplica::time_until_due);
         let now = Instant::now();
         let status = self.next_status_at.saturating_duration_since(now);
         let leave = self
             .leave_deadline
             .map_or(Duration::MAX, |at| at.saturating_duration_since(now));
-        replica.min(status).min(leave).max(MIN_SLEEP)
+        configuration
+            .min(registers)
+            .min(status)
+            .min(leave)
+            .max(MIN_SLEEP)
     }
 
-    /// Whether the store shuts down and has left the roster, or waited for that long enough.
+    /// Whether the store shuts down and has left the rosters, or waited for that long enough.
     fn has_left(&self) -> bool {
-        self.leave_deadline
-            .is_some_and(|at| self.replica.has_left() || Instant::now() >= at)
+        let mut replicas = self.registers.iter().chain([&self.configuration]);
+        self.leave_deadline.is_some_and(|at| {
+            Instant::now() >= at || replicas.all(|hosted| hosted.replica.has_left())
+        })
     }
 
     fn handle_event(
@@ -145,9 +157,12 @@
             }
             LoopEvent::Signal(Signal::Hangup) => {}
             LoopEvent::Disk(Some(event)) => self.handle_disk_event(event)?,
-            LoopEvent::Disk(None) => return Err(StoreError::DiskWorkerEnded),
+            LoopEvent::RegisterDisk(Some(event)) => self.handle_register_disk_event(event)?,
+            LoopEvent::Disk(None) | LoopEvent::RegisterDisk(None) => {
+                return Err(StoreError::DiskWorkerEnded)
+            }
             LoopEvent::Input(Some(first)) => self.handle_inputs(first, inputs),
-            LoopEvent::Timer => self.handle_in_replica(Event::Tick),
+            LoopEvent::Timer => self.handle_in_replicas(&Event::Tick),
         }
         Ok(ControlFlow::Continue(()))
     }
@@ -158,26 +173,32 @@
             return ControlFlow::Break(());
         }
         self.leave_deadline = Some(Instant::now() + LEAVE_TIMEOUT);
-        self.handle_in_replica(Event::Leave);
+        self.handle_in_replicas(&Event::Leave);
         ControlFlow::Continue(())
     }
 
     /// Handles an input and those that wait behind it, and then carries out the actions of all.
     fn handle_inputs(&mut self, first: Input, inputs: &mut mpsc::Receiver<Input>) {
-        let mut actions = Vec::new();
+        let mut actions = ReplicaActions::default();
         self.handle_input(first, &mut actions);
         for _ in 1..MAX_EVENTS_PER_SYNC {
             let Ok(input) = inputs.try_recv() else { break };
             self.handle_input(input, &mut actions);
         }
-        self.apply_actions(actions);
+        self.apply_actions(actions.configuration);
+        self.apply_register_actions(actions.registers);
     }
 
-    fn handle_input(&mut self, input: Input, actions: &mut Vec<Action>) {
+    fn handle_input(&mut self, input: Input, actions: &mut ReplicaActions) {
         match input {
             Input::PeerMessage { from, message } => {
                 let event = Event::Message { from, message };
-                self.replica.handle(self.replica_now(), event, actions);
+                self.configuration.handle(event, &mut actions.configuration);
+            }
+            Input::PeerRegisterMessage { from, message } => {
+                if let Some(registers) = &mut self.registers {
+                    registers.handle(Event::Message { from, message }, &mut actions.registers);
+                }
             }
             Input::Request {
                 connection,
@@ -197,7 +218,7 @@
         &mut self,
         connection: ConnectionId,
         request: StoreRequest,
-        actions: &mut Vec<Action>,
+        actions: &mut ReplicaActions,
     ) {
         let (request_id, call) = match request {
             StoreRequest::Patch { id, body } => (id, Call::Patch(body)),
@@ -219,10 +240,15 @@
                 };
                 (id, call)
             }
-            StoreRequest::Coordinate { .. } => return,
+            StoreRequest::Coordinate {
+                id,
+                operation,
+                when_led,
+            } => return self.coordinate(connection, id, operation, when_led, actions),
             StoreRequest::Subscribe => return self.subscribe(connection),
             StoreRequest::ConfirmFreshness { nonce } => {
-                let age = self.replica.confirmed_age(self.replica_now());
+                let now = self.configuration.now();
+                let age = self.configuration.replica.confirmed_age(now);
                 return self.registries.defer_confirmation(connection, nonce, age);
             }
         };
@@ -233,13 +259,45 @@
                 .respond(connection, request_id, status, reason);
         }
         let call_id = self.registries.add_call(connection, request_id);
-        self.replica
-            .handle(self.replica_now(), Event::Call { call_id, call }, actions);
+        let event = Event::Call { call_id, call };
+        self.configuration.handle(event, &mut actions.configuration);
+    }
+
+    /// Passes an operation of an application to the replica of the registers, unless its disk takes no writes.
+    fn coordinate(
+        &mut self,
+        connection: ConnectionId,
+        id: RequestId,
+        operation: Operation,
+        when_led: WhenLed,
+        actions: &mut ReplicaActions,
+    ) {
+        let registers = self.registers.as_mut().and_then(|registers| {
+            rejection_reason(registers.disk_state())
+                .is_none()
+                .then_some(registers)
+        });
+        let Some(registers) = registers else {
+            let effect = PossibleEffect::None;
+            let reply = CoordinationReply::Undecided { effect };
+            self.metrics.count_operation(operation.name(), &reply);
+            let reply = StoreReply::Coordinated { id, reply };
+            return self.registries.send(connection, &reply);
+        };
+        let call_id = self
+            .registries
+            .add_operation(connection, id, operation.name());
+        let call = Call::Coordinate {
+            operation,
+            when_led,
+        };
+        registers.handle(Event::Call { call_id, call }, &mut actions.registers);
     }
 
     /// Sends the complete configuration and the status, and all changes from now on.
     fn subscribe(&mut self, connection: ConnectionId) {
-        let items = self.replica.state().follower_items().cloned().collect();
+        let state = self.configuration.replica.state();
+        let items = state.follower_items().cloned().collect();
         self.registries.subscribe(connection);
         self.registries.send_all_items(connection, items);
         let status = self.status_reply();
@@ -255,26 +313,25 @@
             Call::Get => return None,
             Call::Patch(_) | Call::Evacuate { .. } | Call::Coordinate { .. } => {}
         }
-        rejection_reason(self.disk_state()).map(|reason| (503, reason.into()))
+        rejection_reason(self.configuration.disk_state()).map(|reason| (503, reason.into()))
     }
 
-    /// Passes an event to the replica and carries out its actions.
-    fn handle_in_replica(&mut self, event: Event) {
-        let mut actions = Vec::new();
-        self.replica.handle(self.replica_now(), event, &mut actions);
-        self.apply_actions(actions);
+    /// Passes an event to all replicas and carries out their actions.
+    fn handle_in_replicas(&mut self, event: &Event) {
+        let mut actions = ReplicaActions::default();
+        self.configuration
+            .handle(event.clone(), &mut actions.configuration);
+        if let Some(registers) = &mut self.registers {
+            registers.handle(event.clone(), &mut actions.registers);
+        }
+        self.apply_actions(actions.configuration);
+        self.apply_register_actions(actions.registers);
     }
 
-    /// Sends messages and answers, and submits all writes as one batch.
+    /// Carries out the actions of the replica of the configuration.
     pub fn apply_actions(&mut self, actions: Vec<Action>) {
-        let (mut writes, mut sync_token) = (Vec::new(), None);
-        for action in actions {
+        for action in self.configuration.carry_out(actions, &mut self.peers) {
             match action {
-                Action::Persist { token, write } => {
-                    sync_token = write.sync.then_some(token).or(sync_token);
-                    writes.push(write);
-                }
-                Action::Send { to, message } => self.send_to_peer(to, message),
                 Action::Reply {
                     call_id,
                     status,
@@ -283,73 +340,73 @@
                     self.metrics.count_call(status);
                     self.registries.complete_call(call_id, status, body);
                 }
-                Action::ReplyToApplication { .. } => {}
                 Action::Learned { items } => {
                     for items in item_batches(items) {
                         self.registries.publish(&StoreReply::Items { items });
                     }
                 }
+                Action::Persist { .. }
+                | Action::Send { .. }
+                | Action::ReplyToApplication { .. } => {}
             }
         }
-        if writes.is_empty() {
-            return;
-        }
-        if let Some(token) = sync_token {
-            self.metrics.on_submitted(token);
-        }
-        if self.disk.submit(writes, sync_token).is_err() {
-            self.metrics.on_disk_failed();
-            self.handle_in_replica(Event::DiskFailed {
-                reason: DISK_STALLED_REASON.into(),
-            });
-        }
     }
 
-    fn send_to_peer(&mut self, peer: Ipv4Addr, message: Message) {
-        let oldest_version = oldest_version(&message);
-        let frame = frames::encode(&ToStore::Consensus {
-            from: self.settings.ip,
-            message,
-        });
-        match frame {
-            Ok(frame) => self.peers.send(peer, Frame::since(oldest_version, frame)),
-            Err(error) => {
-                log::warn!("message to another store cannot be encoded: peer={peer} error={error}");
+    /// Carries out the actions of the replica of the registers. Nobody follows what it learns.
+    pub fn apply_register_actions(&mut self, actions: Vec<Action>) {
+        let Some(registers) = &mut self.registers else {
+            return;
+        };
+        for action in registers.carry_out(actions, &mut self.peers) {
+            if let Action::ReplyToApplication { call_id, reply } = action {
+                if let Some(operation) = self.registries.operation_name(call_id) {
+                    self.metrics.count_operation(operation, &reply);
+                }
+                self.registries.complete_operation(call_id, reply);
             }
         }
     }
 
+    /// Passes an event of the configuration's disk on.
     pub fn handle_disk_event(&mut self, event: DiskEvent) -> Result<(), DiskError> {
-        match event {
-            DiskEvent::Synced { token } => {
-                self.metrics.on_synced(token);
-                self.handle_in_replica(Event::Persisted { token });
-            }
-            DiskEvent::Failed(error) => {
-                log::error!(
-                    "disk failed, votes and changes are rejected until it is restored: error={error}"
-                );
-                self.disk.on_failed();
-                self.metrics.on_disk_failed();
-                self.handle_in_replica(Event::DiskFailed {
-                    reason: DISK_FULL_REASON.into(),
-                });
-            }
-            DiskEvent::Reopened => {
-                self.disk.on_reopened();
-                self.handle_in_replica(Event::DiskRestored);
-            }
-            DiskEvent::Damaged(error) => return Err(error),
-            DiskEvent::Closed => {}
+        let mut actions = Vec::new();
+        self.configuration.handle_disk_event(event, &mut actions)?;
+        self.apply_actions(actions);
+        Ok(())
+    }
+
+    /// Passes an event of the registers' disk on.
+    pub fn handle_register_disk_event(&mut self, event: DiskEvent) -> Result<(), DiskError> {
+        let mut actions = Vec::new();
+        if let Some(registers) = &mut self.registers {
+            registers.handle_disk_event(event, &mut actions)?;
         }
+        self.apply_register_actions(actions);
         Ok(())
     }
 
+    /// Whether the disk of the registers has writes that wait.
+    pub fn has_unsynced_registers(&self) -> bool {
+        self.registers
+            .as_ref()
+            .is_some_and(|registers| !registers.disk.queue.is_idle())
+    }
+
+    /// Restores the replicas whose disks had fallen behind and have caught up.
+    fn restore_after_overflow(&mut self) {
+        let mut actions = ReplicaActions::default();
+        self.configuration
+            .restore_after_overflow(&mut actions.configuration);
+        if let Some(registers) = &mut self.registers {
+            registers.restore_after_overflow(&mut actions.registers);
+        }
+        self.apply_actions(actions.configuration);
+        self.apply_register_actions(actions.registers);
+    }
+
     /// Sends what is due after the actions of an event: confirmations, and the status if it changed or is due.
     fn publish_status(&mut self) {
-        if self.disk.take_drained_overflow() {
-            self.handle_in_replica(Event::DiskRestored);
-        }
+        self.restore_after_overflow();
         self.registries.send_confirmations();
         self.update_system();
         let health = self.current_health();
@@ -368,17 +425,21 @@
     }
 
     fn set_gauges(&self) {
-        let disk = self.disk.status(self.health.disk);
+        let disk = self.configuration.disk.status(self.health.disk);
         let rejected_peers = self.identity.rejected_peers();
+        let replica = &self.configuration.replica;
         self.metrics
-            .set_gauges(&self.replica, self.health.up_to_date, disk, rejected_peers);
+            .set_gauges(replica, self.health.up_to_date, disk, rejected_peers);
     }
 
     fn current_health(&mut self) -> Health {
         Health {
-            up_to_date: self.replica.is_up_to_date(self.replica_now()),
-            voters: self.replica.voters(),
-            disk: self.disk_state(),
+            up_to_date: self
+                .configuration
+                .replica
+                .is_up_to_date(self.configuration.now()),
+            voters: self.configuration.replica.voters(),
+            disk: self.configuration.disk_state(),
         }
     }
 
@@ -393,11 +454,6 @@
         self.health = health;
     }
 
-    fn disk_state(&mut self) -> DiskState {
-        let replica_rejects = self.replica.disk_unavailable_reason().is_some();
-        self.disk.state(replica_rejects)
-    }
-
     fn status_reply(&self) -> StoreReply {
         let Health {
             up_to_date,
@@ -407,14 +463,14 @@
         StoreReply::Status {
             up_to_date,
             voters,
-            disk: self.disk.status(disk),
+            disk: self.configuration.disk.status(disk),
             rejected_peers: self.identity.rejected_peers(),
         }
     }
 
     /// Records the system that this store belongs to, once it is known.
     fn update_system(&mut self) {
-        let (replica, up_to_date) = (&self.replica, self.health.up_to_date);
+        let (replica, up_to_date) = (&self.configuration.replica, self.health.up_to_date);
         self.system.update(|| {
             if !up_to_date {
                 return None;
--- a/crates/emberpin-store/src/input.rs
+++ b/crates/emberpin-store/src/input.rs
@@ -19,6 +19,13 @@
         /// Passed to the replica as it is.
         message: Message,
     },
+    /// A message from another store's replica of the registers.
+    PeerRegisterMessage {
+        /// The address by which the roster knows the sender.
+        from: Ipv4Addr,
+        /// Passed to the replica as it is.
+        message: Message,
+    },
     /// A request from a registry.
     Request {
         /// The connection it arrived on.
--- a/crates/emberpin-store/src/lib.rs
+++ b/crates/emberpin-store/src/lib.rs
@@ -19,6 +19,7 @@
 mod error;
 mod fault_injection;
 mod host;
+mod hosted_replica;
 mod input;
 pub mod item_batches;
 mod listener;
--- a/crates/emberpin-store/src/listener.rs
+++ b/crates/emberpin-store/src/listener.rs
@@ -124,7 +124,10 @@
     async fn read_to_end(mut self, inputs: &mpsc::Sender<Input>) -> Result<(), ConnectionError> {
         while let Some(frame) = self.next_frame().await? {
             let input = match frame {
-                ToStore::RegisterConsensus { .. } => continue,
+                ToStore::RegisterConsensus { from, message } => {
+                    self.peer_kind = PeerKind::Store;
+                    Input::PeerRegisterMessage { from, message }
+                }
                 ToStore::Consensus { from, message } => {
                     self.peer_kind = PeerKind::Store;
                     Input::PeerMessage { from, message }
--- a/crates/emberpin-store/src/loop_event.rs
+++ b/crates/emberpin-store/src/loop_event.rs
@@ -10,6 +10,8 @@
 pub struct EventSources {
     pub signals: Signals,
     pub disk_events: mpsc::Receiver<DiskEvent>,
+    /// `None` if there are no registers.
+    pub register_disk_events: Option<mpsc::Receiver<DiskEvent>>,
     pub inputs: mpsc::Receiver<Input>,
 }
 
@@ -19,6 +21,8 @@
     Signal(Signal),
     /// `None` if the disk's thread ended by itself.
     Disk(Option<DiskEvent>),
+    /// An event of the disk of the registers; `None` if its thread ended by itself.
+    RegisterDisk(Option<DiskEvent>),
     /// `None` if the listener ended.
     Input(Option<Input>),
     /// Something is due.
@@ -32,8 +36,17 @@
             biased;
             signal = self.signals.next() => LoopEvent::Signal(signal),
             event = self.disk_events.recv() => LoopEvent::Disk(event),
+            event = next_event(&mut self.register_disk_events) => LoopEvent::RegisterDisk(event),
             input = self.inputs.recv() => LoopEvent::Input(input),
             () = tokio::time::sleep(sleep) => LoopEvent::Timer,
         }
     }
 }
+
+/// The next event of a disk; never, if there is no such disk.
+async fn next_event(events: &mut Option<mpsc::Receiver<DiskEvent>>) -> Option<DiskEvent> {
+    match events {
+        Some(events) => events.recv().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/emberpin-store/src/metrics.rs
+++ b/crates/emberpin-store/src/metrics.rs
@@ -1,7 +1,9 @@
 //! The store's metrics.
 
+use crate::hosted_replica::ReplicaKind;
 use crate::protocol::{DiskState, DiskStatus};
-use emberpin_consensus::{Replica, WriteToken};
+use emberpin_consensus::{CoordinationReply, PossibleEffect, Replica, WriteToken};
+use emberpin_coordination::Outcome;
 use emberpin_runtime::metrics::MetricSet;
 use prometheus::{Histogram, IntCounterVec, IntGauge, IntGaugeVec};
 use std::collections::BTreeMap;
@@ -13,7 +15,7 @@
 /// The metrics of one store.
 pub struct StoreMetrics {
     calls: IntCounterVec,
-    sync_time: Histogram,
+    operations: IntCounterVec,
     voters: IntGauge,
     is_voter: IntGauge,
     up_to_date: IntGauge,
@@ -23,6 +25,11 @@
     items: IntGauge,
     configuration_bytes: IntGauge,
     rejected_peers: IntGauge,
+}
+
+/// The times of the syncs of one replica.
+pub struct SyncMetrics {
+    sync_time: Histogram,
     /// When the writes that are not synced were submitted.
     submitted: BTreeMap<WriteToken, Instant>,
 }
@@ -36,9 +43,10 @@
                 "Calls, by the status of the answer",
                 &["status"],
             ),
-            sync_time: set.latencies(
-                "sync_seconds",
-                "Time from the submission of a write to its sync",
+            operations: set.counters(
+                "register_operations_total",
+                "Operations on registers, by kind and result",
+                &["operation", "result"],
             ),
             voters: set.gauge("voters", "Voters of the newest roster"),
             is_voter: set.gauge("is_voter", "1 while this store is on the roster"),
@@ -64,7 +72,6 @@
                 "rejected_peers",
                 "Peers of another version or system, since the start",
             ),
-            submitted: BTreeMap::new(),
         }
     }
 
@@ -73,6 +80,62 @@
         self.calls.with_label_values(&[&status.to_string()]).inc();
     }
 
+    /// Counts the reply to an operation on registers.
+    pub fn count_operation(&self, operation: &'static str, reply: &CoordinationReply) {
+        let result = match reply {
+            CoordinationReply::Done(outcome) => outcome_name(outcome),
+            CoordinationReply::NotLeader { .. } => "not_leader",
+            CoordinationReply::Undecided {
+                effect: PossibleEffect::None,
+            } => "rejected",
+            CoordinationReply::Undecided {
+                effect: PossibleEffect::Unknown,
+            } => "undecided",
+        };
+        self.operations
+            .with_label_values(&[operation, result])
+            .inc();
+    }
+
+    /// Updates the gauges.
+    pub fn set_gauges(&self, replica: &Replica, up_to_date: bool, disk: DiskStatus, rejected: u64) {
+        self.voters.set(replica.voters().len() as i64);
+        self.is_voter.set(i64::from(replica.is_voter()));
+        self.up_to_date.set(i64::from(up_to_date));
+        for state in DiskState::ALL {
+            let is_current = i64::from(state == disk.state);
+            self.disk_states
+                .with_label_values(&[state.as_str()])
+                .set(is_current);
+        }
+        self.disk_used.set(disk.used_bytes as i64);
+        self.disk_limit.set(disk.limit_bytes as i64);
+        self.items.set(replica.state().item_count() as i64);
+        self.configuration_bytes
+            .set(replica.state().encoded_len() as i64);
+        self.rejected_peers.set(rejected as i64);
+    }
+}
+
+impl SyncMetrics {
+    /// Adds the times of the syncs of a replica of this kind to a set.
+    pub fn new(set: &MetricSet, kind: ReplicaKind) -> SyncMetrics {
+        let (name, help) = match kind {
+            ReplicaKind::Configuration => (
+                "sync_seconds",
+                "Time from the submission of a write to its sync",
+            ),
+            ReplicaKind::Registers => (
+                "register_sync_seconds",
+                "Time from the submission of a write of registers to its sync",
+            ),
+        };
+        SyncMetrics {
+            sync_time: set.latencies(name, help),
+            submitted: BTreeMap::new(),
+        }
+    }
+
     /// Notes that a write was submitted that is to be synced.
     pub fn on_submitted(&mut self, token: WriteToken) {
         if self.submitted.len() < MAX_TIMED_SYNCS {
@@ -92,23 +155,22 @@
     pub fn on_disk_failed(&mut self) {
         self.submitted.clear();
     }
+}
 
-    /// Updates the gauges.
-    pub fn set_gauges(&self, replica: &Replica, up_to_date: bool, disk: DiskStatus, rejected: u64) {
-        self.voters.set(replica.voters().len() as i64);
-        self.is_voter.set(i64::from(replica.is_voter()));
-        self.up_to_date.set(i64::from(up_to_date));
-        for state in DiskState::ALL {
-            let is_current = i64::from(state == disk.state);
-            self.disk_states
-                .with_label_values(&[state.as_str()])
-                .set(is_current);
-        }
-        self.disk_used.set(disk.used_bytes as i64);
-        self.disk_limit.set(disk.limit_bytes as i64);
-        self.items.set(replica.state().item_count() as i64);
-        self.configuration_bytes
-            .set(replica.state().encoded_len() as i64);
-        self.rejected_peers.set(rejected as i64);
+/// The outcome's name in metrics.
+fn outcome_name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::LockGranted { .. } => "granted",
+        Outcome::LockRenewed => "renewed",
+        Outcome::LockFinished => "finished",
+        Outcome::LockDenied => "denied",
+        Outcome::Number { .. } => "number",
+        Outcome::CellWritten { .. } => "written",
+        Outcome::CellChanged { .. } => "changed",
+        Outcome::Cell { .. } => "cell",
+        Outcome::NoCell => "no_cell",
+        Outcome::Events { .. } => "events",
+        Outcome::EventsDropped => "dropped",
+        Outcome::OutOfSpace => "out_of_space",
     }
 }
--- a/crates/emberpin-store/src/registry_sessions.rs
+++ b/crates/emberpin-store/src/registry_sessions.rs
@@ -5,7 +5,7 @@
 use crate::protocol::{FreshnessNonce, RequestId, StoreReply};
 use crate::send_queue::{Frame, SendQueue};
 use emberpin_config::Item;
-use emberpin_consensus::CallId;
+use emberpin_consensus::{CallId, CoordinationReply};
 use emberpin_runtime::frames;
 use emberpin_runtime::protocol_version::ProtocolVersion;
 use std::collections::BTreeMap;
@@ -47,6 +47,8 @@
     connection: ConnectionId,
     /// The id of the request on its connection.
     request_id: RequestId,
+    /// The name of an operation on registers, for metrics; `None` for other calls.
+    operation: Option<&'static str>,
 }
 
 /// A confirmation that is sent after all items that the store knew when the registry asked.
@@ -132,17 +134,46 @@
 
     /// Notes a call that goes to the replica, and returns its id there.
     pub fn add_call(&mut self, connection: ConnectionId, request_id: RequestId) -> CallId {
+        self.add_pending(PendingCall {
+            connection,
+            request_id,
+            operation: None,
+        })
+    }
+
+    /// As [`RegistrySessions::add_call`], for an operation on registers.
+    pub fn add_operation(
+        &mut self,
+        connection: ConnectionId,
+        request_id: RequestId,
+        operation: &'static str,
+    ) -> CallId {
+        self.add_pending(PendingCall {
+            connection,
+            request_id,
+            operation: Some(operation),
+        })
+    }
+
+    fn add_pending(&mut self, call: PendingCall) -> CallId {
         self.last_call_id = CallId(self.last_call_id.0 + 1);
-        self.pending_calls.insert(
-            self.last_call_id,
-            PendingCall {
-                connection,
-                request_id,
-            },
-        );
+        self.pending_calls.insert(self.last_call_id, call);
         self.last_call_id
     }
 
+    /// The name of an operation that waits for its reply.
+    pub fn operation_name(&self, call_id: CallId) -> Option<&'static str> {
+        self.pending_calls.get(&call_id)?.operation
+    }
+
+    /// Sends the reply to an operation to whoever asked for it.
+    pub fn complete_operation(&mut self, call_id: CallId, reply: CoordinationReply) {
+        if let Some(call) = self.pending_calls.remove(&call_id) {
+            let id = call.request_id;
+            self.send(call.connection, &StoreReply::Coordinated { id, reply });
+        }
+    }
+
     /// Sends the replica's reply to whoever made the call.
     pub fn complete_call(&mut self, call_id: CallId, status: u16, body: String) {
         if let Some(call) = self.pending_calls.remove(&call_id) {
--- a/crates/emberpin-store/src/startup.rs
+++ b/crates/emberpin-store/src/startup.rs
@@ -6,22 +6,27 @@
 use crate::disk_monitor::DiskMonitor;
 use crate::error::StoreError;
 use crate::host::Host;
+use crate::hosted_replica::{HostedReplica, ReplicaKind};
 use crate::listener::listen;
 use crate::loop_event::EventSources;
-use crate::metrics::StoreMetrics;
+use crate::metrics::{StoreMetrics, SyncMetrics};
 use crate::peer_links::PeerLinks;
 use crate::signals::Signals;
 use crate::system_record::SystemRecord;
-use emberpin_consensus::{Replica, ReplicaOptions, Timestamp};
+use emberpin_consensus::{Action, PersistedState, Replica, ReplicaOptions, Rounds, Timestamp};
 use emberpin_runtime::identity::ProcessIdentity;
 use emberpin_runtime::metrics::{self as metrics_server, MetricSet, MetricsEndpoint};
 use emberpin_runtime::settings::Settings;
-use std::net::{IpAddr, SocketAddrV4};
+use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
+/// Name of the folder in the data folder with the disk of the registers.
+const REGISTERS_FOLDER: &str = "registers";
 /// Inputs that may wait for the event loop. Connections wait for room.
 const INPUT_QUEUE_LENGTH: usize = 256;
 /// Longest wait for the first sync before the store listens.
@@ -43,48 +48,115 @@
         .data_dir
         .clone()
         .ok_or(StoreError::MissingDataDir)?;
-    let (disk, state) = Disk::open(&data_dir, settings.ip)?;
+    let disk = Disk::open(&data_dir, settings.ip)?;
+    let register_dir = data_dir.join(REGISTERS_FOLDER);
+    let register_disk = settings
+        .has_coordination
+        .then(|| Disk::open(&register_dir, settings.ip))
+        .transpose()?;
     let listener = bind(SocketAddrV4::new(settings.ip, settings.store_port())).await?;
     let seed = draw_seed()?;
     let identity = Arc::new(ProcessIdentity::new(seed).with_versions(settings.protocol_versions));
-    let options = replica_options(settings, seed);
-    let seeds = options.seeds.clone();
-    let mut actions = Vec::new();
-    let replica = Replica::new(Timestamp::ZERO, options, state, &mut actions);
+    let metrics = MetricSet::new("emberpin_store");
+    let (inputs, queued_inputs) = mpsc::channel(INPUT_QUEUE_LENGTH);
+    let starter = Starter {
+        settings,
+        seed,
+        metrics: &metrics,
+    };
     let system = SystemRecord::load(data_dir.clone(), identity.clone());
-    let measurement = match settings.disk_mib {
-        0 => UsageMeasurement::Off,
-        _ => UsageMeasurement::Periodic,
+    let configuration = starter.start(ReplicaKind::Configuration, data_dir, disk)?;
+    let registers = register_disk
+        .map(|disk| starter.start(ReplicaKind::Registers, register_dir, disk))
+        .transpose()?;
+    let (register_replica, register_actions, register_disk_events) = match registers {
+        Some(started) => (
+            Some(started.replica),
+            started.actions,
+            Some(started.disk_events),
+        ),
+        None => (None, Vec::new(), None),
     };
-    let (disk, mut disk_events) = DiskQueue::start(disk, data_dir, settings.ip, measurement)
-        .map_err(StoreError::StartDiskWorker)?;
-    let metrics = MetricSet::new("emberpin_store");
+    let seeds = seed_addresses(settings);
     let mut host = Host::new(
         settings,
-        replica,
-        DiskMonitor::new(disk, settings.disk_mib << 20),
+        configuration.replica,
+        register_replica,
         PeerLinks::new(settings.store_port(), identity.clone(), seeds),
         identity.clone(),
         system,
         StoreMetrics::new(&metrics),
     );
-    host.apply_actions(actions);
-    wait_for_first_sync(&mut host, &mut disk_events).await?;
-    if let Some(endpoint) = metrics_endpoint {
-        tokio::spawn(metrics_server::serve(settings.ip, endpoint, metrics));
-    }
-    let (inputs, queued_inputs) = mpsc::channel(INPUT_QUEUE_LENGTH);
-    tokio::spawn(listen(listener, identity, inputs));
+    host.apply_actions(configuration.actions);
+    host.apply_register_actions(register_actions);
     let mut sources = EventSources {
         signals,
-        disk_events,
+        disk_events: configuration.disk_events,
+        register_disk_events,
         inputs: queued_inputs,
     };
+    wait_for_first_syncs(&mut host, &mut sources).await?;
+    if let Some(endpoint) = metrics_endpoint {
+        tokio::spawn(metrics_server::serve(settings.ip, endpoint, metrics));
+    }
+    tokio::spawn(listen(listener, identity, inputs));
     host.run_event_loop(&mut sources).await?;
-    close_disk(&host.disk.queue, &mut sources.disk_events).await;
+    close_disk(&host.configuration.disk.queue, &mut sources.disk_events).await;
+    if let (Some(registers), Some(events)) = (&host.registers, &mut sources.register_disk_events) {
+        close_disk(&registers.disk.queue, events).await;
+    }
     Ok(())
 }
 
+/// A replica that was started, with the events of its disk and what it wants done first.
+struct Started {
+    replica: HostedReplica,
+    actions: Vec<Action>,
+    disk_events: mpsc::Receiver<DiskEvent>,
+}
+
+/// What the replicas of a store have in common at their start.
+struct Starter<'a> {
+    settings: &'a Settings,
+    /// Drawn anew at each start of the process.
+    seed: u64,
+    metrics: &'a MetricSet,
+}
+
+impl Starter<'_> {
+    /// Starts a replica with its disk, which was opened in this folder.
+    fn start(
+        &self,
+        kind: ReplicaKind,
+        folder: PathBuf,
+        (disk, state): (Disk, Option<PersistedState>),
+    ) -> Result<Started, StoreError> {
+        let settings = self.settings;
+        let mut actions = Vec::new();
+        let options = replica_options(settings, self.seed, kind);
+        let replica = Replica::new(Timestamp::ZERO, options, state, &mut actions);
+        // The folder of the configuration holds that of the registers, too.
+        let measurement = match (settings.disk_mib, kind) {
+            (0, _) | (_, ReplicaKind::Registers) => UsageMeasurement::Off,
+            (_, ReplicaKind::Configuration) => UsageMeasurement::Periodic,
+        };
+        let (queue, disk_events) = DiskQueue::start(disk, folder, settings.ip, measurement)
+            .map_err(StoreError::StartDiskWorker)?;
+        let replica = HostedReplica::new(
+            kind,
+            settings.ip,
+            replica,
+            DiskMonitor::new(queue, settings.disk_mib << 20),
+            SyncMetrics::new(self.metrics, kind),
+        );
+        Ok(Started {
+            replica,
+            actions,
+            disk_events,
+        })
+    }
+}
+
 async fn bind(address: SocketAddrV4) -> Result<TcpListener, StoreError> {
     TcpListener::bind(address)
         .await
@@ -97,32 +169,50 @@
     Ok(u64::from_be_bytes(seed))
 }
 
-fn replica_options(settings: &Settings, seed: u64) -> ReplicaOptions {
+/// The machines that the settings name as seeds.
+fn seed_addresses(settings: &Settings) -> Vec<Ipv4Addr> {
     let seeds = settings.seeds.iter().filter_map(|seed| match seed.ip() {
         IpAddr::V4(ip) => Some(ip),
         IpAddr::V6(_) => None,
     });
+    seeds.collect()
+}
+
+fn replica_options(settings: &Settings, seed: u64, kind: ReplicaKind) -> ReplicaOptions {
     ReplicaOptions {
         address: settings.ip,
-        seeds: seeds.collect(),
+        seeds: seed_addresses(settings),
         bootstrap: settings.bootstrap,
         tolerated_failures: settings.tolerated_node_losses,
+        rounds: match kind {
+            ReplicaKind::Configuration => Rounds::Leaderless,
+            ReplicaKind::Registers => Rounds::Led,
+        },
         random_seed: seed,
     }
 }
 
 /// Waits until what a first start writes is synced, so that nobody hears of this store before that. A disk that
 /// stalls is not waited for.
-async fn wait_for_first_sync(
+async fn wait_for_first_syncs(
     host: &mut Host<'_>,
-    disk_events: &mut mpsc::Receiver<DiskEvent>,
+    sources: &mut EventSources,
 ) -> Result<(), DiskError> {
-    while !host.disk.queue.is_idle() {
-        match tokio::time::timeout(FIRST_SYNC_TIMEOUT, disk_events.recv()).await {
+    while !host.configuration.disk.queue.is_idle() {
+        match timeout(FIRST_SYNC_TIMEOUT, sources.disk_events.recv()).await {
             Ok(Some(event)) => host.handle_disk_event(event)?,
             _ => break,
         }
     }
+    let Some(events) = &mut sources.register_disk_events else {
+        return Ok(());
+    };
+    while host.has_unsynced_registers() {
+        match timeout(FIRST_SYNC_TIMEOUT, events.recv()).await {
+            Ok(Some(event)) => host.handle_register_disk_event(event)?,
+            _ => break,
+        }
+    }
     Ok(())
 }
 
@@ -133,7 +223,7 @@
     }
     let closed =
         async { while !matches!(disk_events.recv().await, Some(DiskEvent::Closed) | None) {} };
-    if tokio::time::timeout(CLOSE_TIMEOUT, closed).await.is_err() {
+    if timeout(CLOSE_TIMEOUT, closed).await.is_err() {
         log::warn!("store ended before its last sync: timeout={CLOSE_TIMEOUT:?}");
     }
 }
--- a/crates/emberpin-store/tests/recordings/recorder.rs
+++ b/crates/emberpin-store/tests/recordings/recorder.rs
@@ -9,7 +9,7 @@
 use emberpin_consensus::{
     AcceptedProposal, Action, Ballot, BootstrapCandidate, BootstrapNonce, Call, CallId,
     EvacuationChange, Event, Guards, Incarnation, LatestIncarnations, Replica, ReplicaOptions,
-    Timestamp, WriteBatch,
+    Rounds, Timestamp, WriteBatch,
 };
 use emberpin_store::disk::Disk;
 use std::collections::{BTreeMap, VecDeque};
@@ -47,6 +47,7 @@
             seeds: vec![OWNER],
             bootstrap: true,
             tolerated_failures: 1,
+            rounds: Rounds::Leaderless,
             random_seed: 21,
         };
         let (disk, state) = Disk::open(folder, OWNER).expect("a disk");
@@ -276,6 +277,7 @@
         seeds: vec![third, second, OWNER],
         bootstrap: true,
         tolerated_failures: 1,
+        rounds: Rounds::Leaderless,
         random_seed: 21,
     };
     let (mut disk, state) = Disk::open(folder, OWNER).expect("a disk");
