--- a/crates/emberpin-consensus/src/call.rs
+++ b/crates/emberpin-consensus/src/call.rs
@@ -67,7 +67,7 @@
 }
 
 /// Whether an operation without an outcome may have taken effect, or may still.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum PossibleEffect {
     /// It has had no effect, and never will.
     None,
--- a/crates/emberpin-coordination/src/cell.rs
+++ b/crates/emberpin-coordination/src/cell.rs
@@ -15,25 +15,24 @@
     revision: Revision,
 }
 
-/// Writes a cell if it has the expected revision. A value that was written before is not written again: its first
-/// revision is told, as far as the group's history goes back.
+/// Writes a cell if it has the expected revision, if there is one. A value that was written before is not written again:
+/// its first revision is told, as far as the search goes back.
 pub fn put(
     registers: &impl Registers,
     name: &str,
     value: &str,
-    expected: Revision,
+    expected: Option<Revision>,
 ) -> Result<Evaluation, InvalidRegister> {
     let key = RegisterKey::new(RegisterKind::Cell, name);
     let cell: Cell = read(registers, &key)?;
-    if cell.revision != expected {
-        let earlier = earlier_write(registers, name, value, &cell, expected)?;
-        let outcome = earlier.map_or(
-            Outcome::CellChanged {
-                revision: cell.revision,
-            },
-            |revision| Outcome::CellWritten { revision },
-        );
-        return Ok(Evaluation::unchanged(outcome));
+    if expected != Some(cell.revision) {
+        if let Some(revision) = earlier_write(registers, name, value, &cell, expected)? {
+            return Ok(Evaluation::unchanged(Outcome::CellWritten { revision }));
+        }
+        if expected.is_some() {
+            let revision = cell.revision;
+            return Ok(Evaluation::unchanged(Outcome::CellChanged { revision }));
+        }
     }
     let group = group_of(name);
     let event = CellEvent {
@@ -60,15 +59,16 @@
     name: &str,
     value: &str,
     cell: &Cell,
-    expected: Revision,
+    expected: Option<Revision>,
 ) -> Result<Option<Revision>, InvalidRegister> {
-    if cell.revision < expected {
+    let after = expected.unwrap_or(Revision::NONE);
+    if cell.revision <= after {
         return Ok(None);
     }
     if cell.value == value {
         return Ok(Some(cell.revision));
     }
-    history::find(registers, name, value, expected)
+    history::find(registers, name, value, after)
 }
 
 /// Reads a cell.
--- a/crates/emberpin-coordination/src/history.rs
+++ b/crates/emberpin-coordination/src/history.rs
@@ -13,6 +13,8 @@
 const SEGMENT_EVENTS: u64 = 8;
 /// How many segments a group has.
 const SEGMENTS: u64 = 1_024;
+/// How many segments are searched for an earlier attempt of a write.
+const MAX_SEARCHED_SEGMENTS: usize = 256;
 /// Most changes that one response holds; the caller asks again for those that follow.
 const MAX_RESPONSE_EVENTS: usize = 256;
 /// How many changes of a group are kept at least.
@@ -45,7 +47,7 @@
     event: CellEvent,
 ) -> Result<Vec<Change>, InvalidRegister> {
     let revision = event.revision;
-    let key = segment_key(group, revision);
+    let key = segment_key(group, segment_of(revision));
     let mut segment: Segment = read(registers, &key)?;
     if is_first_of_segment(revision) {
         segment.events.clear();
@@ -57,7 +59,8 @@
     ])
 }
 
-/// The revision above this one at which a value was written to a cell.
+/// The revision above this one at which a value was written to a cell, if that is among the last changes of the group:
+/// callers repeat a call for some seconds only.
 pub fn find(
     registers: &impl Registers,
     cell: &str,
@@ -66,24 +69,24 @@
 ) -> Result<Option<Revision>, InvalidRegister> {
     let group = group_of(cell);
     let last = last_revision(registers, group)?;
-    let mut first = after.next().max(oldest_kept(last));
     let encoded_value = serde_json::Value::from(value).to_string();
-    while first <= last {
-        let key = segment_key(group, first);
+    let oldest = segment_of(after.next().max(oldest_kept(last)));
+    let newest = segment_of(last);
+    let searched = (oldest..=newest).rev().take(MAX_SEARCHED_SEGMENTS);
+    for segment in searched {
+        let key = segment_key(group, segment);
         // Most segments do not hold the value, and need no parsing.
         let may_hold = registers
             .content(&key)
             .is_some_and(|content| content.contains(&encoded_value));
-        if may_hold {
-            let Segment { events } = read(registers, &key)?;
-            let written = events
-                .iter()
-                .find(|event| event.name == cell && event.value == value);
-            if let Some(event) = written {
-                return Ok(Some(event.revision));
-            }
+        if !may_hold {
+            continue;
+        }
+        let Segment { events } = read(registers, &key)?;
+        let is_written = |event: &&CellEvent| event.name == cell && event.value == value;
+        if let Some(event) = events.iter().find(is_written) {
+            return Ok(Some(event.revision));
         }
-        first = first_of_next_segment(first);
     }
     Ok(None)
 }
@@ -121,20 +124,20 @@
     last: Revision,
 ) -> Result<Vec<CellEvent>, InvalidRegister> {
     let mut events = Vec::new();
-    let mut first = after.next();
-    while first <= last && events.len() < MAX_RESPONSE_EVENTS {
-        let segment: Segment = read(registers, &segment_key(group, first))?;
+    for segment in segment_of(after.next())..=segment_of(last) {
+        let segment: Segment = read(registers, &segment_key(group, segment))?;
         let wanted = segment.events.into_iter();
         events.extend(wanted.filter(|event| event.revision > after));
-        first = first_of_next_segment(first);
+        if events.len() >= MAX_RESPONSE_EVENTS {
+            break;
+        }
     }
     Ok(events)
 }
 
 /// The oldest revision that is kept when this one is the last.
 fn oldest_kept(last: Revision) -> Revision {
-    let newest_segment = last.0.saturating_sub(1) / SEGMENT_EVENTS;
-    let oldest_segment = (newest_segment + 1).saturating_sub(SEGMENTS);
+    let oldest_segment = (segment_of(last) + 1).saturating_sub(SEGMENTS);
     Revision(oldest_segment * SEGMENT_EVENTS + 1)
 }
 
@@ -142,17 +145,16 @@
     (revision.0 - 1).is_multiple_of(SEGMENT_EVENTS)
 }
 
-fn first_of_next_segment(revision: Revision) -> Revision {
-    let segment = (revision.0 - 1) / SEGMENT_EVENTS;
-    Revision((segment + 1) * SEGMENT_EVENTS + 1)
+/// The number of the segment that holds a revision. Segments count on when their registers are used again.
+fn segment_of(revision: Revision) -> u64 {
+    revision.0.saturating_sub(1) / SEGMENT_EVENTS
 }
 
 fn group_key(group: &str) -> RegisterKey {
     RegisterKey::new(RegisterKind::CellGroup, group)
 }
 
-/// The register of the segment that holds a revision, which is above [`Revision::NONE`].
-fn segment_key(group: &str, revision: Revision) -> RegisterKey {
-    let segment = (revision.0 - 1) / SEGMENT_EVENTS % SEGMENTS;
-    RegisterKey::new(RegisterKind::HistorySegment, format!("{group}/{segment}"))
+fn segment_key(group: &str, segment: u64) -> RegisterKey {
+    let slot = segment % SEGMENTS;
+    RegisterKey::new(RegisterKind::HistorySegment, format!("{group}/{slot}"))
 }
--- a/crates/emberpin-coordination/src/operation.rs
+++ b/crates/emberpin-coordination/src/operation.rs
@@ -69,14 +69,15 @@
         /// The counter's name.
         counter: String,
     },
-    /// Writes a cell, if nobody has written it since the caller read it. No two values of a cell are the same.
+    /// Writes a cell. No two values of a cell are the same, so a value that was written already is one of an earlier
+    /// attempt.
     PutCell {
         /// The cell's name.
         cell: String,
         /// What is written.
         value: String,
-        /// The revision that the cell must have; [`Revision::NONE`] if it must not exist.
-        expected: Revision,
+        /// The revision that the cell must have: [`Revision::NONE`] if it must not exist, `None` for any.
+        expected: Option<Revision>,
     },
     /// Reads a cell.
     GetCell {
--- a/crates/emberpin-registry/src/http_api.rs
+++ b/crates/emberpin-registry/src/http_api.rs
@@ -4,6 +4,7 @@
 
 mod call_query;
 mod calls;
+mod coordination;
 mod heartbeat_body;
 mod request_body;
 mod response;
@@ -11,5 +12,6 @@
 mod server;
 
 pub use calls::Calls;
+pub use coordination::ApplicationCall;
 pub use route::Route;
 pub use server::HttpServer;
--- a/crates/emberpin-registry/src/http_api/calls.rs
+++ b/crates/emberpin-registry/src/http_api/calls.rs
@@ -4,11 +4,13 @@
 //! stores, or redirected to a registry that can have them confirmed.
 
 use super::call_query::CallQuery;
+use super::coordination::{self, ApplicationCall, InvalidOperation};
 use super::heartbeat_body::{self, InvalidHeartbeat};
 use super::request_body::{self, RequestBodyError};
 use super::response::{self, HttpResponse};
 use super::route::Route;
 use crate::commands::{Command, CommandSender};
+use crate::coordination_client::CoordinationClient;
 use crate::store_client::StoreClient;
 use emberpin_config::Version;
 use emberpin_consensus::EvacuationChange;
@@ -44,6 +46,8 @@
     stores: Arc<StoreClient>,
     /// The port of the HTTP API, the same on all core machines.
     ctl_port: u16,
+    /// Carries out the calls of applications; `None` if there are none in this deployment.
+    coordination: Option<CoordinationClient>,
     /// A permit for each KiB of changes in flight.
     change_permits: Semaphore,
 }
@@ -57,6 +61,12 @@
     /// Its body is no heartbeat.
     #[error(transparent)]
     Heartbeat(#[from] InvalidHeartbeat),
+    /// Its body or query is no operation on a lock, a counter or a cell.
+    #[error(transparent)]
+    Operation(#[from] InvalidOperation),
+    /// Applications cannot call for locks, counters and cells in this deployment.
+    #[error("there is no such call")]
+    NoCoordination,
 }
 
 impl CallError {
@@ -64,18 +74,25 @@
     pub fn status(&self) -> StatusCode {
         match self {
             CallError::Body(error) => error.status(),
-            CallError::Heartbeat(_) => StatusCode::BAD_REQUEST,
+            CallError::Heartbeat(_) | CallError::Operation(_) => StatusCode::BAD_REQUEST,
+            CallError::NoCoordination => StatusCode::NOT_FOUND,
         }
     }
 }
 
 impl Calls {
-    /// Calls that go to the event loop by `commands`, and to `stores`.
-    pub fn new(commands: CommandSender, stores: Arc<StoreClient>, ctl_port: u16) -> Calls {
+    /// Calls that go to the event loop by `commands`, and to `stores`; those of applications by `coordination`.
+    pub fn new(
+        commands: CommandSender,
+        stores: Arc<StoreClient>,
+        coordination: Option<CoordinationClient>,
+        ctl_port: u16,
+    ) -> Calls {
         Calls {
             commands,
             stores,
             ctl_port,
+            coordination,
             change_permits: Semaphore::new(MAX_CHANGE_KIB_IN_FLIGHT),
         }
     }
@@ -105,6 +122,7 @@
                 self.evacuate(&head, subject, EvacuationChange::End, body)
                     .await
             }
+            Route::Application(call) => self.coordinate(call, subject, &head.uri, body).await,
             Route::Status => Ok(self.status().await),
         }
     }
@@ -208,6 +226,22 @@
             .await)
     }
 
+    /// Has an operation of an application carried out.
+    async fn coordinate(
+        &self,
+        call: ApplicationCall,
+        subject: &str,
+        uri: &Uri,
+        body: Incoming,
+    ) -> Result<HttpResponse, CallError> {
+        let body = request_body::read(body, MAX_BODY_BYTES).await?;
+        let Some(client) = &self.coordination else {
+            return Err(CallError::NoCoordination);
+        };
+        let operation = coordination::operation(call, subject, uri, &body)?;
+        Ok(coordination::respond(client.call(operation).await))
+    }
+
     async fn status(&self) -> HttpResponse {
         let (response, status) = oneshot::channel();
         self.commands
--- /dev/null
+++ b/crates/emberpin-registry/src/http_api/coordination.rs
@@ -0,0 +1,281 @@
+//! The calls of applications: their bodies and queries, and the responses to them.
+
+use super::response::{self, HttpResponse};
+use crate::coordination_client::OperationResult;
+use emberpin_coordination::{CellEvent, Fence, Operation, Outcome, Revision};
+use emberpin_runtime::settings::parse_duration;
+use hyper::{StatusCode, Uri};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// The longest value of a cell, and the longest name of an owner.
+const MAX_TEXT_BYTES: usize = 512;
+/// The longest hold of a lock.
+const MAX_HOLD: Duration = Duration::from_secs(3_600);
+/// The longest time that a watch waits.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(60);
+
+/// A call of an application that cannot be understood.
+#[derive(Debug, thiserror::Error)]
+pub enum InvalidOperation {
+    /// Its body is no JSON of the call's fields.
+    #[error("body: {0}")]
+    Body(#[from] serde_json::Error),
+    /// A field has a value that it cannot have.
+    #[error("{field}: expected {expected}")]
+    Field {
+        /// The field's name.
+        field: &'static str,
+        /// What the field can be.
+        expected: &'static str,
+    },
+}
+
+#[derive(Deserialize)]
+struct BeginBody {
+    owner: String,
+    hold: String,
+}
+
+#[derive(Deserialize)]
+struct HeartbeatBody {
+    owner: String,
+    fence: Fence,
+    hold: String,
+}
+
+#[derive(Deserialize)]
+struct FinishBody {
+    owner: String,
+    fence: Fence,
+}
+
+#[derive(Deserialize)]
+struct PutBody {
+    val: String,
+    when: Option<Revision>,
+}
+
+/// A call of an application.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ApplicationCall {
+    /// `POST /locks/ID/begin`.
+    BeginLock,
+    /// `POST /locks/ID/heartbeat`.
+    RenewLock,
+    /// `POST /locks/ID/finish`.
+    FinishLock,
+    /// `POST /numbers/ID`.
+    NextNumber,
+    /// `POST /cells/ID/put`.
+    PutCell,
+    /// `GET /cells/ID/get`.
+    GetCell,
+    /// `GET /watch/ID`.
+    WatchGroup,
+}
+
+impl ApplicationCall {
+    /// The call's name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            ApplicationCall::BeginLock => "lock_begin",
+            ApplicationCall::RenewLock => "lock_heartbeat",
+            ApplicationCall::FinishLock => "lock_finish",
+            ApplicationCall::NextNumber => "number",
+            ApplicationCall::PutCell => "cell_put",
+            ApplicationCall::GetCell => "cell_get",
+            ApplicationCall::WatchGroup => "watch",
+        }
+    }
+}
+
+/// The operation that a call asks for. `subject` is the name in its path.
+///
+/// # Errors
+///
+/// [`InvalidOperation`] names what cannot be read.
+pub fn operation(
+    call: ApplicationCall,
+    subject: &str,
+    uri: &Uri,
+    body: &[u8],
+) -> Result<Operation, InvalidOperation> {
+    let name = subject.to_string();
+    Ok(match call {
+        ApplicationCall::BeginLock => {
+            let BeginBody { owner, hold } = parse(body)?;
+            Operation::BeginLock {
+                lock: name,
+                owner: limited("owner", owner)?,
+                hold: parse_hold(&hold)?,
+            }
+        }
+        ApplicationCall::RenewLock => {
+            let HeartbeatBody { owner, fence, hold } = parse(body)?;
+            Operation::RenewLock {
+                lock: name,
+                owner: limited("owner", owner)?,
+                fence,
+                hold: parse_hold(&hold)?,
+            }
+        }
+        ApplicationCall::FinishLock => {
+            let FinishBody { owner, fence } = parse(body)?;
+            Operation::FinishLock {
+                lock: name,
+                owner: limited("owner", owner)?,
+                fence,
+            }
+        }
+        ApplicationCall::NextNumber => Operation::NextNumber { counter: name },
+        ApplicationCall::PutCell => {
+            let PutBody { val, when } = parse(body)?;
+            Operation::PutCell {
+                cell: name,
+                value: limited("val", val)?,
+                expected: when,
+            }
+        }
+        ApplicationCall::GetCell => Operation::GetCell { cell: name },
+        ApplicationCall::WatchGroup => Operation::WatchGroup {
+            group: name,
+            after: Revision(query_number(uri, "after")?),
+            wait: Duration::from_millis(query_number(uri, "wait_ms")?).min(MAX_WATCH_WAIT),
+        },
+    })
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, InvalidOperation> {
+    Ok(serde_json::from_slice(body)?)
+}
+
+fn limited(field: &'static str, text: String) -> Result<String, InvalidOperation> {
+    if text.len() > MAX_TEXT_BYTES {
+        let expected = "at most 512 bytes";
+        return Err(InvalidOperation::Field { field, expected });
+    }
+    Ok(text)
+}
+
+fn parse_hold(text: &str) -> Result<Duration, InvalidOperation> {
+    parse_duration(text)
+        .filter(|hold| !hold.is_zero() && *hold <= MAX_HOLD)
+        .ok_or(InvalidOperation::Field {
+            field: "hold",
+            expected: "a time such as 3000ms, up to 3600s",
+        })
+}
+
+/// A number in the query; 0 if it is absent.
+fn query_number(uri: &Uri, name: &'static str) -> Result<u64, InvalidOperation> {
+    let fields = uri.query().unwrap_or_default().split('&');
+    let mut values = fields.filter_map(|field| field.strip_prefix(name)?.strip_prefix('='));
+    let Some(value) = values.next() else {
+        return Ok(0);
+    };
+    value.parse().map_err(|_| InvalidOperation::Field {
+        field: name,
+        expected: "a whole number",
+    })
+}
+
+#[derive(Serialize)]
+struct FenceBody {
+    fence: Fence,
+}
+
+#[derive(Serialize)]
+struct NumberBody {
+    val: u64,
+}
+
+#[derive(Serialize)]
+struct RevisionBody {
+    rev: Revision,
+}
+
+#[derive(Serialize)]
+struct CellBody {
+    val: String,
+    rev: Revision,
+}
+
+#[derive(Serialize)]
+struct EventBody {
+    name: String,
+    val: String,
+    rev: Revision,
+}
+
+#[derive(Serialize)]
+struct EventsBody {
+    events: Vec<EventBody>,
+    rev: Revision,
+}
+
+/// The response to a call. 409, 412, 429 and 503 say that the operation had no effect and never will; 504 leaves it open.
+pub fn respond(result: OperationResult) -> HttpResponse {
+    match result {
+        OperationResult::Done(outcome) => respond_with(outcome),
+        OperationResult::Unavailable => response::unavailable(),
+        OperationResult::Unknown => response::plain_text(
+            StatusCode::GATEWAY_TIMEOUT,
+            "no majority of the stores has confirmed it in time\n".into(),
+        ),
+    }
+}
+
+fn respond_with(outcome: Outcome) -> HttpResponse {
+    match outcome {
+        Outcome::LockGranted { fence } => json(StatusCode::OK, &FenceBody { fence }),
+        Outcome::LockRenewed | Outcome::LockFinished => response::empty(),
+        Outcome::LockDenied => text(StatusCode::CONFLICT, "the lock is held by another owner\n"),
+        Outcome::Number { value } => json(StatusCode::OK, &NumberBody { val: value }),
+        Outcome::CellWritten { revision } => json(StatusCode::OK, &RevisionBody { rev: revision }),
+        Outcome::CellChanged { revision } => json(
+            StatusCode::PRECONDITION_FAILED,
+            &RevisionBody { rev: revision },
+        ),
+        Outcome::Cell { value, revision } => {
+            let body = CellBody {
+                val: value,
+                rev: revision,
+            };
+            json(StatusCode::OK, &body)
+        }
+        Outcome::NoCell => text(StatusCode::NOT_FOUND, "there is no such cell\n"),
+        Outcome::Events { events, revision } => {
+            let body = EventsBody {
+                events: events.into_iter().map(EventBody::from).collect(),
+                rev: revision,
+            };
+            json(StatusCode::OK, &body)
+        }
+        Outcome::EventsDropped => text(StatusCode::GONE, "these changes are no longer kept\n"),
+        Outcome::OutOfSpace => text(
+            StatusCode::TOO_MANY_REQUESTS,
+            "there is no room for another lock, number or cell\n",
+        ),
+    }
+}
+
+impl From<CellEvent> for EventBody {
+    fn from(event: CellEvent) -> EventBody {
+        EventBody {
+            name: event.name,
+            val: event.value,
+            rev: event.revision,
+        }
+    }
+}
+
+fn text(status: StatusCode, body: &'static str) -> HttpResponse {
+    response::plain_text(status, body.into())
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> HttpResponse {
+    let body = serde_json::to_string(body).expect("numbers and texts can be expressed in JSON");
+    response::json(status, body)
+}
--- a/crates/emberpin-registry/src/http_api/route.rs
+++ b/crates/emberpin-registry/src/http_api/route.rs
@@ -1,5 +1,6 @@
 //! Which call a method and a path are: a tree of matchers over the path's segments.
 
+use super::coordination::ApplicationCall;
 use std::borrow::Cow;
 
 /// A path segment that takes any text is no longer than this.
@@ -20,6 +21,8 @@
     BeginEvacuation,
     /// `POST /evac/ZONE/finish`: the evacuation of a zone ends.
     FinishEvacuation,
+    /// A call of an application for a lock, a counter or a cell.
+    Application(ApplicationCall),
     /// `GET /status`: the status of this registry.
     Status,
 }
@@ -34,6 +37,7 @@
             Route::GetConfig => "config_get",
             Route::BeginEvacuation => "evac_begin",
             Route::FinishEvacuation => "evac_finish",
+            Route::Application(call) => call.name(),
             Route::Status => "status",
         }
     }
@@ -86,6 +90,18 @@
     }
 }
 
+const fn subject_call(method: &'static str, route: Route) -> Matcher {
+    Matcher {
+        text: None,
+        children: &[],
+        call: Some((method, route)),
+    }
+}
+
+const fn application(text: &'static str, method: &'static str, route: ApplicationCall) -> Matcher {
+    call(text, method, Route::Application(route))
+}
+
 const MATCHERS: &[Matcher] = &[
     literal(
         "instances",
@@ -108,6 +124,35 @@
             call("finish", "POST", Route::FinishEvacuation),
         ])],
     ),
+    literal(
+        "locks",
+        &[subject(&[
+            application("begin", "POST", ApplicationCall::BeginLock),
+            application("heartbeat", "POST", ApplicationCall::RenewLock),
+            application("finish", "POST", ApplicationCall::FinishLock),
+        ])],
+    ),
+    literal(
+        "numbers",
+        &[subject_call(
+            "POST",
+            Route::Application(ApplicationCall::NextNumber),
+        )],
+    ),
+    literal(
+        "cells",
+        &[subject(&[
+            application("put", "POST", ApplicationCall::PutCell),
+            application("get", "GET", ApplicationCall::GetCell),
+        ])],
+    ),
+    literal(
+        "watch",
+        &[subject_call(
+            "GET",
+            Route::Application(ApplicationCall::WatchGroup),
+        )],
+    ),
     call("status", "GET", Route::Status),
 ];
 
--- a/crates/emberpin-registry/src/lib.rs
+++ b/crates/emberpin-registry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod backoff;
 pub mod commands;
 pub mod connection;
+mod coordination_client;
 pub mod host;
 pub mod http_api;
 pub mod inbound;
--- a/crates/emberpin-registry/src/program.rs
+++ b/crates/emberpin-registry/src/program.rs
@@ -1,6 +1,7 @@
 //! The registry's process: the command line, the settings file, and how the parts are wired together on one thread.
 
 use crate::connection::UnreadableFrames;
+use crate::coordination_client::CoordinationClient;
 use crate::host::{Host, HostIdentity};
 use crate::http_api::{Calls, HttpServer};
 use crate::inbound::InboundServer;
@@ -191,13 +192,16 @@
         store_port,
         stores.clone(),
     ));
+    let coordination = settings
+        .has_coordination
+        .then(|| CoordinationClient::new(client.clone(), stores.clone()));
     StoreSubscription::new(process.clone(), store_port, stores, commands.clone()).start();
     if let Some(endpoint) = metrics_endpoint {
         host.update_gauges(metrics.clone());
         tokio::spawn(metrics_server::serve(settings.ip, endpoint, metric_set));
     }
     tokio::spawn(host.run());
-    let calls = Calls::new(commands.clone(), client, ctl_port);
+    let calls = Calls::new(commands.clone(), client, coordination, ctl_port);
     let http_server = Arc::new(HttpServer::new(calls, metrics));
     let inbound = Arc::new(InboundServer::new(process, commands, unreadable_frames));
     (http_server, inbound)
--- a/crates/emberpin-registry/src/store_client.rs
+++ b/crates/emberpin-registry/src/store_client.rs
@@ -1,10 +1,11 @@
 //! Calls to the stores, with failover from one store to the next.
 
-use crate::store_connection::{StoreConnection, StoreResponse};
+use crate::store_connection::StoreConnection;
 use crate::store_state::{lock, StoreState};
+use bytes::Bytes;
 use emberpin_runtime::frames;
 use emberpin_runtime::identity::ProcessIdentity;
-use emberpin_store::protocol::{DiskStatus, RequestId, StoreRequest, ToStore};
+use emberpin_store::protocol::{DiskStatus, RequestId, StoreReply, StoreRequest, ToStore};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -18,7 +19,16 @@
 /// The status of a call that may be sent again: 503, Service Unavailable.
 const SERVICE_UNAVAILABLE: u16 = 503;
 
-/// Passes calls of the operator to the stores.
+/// A store's response to a call of the operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreResponse {
+    /// An HTTP status.
+    pub status: u16,
+    /// The HTTP body.
+    pub body: String,
+}
+
+/// Passes calls to the stores.
 pub struct StoreClient {
     identity: Arc<ProcessIdentity>,
     /// The port of all stores.
@@ -66,7 +76,7 @@
     ) -> Option<StoreResponse> {
         let mut rejection = None;
         for store in self.stores_in_order() {
-            let id = RequestId(self.next_request_id.fetch_add(1, Ordering::Relaxed));
+            let id = self.next_request_id();
             let called_at = Instant::now();
             let Some(response) = self.call_store(store, id, build_request(id)).await else {
                 continue;
@@ -100,12 +110,28 @@
             log::debug!("call needs a store of a newer build: store={store}");
             return None;
         }
+        match connection
+            .request(id, StoreClient::encode(request)?)
+            .await?
+        {
+            StoreReply::Response { status, body, .. } => Some(StoreResponse { status, body }),
+            _ => None,
+        }
+    }
+
+    /// The frames of a request; `None` if it is too long.
+    pub fn encode(request: StoreRequest) -> Option<Bytes> {
         let frame = frames::encode(&ToStore::Request(request)).ok()?;
-        connection.request(id, frame.into()).await
+        Some(frame.into())
+    }
+
+    /// An id that no other request has.
+    pub fn next_request_id(&self) -> RequestId {
+        RequestId(self.next_request_id.fetch_add(1, Ordering::Relaxed))
     }
 
     /// The open connection to a store, or a new one.
-    async fn connection(&self, store: Ipv4Addr) -> Option<StoreConnection> {
+    pub async fn connection(&self, store: Ipv4Addr) -> Option<StoreConnection> {
         let open = lock(&self.connections)
             .get(&store)
             .filter(|connection| !connection.is_closed())
--- a/crates/emberpin-registry/src/store_connection.rs
+++ b/crates/emberpin-registry/src/store_connection.rs
@@ -15,7 +15,7 @@
 use tokio::io::{AsyncRead, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// A store that is not connected or has not answered with its preamble by then is passed over, so that time is left for
 /// the next one.
@@ -23,17 +23,8 @@
 /// Requests that may wait to be written; a caller beyond these waits.
 const REQUEST_QUEUE_CAPACITY: usize = 64;
 
-/// A store's response to a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoreResponse {
-    /// An HTTP status.
-    pub status: u16,
-    /// The HTTP body.
-    pub body: String,
-}
-
-/// Callers that wait for a response, by the id of their request.
-type PendingRequests = Arc<Mutex<HashMap<RequestId, oneshot::Sender<StoreResponse>>>>;
+/// Callers that wait for a reply, by the id of their request.
+type PendingRequests = Arc<Mutex<HashMap<RequestId, oneshot::Sender<StoreReply>>>>;
 
 type StoreReader = BufReader<OwnedReadHalf>;
 
@@ -49,6 +40,8 @@
 pub struct StoreConnection {
     frames: FrameSender,
     pending: PendingRequests,
+    /// When the store sent a reply last; until it did, when the connection was opened.
+    last_reply_at: Arc<Mutex<Instant>>,
     /// The version of the protocol that both ends speak.
     pub version: ProtocolVersion,
 }
@@ -65,6 +58,7 @@
         let (reader, writer, version) = timeout(CONNECT_TIMEOUT, connected).await.ok()?.ok()?;
         let (frames, queued_frames) = mpsc::channel(REQUEST_QUEUE_CAPACITY);
         let pending = PendingRequests::default();
+        let last_reply_at = Arc::new(Mutex::new(Instant::now()));
         tokio::spawn(serve(
             reader,
             writer,
@@ -74,10 +68,12 @@
             },
             queued_frames,
             pending.clone(),
+            last_reply_at.clone(),
         ));
         Some(StoreConnection {
             frames,
             pending,
+            last_reply_at,
             version,
         })
     }
@@ -87,9 +83,14 @@
         self.frames.is_closed()
     }
 
-    /// Sends an encoded request and waits for the response to it. `None` if the connection breaks first; the store
+    /// When the store sent a reply last; until it did, when the connection was opened.
+    pub fn last_reply_at(&self) -> Instant {
+        *lock(&self.last_reply_at)
+    }
+
+    /// Sends an encoded request and waits for the reply to it. `None` if the connection breaks first; the store
     /// may then have handled the request or not.
-    pub async fn request(&self, id: RequestId, frame: Bytes) -> Option<StoreResponse> {
+    pub async fn request(&self, id: RequestId, frame: Bytes) -> Option<StoreReply> {
         let (responder, response) = oneshot::channel();
         lock(&self.pending).insert(id, responder);
         let _pending = PendingRequest {
@@ -131,10 +132,11 @@
     store: Store,
     mut queued_frames: mpsc::Receiver<Bytes>,
     pending: PendingRequests,
+    last_reply_at: Arc<Mutex<Instant>>,
 ) {
     let ended = tokio::select! {
         ended = write_frames(&mut writer, &mut queued_frames, store.version) => ended,
-        ended = deliver_responses(reader, &pending) => ended,
+        ended = deliver_replies(reader, &pending, &last_reply_at) => ended,
     };
     // The queue closes before the callers are dropped: one that adds itself later fails at the queue instead of
     // waiting for ever.
@@ -148,17 +150,20 @@
     }
 }
 
-/// Hands each response to its caller, until the connection breaks.
-async fn deliver_responses(
+/// Hands each reply to its caller, until the connection breaks.
+async fn deliver_replies(
     mut reader: impl AsyncRead + Unpin,
     pending: &PendingRequests,
+    last_reply_at: &Mutex<Instant>,
 ) -> Result<(), ConnectionError> {
     loop {
-        let StoreReply::Response { id, status, body } = frames::read(&mut reader).await? else {
+        let reply: StoreReply = frames::read(&mut reader).await?;
+        let (StoreReply::Response { id, .. } | StoreReply::Coordinated { id, .. }) = reply else {
             continue;
         };
+        *lock(last_reply_at) = Instant::now();
         if let Some(caller) = lock(pending).remove(&id) {
-            _ = caller.send(StoreResponse { status, body });
+            _ = caller.send(reply);
         }
     }
 }
