Send a leader's last items with its next proposal, announced or not

The items of a round now always travel with the next one. Class: knowledge that a quorum must have was taken off the list when it was sent, not when it was acknowledged.

With it: a hold that was read from the disk counts from the replica's start, as it never ended before; each grant has a fence of its own, so that a late finish ends no later hold; a renewed hold never ends before the one it replaces by any clock; a watch stops at a gap; 429 is not answered after an attempt with an unknown effect.

--- a/crates/emberpin-consensus/src/replica/coordination.rs
+++ b/crates/emberpin-consensus/src/replica/coordination.rs
@@ -33,7 +33,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Coordination {
     watches: Vec<Watch>,
-    /// When this replica learned the present content of each lock.
+    /// When this replica learned the present content of each lock that changed since its start.
     locks_learned_at: BTreeMap<ItemKey, Timestamp>,
 }
 
@@ -112,6 +112,7 @@
             chosen: self.state().configuration(),
             proposed,
             locks_learned_at: &self.coordination.locks_learned_at,
+            started_at: self.started_at,
             now: self.now,
         }
     }
--- a/crates/emberpin-consensus/src/replica/leadership.rs
+++ b/crates/emberpin-consensus/src/replica/leadership.rs
@@ -3,7 +3,7 @@
 //! A voter that accepts a leader's proposal promises the leader's next ballot with the same write. So a quorum that has
 //! accepted a round has promised the next one, and told with it what every promise would tell: that this proposal is
 //! the last that it accepted, and that the items which came along are chosen. The leader's next proposal carries the
-//! items of this one as chosen; they are announced on their own only if no proposal follows soon.
+//! items of this one as chosen. They are announced on their own, too, if no proposal follows soon.
 //!
 //! What holds for promises holds for these: they are void once their voter has lost its disk, or another proposer has
 //! been promised a higher ballot, which the leader finds out when its proposal is rejected. A leader is no authority:
@@ -34,9 +34,11 @@
     /// The version of the roster by which the promises are a quorum.
     roster_version: Version,
     promises: BTreeMap<Ipv4Addr, VoterPromise>,
-    /// The items of the last round, which other replicas do not know to be chosen.
-    unannounced: Vec<Item>,
-    announce_at: Timestamp,
+    /// The items of the last round. The next proposal carries them, whether or not they were announced before: an
+    /// announcement may be lost, and a voter that accepts the next proposal forgets that it accepted them.
+    last_items: Vec<Item>,
+    /// When the items are announced on their own; `None` once they are.
+    announce_at: Option<Timestamp>,
 }
 
 /// A leader as another replica knows it.
@@ -81,7 +83,7 @@
             return None;
         }
         round.is_led = true;
-        round.unannounced = leadership.unannounced;
+        round.last_items = leadership.last_items;
         Some(round)
     }
 
@@ -91,17 +93,14 @@
             ballot: next_ballot,
             roster_version: round.roster.version,
             promises: std::mem::take(&mut round.next_promises),
-            unannounced: items,
-            announce_at: self.now + ANNOUNCEMENT_DELAY,
+            announce_at: (!items.is_empty()).then(|| self.now + ANNOUNCEMENT_DELAY),
+            last_items: items,
         });
     }
 
     /// When the items of the last round are to be announced without a proposal.
     pub(super) fn next_announcement_at(&self) -> Option<Timestamp> {
-        self.leadership
-            .as_ref()
-            .filter(|leadership| !leadership.unannounced.is_empty())
-            .map(|leadership| leadership.announce_at)
+        self.leadership.as_ref()?.announce_at
     }
 
     /// Announces the items of the last round, if that is due.
@@ -116,10 +115,10 @@
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        let items = std::mem::take(&mut leadership.unannounced);
-        if items.is_empty() {
+        if leadership.announce_at.take().is_none() {
             return;
         }
+        let items = leadership.last_items.clone();
         let mut receivers = self.comparison_peers();
         receivers.remove(&self.options.address);
         for to in receivers {
--- a/crates/emberpin-consensus/src/replica/proposal.rs
+++ b/crates/emberpin-consensus/src/replica/proposal.rs
@@ -35,7 +35,7 @@
             return self.complete(round.outcomes, actions);
         }
         let transferred = if round.is_led {
-            std::mem::take(&mut round.unannounced)
+            std::mem::take(&mut round.last_items)
         } else if self.guards().transfer_missing_items {
             round.missing_items(self.state())
         } else {
--- a/crates/emberpin-consensus/src/replica/proposer.rs
+++ b/crates/emberpin-consensus/src/replica/proposer.rs
@@ -256,8 +256,9 @@
     ) {
         let Rejected { ballot, promised } = rejected;
         self.highest_counter = self.highest_counter.max(promised.counter);
-        if promised <= ballot {
-            // The voter has promised this very round, and got its message twice.
+        let own_next = self.round.as_ref().and_then(|round| round.next_ballot);
+        if promised <= ballot || Some(promised) == own_next {
+            // The voter has promised this very round or accepted it, and got its message twice.
             return;
         }
         let Some(round) = self.round.as_mut().filter(|round| round.ballot == ballot) else {
--- a/crates/emberpin-consensus/src/replica/register_view.rs
+++ b/crates/emberpin-consensus/src/replica/register_view.rs
@@ -15,6 +15,8 @@
     pub proposed: &'a ProposedItems,
     /// When this replica learned the present content of each lock.
     pub locks_learned_at: &'a BTreeMap<ItemKey, Timestamp>,
+    /// When this replica started: it has known since then what its disk held.
+    pub started_at: Timestamp,
     pub now: Timestamp,
 }
 
@@ -47,9 +49,8 @@
         if self.proposed.contains_key(&key) {
             return Duration::ZERO;
         }
-        self.locks_learned_at
-            .get(&key)
-            .map_or(Duration::ZERO, |at| self.now.saturating_since(*at))
+        let learned_at = self.locks_learned_at.get(&key).unwrap_or(&self.started_at);
+        self.now.saturating_since(*learned_at)
     }
 
     fn size_bytes(&self) -> usize {
--- a/crates/emberpin-consensus/src/round.rs
+++ b/crates/emberpin-consensus/src/round.rs
@@ -71,8 +71,8 @@
     pub rejected: BTreeSet<Ipv4Addr>,
     /// Whether the proposer leads: its last round had this round's phase 1.
     pub is_led: bool,
-    /// If it does: the chosen items of its last round, which voters do not know to be chosen.
-    pub unannounced: Vec<Item>,
+    /// If it does: the chosen items of its last round, which voters may not know to be chosen.
+    pub last_items: Vec<Item>,
     /// The ballot that voters promise when they accept; `None`, if the proposer does not become the leader.
     pub next_ballot: Option<Ballot>,
     /// The promises of that ballot.
@@ -109,7 +109,7 @@
             accepted: BTreeSet::new(),
             rejected: BTreeSet::new(),
             is_led: false,
-            unannounced: Vec::new(),
+            last_items: Vec::new(),
             next_ballot: None,
             next_promises: BTreeMap::new(),
             outcomes: Vec::new(),
--- a/crates/emberpin-coordination/src/history.rs
+++ b/crates/emberpin-coordination/src/history.rs
@@ -112,11 +112,15 @@
         return Ok(Evaluation::unchanged(Outcome::EventsDropped));
     }
     let events = events_after(registers, group, after, last)?;
-    let revision = events.last().map_or(after, |event| event.revision);
+    let Some(newest) = events.last() else {
+        return Ok(Evaluation::AwaitChange { revision: last });
+    };
+    let revision = newest.revision;
     Ok(Evaluation::unchanged(Outcome::Events { events, revision }))
 }
 
-/// The changes above a revision, the first [`MAX_RESPONSE_EVENTS`] or a few more.
+/// The changes above a revision, the first [`MAX_RESPONSE_EVENTS`] or a few more, up to the first one that is missing: a
+/// replica that does not lead may know later ones only.
 fn events_after(
     registers: &impl Registers,
     group: &str,
@@ -124,10 +128,15 @@
     last: Revision,
 ) -> Result<Vec<CellEvent>, InvalidRegister> {
     let mut events = Vec::new();
+    let mut next = after.next();
     for segment in segment_of(after.next())..=segment_of(last) {
         let segment: Segment = read(registers, &segment_key(group, segment))?;
-        let wanted = segment.events.into_iter();
-        events.extend(wanted.filter(|event| event.revision > after));
+        for event in segment.events {
+            if event.revision == next {
+                next = next.next();
+                events.push(event);
+            }
+        }
         if events.len() >= MAX_RESPONSE_EVENTS {
             break;
         }
--- a/crates/emberpin-coordination/src/lock.rs
+++ b/crates/emberpin-coordination/src/lock.rs
@@ -30,6 +30,8 @@
 struct Lock {
     /// The token granted last; 0 before the first.
     fence: Fence,
+    /// The token of the present owner's first call. It may not have been told of the later ones.
+    first_fence: Fence,
     /// The present hold; `None` if the lock was released.
     hold: Option<Hold>,
     /// How often the lock was granted or renewed. Makes the content of each renewal differ from the one before.
@@ -41,7 +43,8 @@
     hold / MAX_CLOCK_DRIFT_DIVISOR + CLOCK_RESOLUTION
 }
 
-/// Grants the lock if it is free or its hold is over. The present owner gets its hold anew, with the same token.
+/// Grants the lock if it is free or its hold is over. The present owner gets its hold anew. Each grant has a token of its
+/// own, so that a release which comes late does not end a later hold of the same owner.
 pub fn begin(
     registers: &impl Registers,
     name: &str,
@@ -56,13 +59,15 @@
         Some(held) if !is_over(held, age) => {
             return Ok(Evaluation::unchanged(Outcome::LockDenied));
         }
-        _ => lock.fence = Fence(lock.fence.0 + 1),
+        _ => lock.first_fence = lock.fence.next(),
     }
+    lock.fence = lock.fence.next();
     let outcome = Outcome::LockGranted { fence: lock.fence };
     Ok(extend(key, lock, owner, hold, age, outcome))
 }
 
-/// Renews the lock if the owner still has it with this token, also when its hold is over and nobody else came.
+/// Renews the lock if the owner still has it, also when its hold is over and nobody else came. Any token of its tenure
+/// will do: it may not have been told of the last one.
 pub fn renew(
     registers: &impl Registers,
     name: &str,
@@ -72,14 +77,15 @@
 ) -> Result<Evaluation, InvalidRegister> {
     let key = RegisterKey::new(RegisterKind::Lock, name);
     let lock: Lock = read(registers, &key)?;
-    if !is_held_by(&lock, owner, fence) {
+    let is_of_tenure = (lock.first_fence..=lock.fence).contains(&fence);
+    if !is_held_by(&lock, owner) || !is_of_tenure {
         return Ok(Evaluation::unchanged(Outcome::LockDenied));
     }
     let age = registers.age(&key);
     Ok(extend(key, lock, owner, hold, age, Outcome::LockRenewed))
 }
 
-/// Releases the lock if the owner has it with this token; otherwise there is nothing to do.
+/// Releases the lock if the owner has it with this very token; otherwise there is nothing to do.
 pub fn finish(
     registers: &impl Registers,
     name: &str,
@@ -88,7 +94,7 @@
 ) -> Result<Evaluation, InvalidRegister> {
     let key = RegisterKey::new(RegisterKind::Lock, name);
     let mut lock: Lock = read(registers, &key)?;
-    if !is_held_by(&lock, owner, fence) {
+    if !is_held_by(&lock, owner) || lock.fence != fence {
         return Ok(Evaluation::unchanged(Outcome::LockFinished));
     }
     lock.hold = None;
@@ -109,9 +115,7 @@
     outcome: Outcome,
 ) -> Evaluation {
     let present = lock.hold.filter(|held| held.owner == owner);
-    let remaining = present.map_or(Duration::ZERO, |held| {
-        Duration::from_millis(held.millis).saturating_sub(age)
-    });
+    let remaining = present.map_or(Duration::ZERO, |held| latest_end(&held).saturating_sub(age));
     lock.hold = Some(Hold {
         owner: owner.into(),
         millis: whole_millis(hold.max(remaining)),
@@ -123,15 +127,19 @@
     }
 }
 
-fn is_held_by(lock: &Lock, owner: &str, fence: Fence) -> bool {
-    let is_owner = lock.hold.as_ref().is_some_and(|hold| hold.owner == owner);
-    is_owner && lock.fence == fence
+fn is_held_by(lock: &Lock, owner: &str) -> bool {
+    lock.hold.as_ref().is_some_and(|hold| hold.owner == owner)
 }
 
 /// Whether a hold that was chosen this long ago, at least, is over by its holder's clock.
 fn is_over(hold: &Hold, age: Duration) -> bool {
+    age > latest_end(hold)
+}
+
+/// How long after a hold was chosen its holder may count itself as one, by any clock.
+fn latest_end(hold: &Hold) -> Duration {
     let duration = Duration::from_millis(hold.millis);
-    age > duration + clock_tolerance(duration)
+    duration + clock_tolerance(duration)
 }
 
 /// A duration in whole milliseconds, rounded up.
--- a/crates/emberpin-coordination/src/operation.rs
+++ b/crates/emberpin-coordination/src/operation.rs
@@ -10,6 +10,14 @@
 #[serde(transparent)]
 pub struct Fence(pub u64);
 
+impl Fence {
+    /// The token of the next grant.
+    #[must_use]
+    pub fn next(self) -> Fence {
+        Fence(self.0 + 1)
+    }
+}
+
 /// The number of a change in a group of cells: the first one is 1. The revision of a cell is that of its last change;
 /// 0 for a cell that does not exist.
 #[derive(
--- a/crates/emberpin-registry/src/coordination_client.rs
+++ b/crates/emberpin-registry/src/coordination_client.rs
@@ -87,6 +87,10 @@
         let mut effect = PossibleEffect::None;
         let attempts = self.attempt_until_done(&operation, wait, &mut effect);
         match timeout_at(deadline, attempts).await {
+            // An earlier attempt may still find room.
+            Ok(Outcome::OutOfSpace) if effect == PossibleEffect::Unknown => {
+                OperationResult::Unknown
+            }
             Ok(outcome) => OperationResult::Done(outcome),
             Err(_) if effect == PossibleEffect::None || operation.is_read() => {
                 OperationResult::Unavailable
@@ -113,6 +117,7 @@
             *effect = PossibleEffect::Unknown;
             match self.attempt(target, operation, wait).await {
                 Attempt::Replied(CoordinationReply::Done(outcome)) => {
+                    *effect = earlier_effect;
                     self.set_leader(target.store);
                     return outcome;
                 }
--- a/crates/emberpin-registry/src/http_api/coordination.rs
+++ b/crates/emberpin-registry/src/http_api/coordination.rs
@@ -215,7 +215,7 @@
     rev: Revision,
 }
 
-/// The response to a call. 409, 412, 429 and 503 say that the operation had no effect and never will; 504 leaves it open.
+/// The response to a call. 412, 429 and 503 say that the operation had no effect and never will; 504 leaves it open.
 pub fn respond(result: OperationResult) -> HttpResponse {
     match result {
         OperationResult::Done(outcome) => respond_with(outcome),
