--- a/crates/emberpin-consensus/tests/cluster/mod.rs
+++ b/crates/emberpin-consensus/tests/cluster/mod.rs
@@ -4,6 +4,7 @@
 //! Times are milliseconds. Running a cluster stops at the first violation, which [`Cluster::violation`] describes.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+mod applications;
 pub mod calls;
 mod checks;
 mod clients;
@@ -19,8 +20,8 @@
     Item, ItemKey, ItemKind, Retention, MAX_CONFIGURATION_BYTES, MAX_HISTORY_BYTES,
 };
 use emberpin_consensus::{
-    Action, Ballot, Event, Guards, Message, Replica, ReplicaOptions, Rounds, Timestamp, WriteBatch,
-    WriteToken,
+    Action, Ballot, CoordinationReply, Event, Guards, Message, Replica, ReplicaOptions, Rounds,
+    Timestamp, WriteBatch, WriteToken,
 };
 use node::Node;
 use oorandom::Rand64;
@@ -106,6 +107,8 @@
     pub partitions: BTreeSet<(Ipv4Addr, Ipv4Addr)>,
     pub calls: Vec<ClientCall>,
     pub history: Vec<HistoryEvent>,
+    /// The replies to the operations of applications, in the order in which these were sent.
+    pub operations: Vec<Option<CoordinationReply>>,
     /// What was observed so far, and must stay true.
     pub observed: Observations,
     /// The first violation.
@@ -115,6 +118,7 @@
     pub held_back: Vec<HeldMessage>,
     pub random: Rand64,
     guards: Guards,
+    rounds: Rounds,
     seeds: Vec<Ipv4Addr>,
     tolerated_failures: usize,
     /// Times and numbers of scheduled events, the earliest first.
@@ -149,6 +153,23 @@
 impl Cluster {
     /// A cluster of seeds, all of which are started for its bootstrap.
     pub fn new(seed: u64, seed_count: u8, tolerated_failures: usize, guards: Guards) -> Cluster {
+        Cluster::with_rounds(
+            Rounds::Leaderless,
+            seed,
+            seed_count,
+            tolerated_failures,
+            guards,
+        )
+    }
+
+    /// A cluster whose proposers follow one another in this way.
+    pub fn with_rounds(
+        rounds: Rounds,
+        seed: u64,
+        seed_count: u8,
+        tolerated_failures: usize,
+        guards: Guards,
+    ) -> Cluster {
         let seeds: Vec<Ipv4Addr> = (1..=seed_count).map(ip).collect();
         let mut cluster = Cluster {
             now: 1,
@@ -156,12 +177,14 @@
             partitions: BTreeSet::new(),
             calls: Vec::new(),
             history: Vec::new(),
+            operations: Vec::new(),
             observed: Observations::default(),
             violation: None,
             hold_back: None,
             held_back: Vec::new(),
             random: Rand64::new(u128::from(seed) + 1),
             guards,
+            rounds,
             seeds: seeds.clone(),
             tolerated_failures,
             schedule: BinaryHeap::new(),
@@ -257,7 +280,7 @@
             seeds,
             bootstrap: start == Start::Bootstrap,
             tolerated_failures: self.tolerated_failures,
-            rounds: Rounds::Leaderless,
+            rounds: self.rounds,
             random_seed,
         };
         let node = self.node(ip);
@@ -353,7 +376,9 @@
                     status,
                     body,
                 } => self.on_reply(call_id.0 as usize, Reply { status, body }),
-                Action::ReplyToApplication { .. } => {}
+                Action::ReplyToApplication { call_id, reply } => {
+                    self.on_application_reply(call_id, reply);
+                }
                 Action::Learned { items } => self.on_learned(ip, &items),
             }
         }
