Record the syncs of registers once a second instead of with each

A round of registers took two syncs one after the other, the second only to record the first: 10 ms of a round of some 25 at 5 ms a sync. The record lets a start notice that a disk lost what was synced; for registers it may now be a second behind, which the power losses of the platform do not need.

--- a/crates/emberpin-store/src/disk.rs
+++ b/crates/emberpin-store/src/disk.rs
@@ -260,10 +260,28 @@
     ///
     /// [`DiskError`], as for [`Disk::write`].
     pub fn sync(&mut self) -> Result<(), DiskError> {
+        self.sync_journal()?;
+        self.record_sync()
+    }
+
+    /// Returns once all writes are on the disk.
+    ///
+    /// # Errors
+    ///
+    /// [`DiskError`], as for [`Disk::write`].
+    pub fn sync_journal(&mut self) -> Result<(), DiskError> {
         self.keyspace
             .keyspace
             .persist(PersistMode::SyncAll)
-            .map_err(KeyspaceOperation::Sync.failed_at(&self.path))?;
+            .map_err(KeyspaceOperation::Sync.failed_at(&self.path))
+    }
+
+    /// Records that all writes are synced, which they must be.
+    ///
+    /// # Errors
+    ///
+    /// [`DiskError`], as for [`Disk::write`].
+    pub fn record_sync(&mut self) -> Result<(), DiskError> {
         if self.sync_record.write_number() == Some(self.write_number) {
             return Ok(());
         }
--- a/crates/emberpin-store/src/disk/queue.rs
+++ b/crates/emberpin-store/src/disk/queue.rs
@@ -1,8 +1,8 @@
 //! The event loop's end of the queue of batches for the disk.
 
 use super::worker::{
-    item_bytes, DiskCommand, DiskEvent, DiskWorker, Generation, Progress, UsageMeasurement,
-    MAX_BATCHES_PER_SYNC,
+    item_bytes, DiskCommand, DiskEvent, DiskWorker, Generation, Progress, SyncRecording,
+    UsageMeasurement, MAX_BATCHES_PER_SYNC,
 };
 use super::Disk;
 use emberpin_consensus::{WriteBatch, WriteToken};
@@ -50,6 +50,7 @@
         folder: PathBuf,
         own_ip: Ipv4Addr,
         measurement: UsageMeasurement,
+        sync_recording: SyncRecording,
     ) -> io::Result<(DiskQueue, events::Receiver<DiskEvent>)> {
         let (commands, queued_commands) = mpsc::sync_channel(MAX_QUEUED_BATCHES);
         let (events, reported_events) = events::channel(MAX_QUEUED_BATCHES);
@@ -58,6 +59,7 @@
             folder,
             own_ip,
             measurement,
+            sync_recording,
             queued_commands,
             events,
             progress.clone(),
--- a/crates/emberpin-store/src/disk/worker.rs
+++ b/crates/emberpin-store/src/disk/worker.rs
@@ -22,6 +22,8 @@
 /// Backoff between attempts to reopen a disk that failed, doubled from the first to the last.
 const MIN_REOPEN_BACKOFF: Duration = Duration::from_millis(500);
 const MAX_REOPEN_BACKOFF: Duration = Duration::from_secs(8);
+/// Shortest time between records of syncs that are recorded periodically.
+const SYNC_RECORDING_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest time between measurements of the disk's usage after writes.
 const MEASURE_INTERVAL: Duration = Duration::from_millis(450);
 /// Time between measurements while nothing is written, as `fjall` may have merged tables since.
@@ -92,6 +94,15 @@
     Off,
 }
 
+/// How soon a sync is recorded. A start that finds fewer writes than were recorded knows that the disk lost some.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SyncRecording {
+    /// With each sync, which takes another one. Suits writes that are rare.
+    Immediate,
+    /// At most once in [`SYNC_RECORDING_INTERVAL`]. Suits writes that follow one another.
+    Periodic,
+}
+
 /// Bytes of the items in a batch, which dominate its size.
 pub fn item_bytes(writes: &[WriteBatch]) -> usize {
     let item_bytes = |write: &WriteBatch| {
@@ -131,6 +142,9 @@
     progress: Arc<Progress>,
     generation: Generation,
     reopen_backoff: Duration,
+    sync_recording: SyncRecording,
+    /// When a sync was recorded last.
+    recorded_at: Instant,
     /// When the usage was last measured; `None` if it is not measured.
     measured_at: Option<Instant>,
 }
@@ -141,6 +155,7 @@
         folder: PathBuf,
         own_ip: Ipv4Addr,
         measurement: UsageMeasurement,
+        sync_recording: SyncRecording,
         commands: Receiver<DiskCommand>,
         events: events::Sender<DiskEvent>,
         progress: Arc<Progress>,
@@ -154,6 +169,8 @@
             progress,
             generation: Generation::default(),
             reopen_backoff: MIN_REOPEN_BACKOFF,
+            sync_recording,
+            recorded_at: Instant::now(),
             measured_at: is_measured.then(Instant::now),
         };
         worker.measure();
@@ -202,7 +219,7 @@
         let mut group = self.write_group(disk, first);
         if group.result.is_ok() && (group.sync_token.is_some() || group.closes) {
             fault_injection::delay_sync();
-            group.result = disk.sync();
+            group.result = self.sync(disk, group.closes);
         }
         self.progress
             .completed_batches
@@ -211,6 +228,22 @@
         self.report_group(group)
     }
 
+    /// Syncs all writes, and records that if it is due.
+    fn sync(&mut self, disk: &mut Disk, closes: bool) -> Result<(), DiskError> {
+        disk.sync_journal()?;
+        let is_due = match self.sync_recording {
+            SyncRecording::Immediate => true,
+            SyncRecording::Periodic => {
+                closes || self.recorded_at.elapsed() >= SYNC_RECORDING_INTERVAL
+            }
+        };
+        if is_due {
+            disk.record_sync()?;
+            self.recorded_at = Instant::now();
+        }
+        Ok(())
+    }
+
     /// Writes the batches of a group, without a sync. Stops writing at the first failure.
     fn write_group(&mut self, disk: &mut Disk, first: DiskCommand) -> Group {
         let mut group = Group {
--- a/crates/emberpin-store/src/startup.rs
+++ b/crates/emberpin-store/src/startup.rs
@@ -1,7 +1,7 @@
 //! Starts a store: opens the disk and the listener, syncs what a first start writes, and runs the event loop.
 
 use crate::disk::queue::DiskQueue;
-use crate::disk::worker::{DiskEvent, UsageMeasurement};
+use crate::disk::worker::{DiskEvent, SyncRecording, UsageMeasurement};
 use crate::disk::{Disk, DiskError};
 use crate::disk_monitor::DiskMonitor;
 use crate::error::StoreError;
@@ -140,8 +140,13 @@
             (0, _) | (_, ReplicaKind::Registers) => UsageMeasurement::Off,
             (_, ReplicaKind::Configuration) => UsageMeasurement::Periodic,
         };
-        let (queue, disk_events) = DiskQueue::start(disk, folder, settings.ip, measurement)
-            .map_err(StoreError::StartDiskWorker)?;
+        let sync_recording = match kind {
+            ReplicaKind::Configuration => SyncRecording::Immediate,
+            ReplicaKind::Registers => SyncRecording::Periodic,
+        };
+        let (queue, disk_events) =
+            DiskQueue::start(disk, folder, settings.ip, measurement, sync_recording)
+                .map_err(StoreError::StartDiskWorker)?;
         let replica = HostedReplica::new(
             kind,
             settings.ip,
