--- a/crates/emberpin-registry/src/coordination_client.rs
+++ b/crates/emberpin-registry/src/coordination_client.rs
@@ -26,7 +26,7 @@
 const MAX_REPLY_TIME: Duration = Duration::from_millis(700);
 /// How long a store is suspected.
 const SUSPICION_PERIOD: Duration = Duration::from_secs(3);
-/// The pause before the next attempt when no store is left that is not suspected.
+/// The pause before an attempt when all stores are suspected.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// The result of an operation for its application.
@@ -45,6 +45,8 @@
 struct Target {
     store: Ipv4Addr,
     when_led: WhenLed,
+    /// Whether this one is suspected, too: all are.
+    is_suspected: bool,
 }
 
 /// What became of one attempt.
@@ -62,7 +64,7 @@
     state: Arc<StoreState>,
     /// The store that led last, as far as this registry knows.
     leader: watch::Sender<Option<Ipv4Addr>>,
-    /// Until when stores are suspected.
+    /// When stores were last suspected that have not replied since.
     suspects: Mutex<BTreeMap<Ipv4Addr, Instant>>,
 }
 
@@ -108,16 +110,17 @@
         effect: &mut PossibleEffect,
     ) -> Outcome {
         loop {
-            let Some(target) = self.target() else {
+            let target = self.target();
+            if target.is_suspected {
                 sleep(RETRY_DELAY).await;
-                continue;
-            };
+            }
             let earlier_effect = *effect;
             // Until the attempt has ended otherwise: it may be cut off by the deadline.
             *effect = PossibleEffect::Unknown;
             match self.attempt(target, operation, wait).await {
                 Attempt::Replied(CoordinationReply::Done(outcome)) => {
                     *effect = earlier_effect;
+                    self.trust(target.store);
                     self.set_leader(target.store);
                     return outcome;
                 }
@@ -126,6 +129,7 @@
                     effect: now,
                 }) => {
                     *effect = earlier_effect.max(now);
+                    self.trust(target.store);
                     self.set_leader(leader);
                 }
                 Attempt::Replied(CoordinationReply::Undecided { effect: now }) => {
@@ -141,26 +145,40 @@
         }
     }
 
-    /// The leader, or the first other store that is not suspected; it takes the lead if the leader is suspected. `None`
-    /// if all are.
-    fn target(&self) -> Option<Target> {
+    /// The leader, or the first other store that is not suspected; it takes the lead if the leader is suspected. If all
+    /// are suspected, the one that has been for longest: what ails all of them may be over, so none is given up.
+    fn target(&self) -> Target {
         let leader = *self.leader.borrow();
-        if let Some(store) = leader.filter(|leader| !self.is_suspected(*leader)) {
-            let when_led = WhenLed::Redirect;
-            return Some(Target { store, when_led });
-        }
-        let when_led = match leader {
-            Some(_) => WhenLed::TakeOver,
-            None => WhenLed::Redirect,
+        let (suspects, now) = (lock(&self.suspects), Instant::now());
+        let suspected_at = |store: &Ipv4Addr| {
+            let suspected_at = suspects.get(store).copied();
+            suspected_at.filter(|at| now < *at + SUSPICION_PERIOD)
         };
         // In one order everywhere, so that all registries have the same store take the lead.
         let mut stores = self.state.other_stores();
         stores.push(self.state.local_ip());
         stores.sort_unstable();
-        stores
-            .into_iter()
-            .find(|store| !self.is_suspected(*store))
-            .map(|store| Target { store, when_led })
+        let first = stores
+            .iter()
+            .copied()
+            .find(|store| suspected_at(store).is_none());
+        let suspected_longest = stores.iter().copied().min_by_key(suspected_at);
+        let (store, when_led, is_suspected) = match (leader, first) {
+            (Some(leader), _) if suspected_at(&leader).is_none() => {
+                (leader, WhenLed::Redirect, false)
+            }
+            (Some(_), Some(first)) => (first, WhenLed::TakeOver, false),
+            (None, Some(first)) => (first, WhenLed::Redirect, false),
+            (_, None) => {
+                let store = suspected_longest.unwrap_or(self.state.local_ip());
+                (store, WhenLed::Redirect, true)
+            }
+        };
+        Target {
+            store,
+            when_led,
+            is_suspected,
+        }
     }
 
     fn set_leader(&self, store: Ipv4Addr) {
@@ -171,18 +189,17 @@
         });
     }
 
-    fn is_suspected(&self, store: Ipv4Addr) -> bool {
-        lock(&self.suspects)
-            .get(&store)
-            .is_some_and(|until| Instant::now() < *until)
-    }
-
     /// Suspects a store, and has the operations that wait for it go elsewhere.
     fn suspect(&self, store: Ipv4Addr) {
-        lock(&self.suspects).insert(store, Instant::now() + SUSPICION_PERIOD);
+        lock(&self.suspects).insert(store, Instant::now());
         self.leader.send_modify(|_| {});
     }
 
+    /// A store that replies is not suspected any more.
+    fn trust(&self, store: Ipv4Addr) {
+        lock(&self.suspects).remove(&store);
+    }
+
     async fn attempt(&self, target: Target, operation: &Operation, wait: Duration) -> Attempt {
         let connection = self.stores.connection(target.store);
         let Some(connection) = connection.await else {
@@ -207,15 +224,16 @@
                 _ => Attempt::Silent,
             },
             () = silence(&connection, wait) => Attempt::Silent,
-            () = self.suspected(target.store) => Attempt::Silent,
+            () = self.suspected(target.store, Instant::now()) => Attempt::Silent,
         }
     }
 
-    /// Returns once another operation has found the store to be silent.
-    async fn suspected(&self, store: Ipv4Addr) {
+    /// Returns once another operation has found the store to be silent after this moment.
+    async fn suspected(&self, store: Ipv4Addr, after: Instant) {
         let mut changes = self.leader.subscribe();
         while changes.changed().await.is_ok() {
-            if self.is_suspected(store) {
+            let suspected_at = lock(&self.suspects).get(&store).copied();
+            if suspected_at.is_some_and(|at| at > after) {
                 return;
             }
         }
