Let the operator list, show and release locks, read cells and take numbers

GET /locks is a read operation of the registers, in pages of 1,024 locks. A release sends a finish with the owner and the fence that were listed.

--- a/crates/emberpin-consensus/src/replica/register_view.rs
+++ b/crates/emberpin-consensus/src/replica/register_view.rs
@@ -3,7 +3,7 @@
 use crate::time::Timestamp;
 use emberpin_config::{Configuration, Item, ItemKey, ItemKind, Version};
 use emberpin_coordination::{Change, RegisterKey, RegisterKind, Registers};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Items that a round proposes, by key: of several changes of an item only the last one.
@@ -53,6 +53,14 @@
         self.now.saturating_since(*learned_at)
     }
 
+    fn names_after(&self, kind: RegisterKind, after: &str, limit: usize) -> Vec<String> {
+        let items = self.chosen.live().chain(self.proposed.values());
+        let registers = items.filter(|item| item.key.kind == ItemKind::Register);
+        let names = registers.filter_map(|item| item.key.name.strip_prefix(prefix(kind)));
+        let later: BTreeSet<&str> = names.filter(|name| *name > after).collect();
+        later.into_iter().take(limit).map(str::to_owned).collect()
+    }
+
     fn size_bytes(&self) -> usize {
         self.chosen.encoded_len()
     }
--- a/crates/emberpin-coordination/src/evaluate.rs
+++ b/crates/emberpin-coordination/src/evaluate.rs
@@ -67,6 +67,7 @@
         } => cell::put(registers, cell, value, *expected),
         Operation::GetCell { cell } => cell::get(registers, cell),
         Operation::WatchGroup { group, after, .. } => history::watch(registers, group, *after),
+        Operation::ListLocks { after } => lock::list(registers, after),
     }
 }
 
--- a/crates/emberpin-coordination/src/lib.rs
+++ b/crates/emberpin-coordination/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use evaluate::{evaluate, Evaluation};
 pub use history::MIN_RETAINED_EVENTS;
-pub use lock::clock_tolerance;
+pub use lock::{clock_tolerance, MAX_LISTED_LOCKS};
 pub use operation::{group_of, Fence, Operation, Revision};
-pub use outcome::{CellEvent, Outcome};
+pub use outcome::{CellEvent, HeldLock, Outcome};
 pub use register::{Change, InvalidRegister, RegisterKey, RegisterKind, Registers};
--- a/crates/emberpin-coordination/src/lock.rs
+++ b/crates/emberpin-coordination/src/lock.rs
@@ -7,7 +7,7 @@
 
 use crate::evaluate::Evaluation;
 use crate::operation::Fence;
-use crate::outcome::Outcome;
+use crate::outcome::{HeldLock, Outcome};
 use crate::register::{read, write, InvalidRegister, RegisterKey, RegisterKind, Registers};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -17,6 +17,9 @@
 /// The resolution of replicas' clocks, with a margin.
 const CLOCK_RESOLUTION: Duration = Duration::from_millis(5);
 
+/// How many locks, held or not, one list goes through. The caller asks again for those that follow.
+pub const MAX_LISTED_LOCKS: usize = 1_024;
+
 /// A hold.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Hold {
@@ -104,6 +107,32 @@
     })
 }
 
+/// The locks that are held, of the first [`MAX_LISTED_LOCKS`] after a name.
+pub fn list(registers: &impl Registers, after: &str) -> Result<Evaluation, InvalidRegister> {
+    let names = registers.names_after(RegisterKind::Lock, after, MAX_LISTED_LOCKS);
+    let next_after = names
+        .last()
+        .filter(|_| names.len() == MAX_LISTED_LOCKS)
+        .cloned();
+    let mut locks = Vec::new();
+    for name in names {
+        let key = RegisterKey::new(RegisterKind::Lock, name);
+        let Lock { fence, hold, .. } = read(registers, &key)?;
+        let Some(Hold { owner, millis }) = hold else {
+            continue;
+        };
+        let known_for = registers.age(&key);
+        locks.push(HeldLock {
+            name: key.name,
+            owner,
+            fence,
+            hold: Duration::from_millis(millis),
+            known_for,
+        });
+    }
+    Ok(Evaluation::unchanged(Outcome::Locks { locks, next_after }))
+}
+
 /// The lock with a new hold of the owner. It does not end before the owner's present one: the owner counts by that one
 /// if the response to this call is lost.
 fn extend(
--- a/crates/emberpin-coordination/src/operation.rs
+++ b/crates/emberpin-coordination/src/operation.rs
@@ -102,6 +102,11 @@
         /// How long to wait for a change.
         wait: Duration,
     },
+    /// Reads which locks are held, for operators.
+    ListLocks {
+        /// Only locks whose names come after this one; empty for the first ones.
+        after: String,
+    },
 }
 
 impl Operation {
@@ -115,6 +120,7 @@
             Operation::PutCell { .. } => "cell_put",
             Operation::GetCell { .. } => "cell_get",
             Operation::WatchGroup { .. } => "watch",
+            Operation::ListLocks { .. } => "lock_list",
         }
     }
 
@@ -122,7 +128,7 @@
     pub fn is_read(&self) -> bool {
         matches!(
             self,
-            Operation::GetCell { .. } | Operation::WatchGroup { .. }
+            Operation::GetCell { .. } | Operation::WatchGroup { .. } | Operation::ListLocks { .. }
         )
     }
 }
--- a/crates/emberpin-coordination/src/outcome.rs
+++ b/crates/emberpin-coordination/src/outcome.rs
@@ -2,6 +2,7 @@
 
 use crate::operation::{Fence, Revision};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// One change of a cell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,6 +15,21 @@
     pub revision: Revision,
 }
 
+/// A lock that somebody holds, or held last without releasing it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldLock {
+    /// The lock's name.
+    pub name: String,
+    /// Who holds it.
+    pub owner: String,
+    /// The holder's token.
+    pub fence: Fence,
+    /// How long the hold lasts from its last renewal on.
+    pub hold: Duration,
+    /// For how long the replica that was asked has known the last renewal: a lower bound of its age.
+    pub known_for: Duration,
+}
+
 /// The result of an operation.
 ///
 /// The order of variants and fields is the encoding on the wire.
@@ -65,4 +81,11 @@
     EventsDropped,
     /// There is no room for another lock, counter or cell. Nothing was done.
     OutOfSpace,
+    /// Locks that are held.
+    Locks {
+        /// The locks, in the order of their names.
+        locks: Vec<HeldLock>,
+        /// The name after which the list goes on; `None` if this is its end.
+        next_after: Option<String>,
+    },
 }
--- a/crates/emberpin-coordination/src/register.rs
+++ b/crates/emberpin-coordination/src/register.rs
@@ -47,6 +47,9 @@
     /// A lower bound of the time since the register got its content, on a steady clock; zero if it is not known.
     fn age(&self, key: &RegisterKey) -> Duration;
 
+    /// The first names of the registers of a kind that come after this one, in their order; at most `limit`.
+    fn names_after(&self, kind: RegisterKind, after: &str, limit: usize) -> Vec<String>;
+
     /// How many bytes all registers take, about.
     fn size_bytes(&self) -> usize;
 }
@@ -101,6 +104,7 @@
         Operation::RenewLock { .. }
         | Operation::FinishLock { .. }
         | Operation::GetCell { .. }
-        | Operation::WatchGroup { .. } => None,
+        | Operation::WatchGroup { .. }
+        | Operation::ListLocks { .. } => None,
     }
 }
--- a/crates/emberpin-ctl/src/command_line.rs
+++ b/crates/emberpin-ctl/src/command_line.rs
@@ -13,11 +13,19 @@
   drop route|service NAME VER   drop an item
   evacuate ZONE                 send nothing further to the servers of a zone
   return ZONE                   end an evacuation
+  lock list                     print the locks that applications hold
+  lock show NAME                print who holds a lock
+  lock release NAME             release a lock whose owner acts no longer
+  cell get NAME                 print a cell's value and revision
+  number next NAME              take the next number of a name, and print it
   members                       print who is there
   doctor                        print what ails, and what to do about it
 
 Ends with 0 when all is well, 1 when it was refused, failed or something ails, 2 for a wrong call.";
 
+/// The longest name of a lock, a number or a cell.
+const MAX_NAME_BYTES: usize = 128;
+
 /// What to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
@@ -45,6 +53,16 @@
     Evacuate(String),
     /// End the evacuation of a zone.
     Return(String),
+    /// Print the locks that are held.
+    ListLocks,
+    /// Print who holds a lock.
+    ShowLock(String),
+    /// Release a lock in the place of its owner.
+    ReleaseLock(String),
+    /// Print a cell.
+    GetCell(String),
+    /// Take a number, which no application gets then.
+    NextNumber(String),
     /// Print the registries, proxies and servers.
     Members,
     /// Diagnose the fleet.
@@ -128,6 +146,11 @@
         },
         ["evacuate", zone] if is_zone(zone) => Command::Evacuate(zone.into()),
         ["return", zone] if is_zone(zone) => Command::Return(zone.into()),
+        ["lock", "list"] => Command::ListLocks,
+        ["lock", "show", name] if is_name(name) => Command::ShowLock(name.into()),
+        ["lock", "release", name] if is_name(name) => Command::ReleaseLock(name.into()),
+        ["cell", "get", name] if is_name(name) => Command::GetCell(name.into()),
+        ["number", "next", name] if is_name(name) => Command::NextNumber(name.into()),
         ["members"] => Command::Members,
         ["doctor"] => Command::Doctor,
         _ => return Err(unknown()),
@@ -163,6 +186,12 @@
         && !matches!(zone, "." | "..")
 }
 
+/// Whether applications can use a name. What has a meaning in a path is escaped, but for the segments that stand for
+/// folders.
+fn is_name(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len()) && !matches!(name, "." | "..")
+}
+
 fn is_address(address: &str) -> bool {
     address.rsplit_once(':').is_some_and(|(host, port)| {
         !host.is_empty() && port.parse::<u16>().is_ok_and(|port| port > 0)
--- a/crates/emberpin-ctl/src/run.rs
+++ b/crates/emberpin-ctl/src/run.rs
@@ -4,6 +4,7 @@
 use crate::client::{call, CallError, Request};
 use crate::command_line::{Command, CommandLine, USAGE};
 use crate::fleet::{self, ConfigurationError, FleetReport};
+use crate::locks::{self, percent_encode, HeldLock, LocksError};
 use crate::members;
 use emberpin_config::{parse_patch, validate, ItemKind, PatchOutcome, ValidationError};
 use std::io;
@@ -34,6 +35,12 @@
     /// A call failed.
     #[error(transparent)]
     Call(#[from] CallError),
+    /// It is not known which locks are held.
+    #[error(transparent)]
+    Locks(#[from] LocksError),
+    /// Nobody holds the lock that the command names.
+    #[error("nobody holds the lock {0}")]
+    LockNotHeld(String),
     /// No registry reported its status; a line for each.
     #[error("{0}")]
     NoRegistryReachable(String),
@@ -84,11 +91,41 @@
         Command::Return(zone) => {
             Ok(change(addresses, &format!("/evac/{zone}/finish"), String::new()).await?)
         }
+        Command::ListLocks => Ok(render_locks(&locks::held_locks(addresses).await?)),
+        Command::ShowLock(name) => Ok(held_lock(addresses, name).await?.to_string()),
+        Command::ReleaseLock(name) => {
+            let lock = held_lock(addresses, name).await?;
+            locks::release(addresses, &lock).await?;
+            Ok(format!("released {lock}"))
+        }
+        Command::GetCell(name) => {
+            let path = format!("/cells/{}/get", percent_encode(&name));
+            Ok(call(addresses, &Request::get(&path)).await?)
+        }
+        Command::NextNumber(name) => {
+            let path = format!("/numbers/{}", percent_encode(&name));
+            Ok(call(addresses, &Request::post(&path, "{}".into())).await?)
+        }
         Command::Members => list_members(&fleet::collect(addresses).await),
         Command::Doctor => diagnose(&fleet::collect(addresses).await),
     }
 }
 
+async fn held_lock(addresses: &[String], name: String) -> Result<HeldLock, RunError> {
+    let mut locks = locks::held_locks(addresses).await?.into_iter();
+    locks
+        .find(|lock| lock.name == name)
+        .ok_or(RunError::LockNotHeld(name))
+}
+
+fn render_locks(locks: &[HeldLock]) -> String {
+    if locks.is_empty() {
+        return "no lock is held".into();
+    }
+    let lines: Vec<String> = locks.iter().map(HeldLock::to_string).collect();
+    lines.join("\n")
+}
+
 /// Sends a change, which a 2xx acknowledges.
 async fn change(addresses: &[String], path: &str, body: String) -> Result<String, CallError> {
     call(addresses, &Request::post(path, body)).await?;
--- a/crates/emberpin-ctl/src/status.rs
+++ b/crates/emberpin-ctl/src/status.rs
@@ -149,22 +149,25 @@
         .ok_or_else(|| InvalidStatus::NotText(value.to_string()))
 }
 
-fn text(value: &JsonValue, field: &'static str) -> Result<String, InvalidStatus> {
+pub(crate) fn text(value: &JsonValue, field: &'static str) -> Result<String, InvalidStatus> {
     value[field]
         .as_str()
         .map(str::to_owned)
         .ok_or(InvalidStatus::Field(field))
 }
 
-fn number(value: &JsonValue, field: &'static str) -> Result<u64, InvalidStatus> {
+pub(crate) fn number(value: &JsonValue, field: &'static str) -> Result<u64, InvalidStatus> {
     value[field].as_u64().ok_or(InvalidStatus::Field(field))
 }
 
-fn milliseconds(value: &JsonValue, field: &'static str) -> Result<Duration, InvalidStatus> {
+pub(crate) fn milliseconds(
+    value: &JsonValue,
+    field: &'static str,
+) -> Result<Duration, InvalidStatus> {
     number(value, field).map(Duration::from_millis)
 }
 
-fn list<T>(
+pub(crate) fn list<T>(
     value: &JsonValue,
     field: &'static str,
     parse: impl Fn(&JsonValue) -> Result<T, InvalidStatus>,
--- a/crates/emberpin-ctl/tests/command_line.rs
+++ b/crates/emberpin-ctl/tests/command_line.rs
@@ -41,6 +41,11 @@
             Command::Evacuate("umea-hall_1.b".into()),
         ),
         ("return umea", Command::Return("umea".into())),
+        ("lock list", Command::ListLocks),
+        ("lock show l/1", Command::ShowLock("l/1".into())),
+        ("lock release l1f", Command::ReleaseLock("l1f".into())),
+        ("cell get g1.2d", Command::GetCell("g1.2d".into())),
+        ("number next n2", Command::NextNumber("n2".into())),
         ("members", Command::Members),
         ("doctor", Command::Doctor),
     ] {
@@ -84,6 +89,13 @@
         ("--at a:1 evacuate a/b", unknown("evacuate a/b")),
         ("--at a:1 evacuate ..", unknown("evacuate ..")),
         ("--at a:1 return a?b", unknown("return a?b")),
+        ("--at a:1 lock", unknown("lock")),
+        ("--at a:1 lock list l", unknown("lock list l")),
+        ("--at a:1 lock release", unknown("lock release")),
+        ("--at a:1 lock release ..", unknown("lock release ..")),
+        ("--at a:1 lock show l 7", unknown("lock show l 7")),
+        ("--at a:1 cell put c", unknown("cell put c")),
+        ("--at a:1 number n", unknown("number n")),
         ("get", UsageError::MissingAddresses),
         ("patch f.json", UsageError::MissingAddresses),
         ("--at a get", invalid("a")),
@@ -97,6 +109,11 @@
     }
     let empty_zone = CommandLine::parse(["--at", "a:1", "evacuate", ""].map(str::to_owned));
     expect_that!(empty_zone, err(eq(&unknown("evacuate "))));
+    let long = "n".repeat(129);
+    expect_that!(
+        parse(&format!("--at a:1 number next {long}")),
+        err(eq(&unknown(&format!("number next {long}"))))
+    );
     expect_that!(
         parse("--in a:1 get"),
         err(displays_as(eq("Unrecognized option: 'in'")))
--- a/crates/emberpin-registry/src/http_api/coordination.rs
+++ b/crates/emberpin-registry/src/http_api/coordination.rs
@@ -1,8 +1,9 @@
 //! The calls of applications: their bodies and queries, and the responses to them.
 
 use super::response::{self, HttpResponse};
+use super::route::percent_decode;
 use crate::coordination_client::OperationResult;
-use emberpin_coordination::{CellEvent, Fence, Operation, Outcome, Revision};
+use emberpin_coordination::{CellEvent, Fence, HeldLock, Operation, Outcome, Revision};
 use emberpin_runtime::settings::parse_duration;
 use hyper::{StatusCode, Uri};
 use serde::de::DeserializeOwned;
@@ -74,6 +75,8 @@
     GetCell,
     /// `GET /watch/ID`.
     WatchGroup,
+    /// `GET /locks`, of operators.
+    ListLocks,
 }
 
 impl ApplicationCall {
@@ -87,6 +90,7 @@
             ApplicationCall::PutCell => "cell_put",
             ApplicationCall::GetCell => "cell_get",
             ApplicationCall::WatchGroup => "watch",
+            ApplicationCall::ListLocks => "lock_list",
         }
     }
 }
@@ -144,6 +148,9 @@
             after: Revision(query_number(uri, "after")?),
             wait: Duration::from_millis(query_number(uri, "wait_ms")?).min(MAX_WATCH_WAIT),
         },
+        ApplicationCall::ListLocks => Operation::ListLocks {
+            after: query_text(uri, "after")?,
+        },
     })
 }
 
@@ -168,11 +175,25 @@
         })
 }
 
+/// The value of a field in the query, as it was sent.
+fn query_field<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let mut fields = uri.query().unwrap_or_default().split('&');
+    fields.find_map(|field| field.strip_prefix(name)?.strip_prefix('='))
+}
+
+/// A text in the query; empty if it is absent.
+fn query_text(uri: &Uri, name: &'static str) -> Result<String, InvalidOperation> {
+    let value = query_field(uri, name).unwrap_or_default();
+    let text = percent_decode(value).ok_or(InvalidOperation::Field {
+        field: name,
+        expected: "a text in UTF-8 with % escapes",
+    })?;
+    Ok(text.into_owned())
+}
+
 /// A number in the query; 0 if it is absent.
 fn query_number(uri: &Uri, name: &'static str) -> Result<u64, InvalidOperation> {
-    let fields = uri.query().unwrap_or_default().split('&');
-    let mut values = fields.filter_map(|field| field.strip_prefix(name)?.strip_prefix('='));
-    let Some(value) = values.next() else {
+    let Some(value) = query_field(uri, name) else {
         return Ok(0);
     };
     value.parse().map_err(|_| InvalidOperation::Field {
@@ -215,6 +236,24 @@
     rev: Revision,
 }
 
+/// A lock that is held, as `emberpinctl` reads it.
+#[derive(Serialize)]
+struct LockBody {
+    name: String,
+    owner: String,
+    fence: Fence,
+    hold_ms: u64,
+    known_for_ms: u64,
+}
+
+#[derive(Serialize)]
+struct LocksBody {
+    locks: Vec<LockBody>,
+    /// What `after` has to be for the locks that follow; absent if there are none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    next_after: Option<String>,
+}
+
 /// The response to a call. 412, 429 and 503 say that the operation had no effect and never will; 504 leaves it open.
 pub fn respond(result: OperationResult) -> HttpResponse {
     match result {
@@ -258,6 +297,13 @@
             StatusCode::TOO_MANY_REQUESTS,
             "there is no room for another lock, number or cell\n",
         ),
+        Outcome::Locks { locks, next_after } => {
+            let body = LocksBody {
+                locks: locks.into_iter().map(LockBody::from).collect(),
+                next_after,
+            };
+            json(StatusCode::OK, &body)
+        }
     }
 }
 
@@ -271,6 +317,22 @@
     }
 }
 
+impl From<HeldLock> for LockBody {
+    fn from(lock: HeldLock) -> LockBody {
+        LockBody {
+            name: lock.name,
+            owner: lock.owner,
+            fence: lock.fence,
+            hold_ms: whole_millis(lock.hold),
+            known_for_ms: whole_millis(lock.known_for),
+        }
+    }
+}
+
+fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn text(status: StatusCode, body: &'static str) -> HttpResponse {
     response::plain_text(status, body.into())
 }
--- a/crates/emberpin-registry/src/http_api/route.rs
+++ b/crates/emberpin-registry/src/http_api/route.rs
@@ -21,7 +21,7 @@
     BeginEvacuation,
     /// `POST /evac/ZONE/finish`: the evacuation of a zone ends.
     FinishEvacuation,
-    /// A call of an application for a lock, a counter or a cell.
+    /// A call of an application for a lock, a counter or a cell, or an operator's list of locks.
     Application(ApplicationCall),
     /// `GET /status`: the status of this registry.
     Status,
@@ -124,14 +124,15 @@
             call("finish", "POST", Route::FinishEvacuation),
         ])],
     ),
-    literal(
-        "locks",
-        &[subject(&[
+    Matcher {
+        text: Some("locks"),
+        children: &[subject(&[
             application("begin", "POST", ApplicationCall::BeginLock),
             application("heartbeat", "POST", ApplicationCall::RenewLock),
             application("finish", "POST", ApplicationCall::FinishLock),
         ])],
-    ),
+        call: Some(("GET", Route::Application(ApplicationCall::ListLocks))),
+    },
     literal(
         "numbers",
         &[subject_call(
@@ -184,7 +185,7 @@
 }
 
 /// A segment without its `%` escapes (RFC 3986, section 2.1); `None` if one is incomplete or the result is not UTF-8.
-fn percent_decode(segment: &str) -> Option<Cow<'_, str>> {
+pub(super) fn percent_decode(segment: &str) -> Option<Cow<'_, str>> {
     if !segment.contains('%') {
         return Some(Cow::Borrowed(segment));
     }
--- a/crates/emberpin-registry/tests/http_api.rs
+++ b/crates/emberpin-registry/tests/http_api.rs
@@ -26,6 +26,10 @@
         ("GET", "/nothing", "", 404, "/nothing"),
         ("POST", "/instances//heartbeat", "", 404, "no such call"),
         ("GET", "/config/patch", "", 405, "POST"),
+        ("POST", "/locks", "", 405, "GET"),
+        ("GET", "/locks/l", "", 404, "/locks/l"),
+        // The settings of this registry do not switch coordination on.
+        ("GET", "/locks?after=a%20b", "", 404, "no such call"),
         ("POST", "/instances/i-1/heartbeat", "{", 400, "body"),
         (
             "POST",
--- a/crates/emberpin-store/src/metrics.rs
+++ b/crates/emberpin-store/src/metrics.rs
@@ -172,5 +172,6 @@
         Outcome::Events { .. } => "events",
         Outcome::EventsDropped => "dropped",
         Outcome::OutOfSpace => "out_of_space",
+        Outcome::Locks { .. } => "locks",
     }
 }
