Let the doctor find stuck locks, and registers that no majority confirms

The doctor makes one more call, GET /locks, so the stand-in of its test has one more response, and the test now also checks the order of the calls.

--- a/crates/emberpin-ctl/src/checks.rs
+++ b/crates/emberpin-ctl/src/checks.rs
@@ -1,6 +1,7 @@
 //! The checks of `doctor`: each finds one kind of fault in what the registries reported. Nothing here does I/O.
 
 use crate::fleet::FleetReport;
+use crate::locks::HeldLock;
 use crate::status::{Instance, Status};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -11,6 +12,8 @@
 const WRITABLE: &str = "writable";
 /// A disk that is used to more than this share, in per cent, is reported.
 const MAX_DISK_USAGE_PERCENT: u64 = 80;
+/// A lock whose last renewal is older than twice its hold and this counts as stuck: other callers had the time to come.
+const STUCK_LOCK_MARGIN: Duration = Duration::from_secs(30);
 /// The smallest number of voters of which one may be lost.
 const MIN_VOTERS: usize = 3;
 
@@ -45,6 +48,8 @@
         clock_skew,
         disk_usage,
         disks_without_writes,
+        unreadable_registers,
+        stuck_locks,
     ];
     checks.iter().flat_map(|check| check(fleet)).collect()
 }
@@ -271,3 +276,35 @@
     }
     findings
 }
+
+/// Locks, numbers and cells that no majority of the stores confirms.
+pub fn unreadable_registers(fleet: &FleetReport) -> Vec<Finding> {
+    let Err(error) = &fleet.locks else {
+        return Vec::new();
+    };
+    let problem = format!("locks, numbers and cells cannot be read: {error}");
+    let remedy = "see whether more than half of the stores run, reach each other and can write; \
+         applications get 503 and 504 meanwhile, and nothing is given out twice";
+    vec![Finding::new(problem, remedy)]
+}
+
+/// Locks that were neither renewed nor released long after their hold.
+pub fn stuck_locks(fleet: &FleetReport) -> Vec<Finding> {
+    let Ok(Some(locks)) = &fleet.locks else {
+        return Vec::new();
+    };
+    let remedy =
+        "its owner died or hangs, and the next caller gets the lock; if callers get 409 all the \
+         same, make sure that the owner acts no longer, and use lock release";
+    let is_stuck = |lock: &&HeldLock| {
+        let patience = lock
+            .hold
+            .saturating_mul(2)
+            .saturating_add(STUCK_LOCK_MARGIN);
+        lock.known_for > patience
+    };
+    let stuck = locks.iter().filter(is_stuck);
+    stuck
+        .map(|lock| Finding::new(lock.to_string(), remedy))
+        .collect()
+}
--- a/crates/emberpin-ctl/src/fleet.rs
+++ b/crates/emberpin-ctl/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The status of every registry of a fleet, and the services of its configuration.
 
 use crate::client::{self, AttemptError, CallError, Request};
+use crate::locks::{self, HeldLock, LocksError};
 use crate::status::{InvalidStatus, Status};
 use emberpin_config::{parse_patch, Configuration, ItemKind, ValidationError};
 use std::collections::BTreeSet;
@@ -53,6 +54,8 @@
     pub registries: Vec<RegistryReport>,
     /// The names of the services in the configuration.
     pub services: Result<Vec<String>, ConfigurationError>,
+    /// The locks that applications hold; `None` in a deployment without them.
+    pub locks: Result<Option<Vec<HeldLock>>, LocksError>,
 }
 
 impl FleetReport {
@@ -65,7 +68,7 @@
 }
 
 /// Requests the status of the registries at these addresses, and of those that they name in turn, each once; then the
-/// configuration.
+/// configuration, and which locks are held.
 pub async fn collect(addresses: &[String]) -> FleetReport {
     let registries = collect_registries(addresses).await;
     let services = configuration(addresses).await.map(|configuration| {
@@ -75,9 +78,15 @@
             .map(|item| item.key.name.clone())
             .collect()
     });
+    let locks = match locks::held_locks(addresses).await {
+        Ok(locks) => Ok(Some(locks)),
+        Err(error) if error.is_switched_off() => Ok(None),
+        Err(error) => Err(error),
+    };
     FleetReport {
         registries,
         services,
+        locks,
     }
 }
 
--- a/crates/emberpin-ctl/tests/checks.rs
+++ b/crates/emberpin-ctl/tests/checks.rs
@@ -3,11 +3,12 @@
 
 use emberpin_ctl::checks::{
     check_all, clock_skew, disk_usage, disks_without_writes, instances_known_to_one_registry,
-    services_without_server, unreachable_registries, unsettled_registries, voter_count,
-    voter_disagreement, zones_without_proxy, Finding,
+    services_without_server, stuck_locks, unreachable_registries, unreadable_registers,
+    unsettled_registries, voter_count, voter_disagreement, zones_without_proxy, Finding,
 };
 use emberpin_ctl::client::{AttemptError, CallError};
 use emberpin_ctl::fleet::{FleetReport, RegistryReport, StatusError};
+use emberpin_ctl::locks::HeldLock;
 use emberpin_ctl::status::{Disk, Instance, ProxySession, Status};
 use googletest::prelude::*;
 use std::time::Duration;
@@ -75,6 +76,18 @@
     FleetReport {
         registries: (0..3).map(changed).collect(),
         services: Ok(texts(&["s"])),
+        locks: Ok(Some(vec![lock(Duration::from_secs(36))])),
+    }
+}
+
+/// A lock that is held for 3 s, and was renewed this long ago.
+fn lock(known_for: Duration) -> HeldLock {
+    HeldLock {
+        name: "l".into(),
+        owner: "a3.7".into(),
+        fence: 41,
+        hold: Duration::from_secs(3),
+        known_for,
     }
 }
 
@@ -265,3 +278,48 @@
         elements_are![eq(problem)]
     );
 }
+
+#[gtest]
+fn a_lock_that_is_known_for_much_longer_than_its_hold_is_found() {
+    let mut fleet_report = fleet(|_, _| {});
+    let millisecond = Duration::from_millis(1);
+    let at_the_limit = Duration::from_secs(36);
+    fleet_report.locks = Ok(Some(vec![
+        lock(at_the_limit),
+        lock(at_the_limit + millisecond),
+    ]));
+    let problem = "lock l: held by a3.7 with fence 41 for 3000 ms, renewed 36001 ms ago at least";
+    expect_that!(
+        found(&fleet_report, stuck_locks),
+        elements_are![eq(problem)]
+    );
+    let long_hold = HeldLock {
+        hold: Duration::MAX,
+        ..lock(Duration::from_secs(1_000_000))
+    };
+    fleet_report.locks = Ok(Some(vec![long_hold]));
+    expect_that!(check_all(&fleet_report), is_empty());
+    fleet_report.locks = Ok(None);
+    expect_that!(check_all(&fleet_report), is_empty());
+}
+
+#[gtest]
+fn registers_that_cannot_be_read_are_found() {
+    let mut fleet_report = fleet(|_, _| {});
+    let source = AttemptError::Status {
+        status: 504,
+        body: "no majority".into(),
+    };
+    let error = CallError::NoClearResponse {
+        address: "10.1.0.1:8649".into(),
+        source,
+    };
+    fleet_report.locks = Err(error.into());
+    let problem =
+        "locks, numbers and cells cannot be read: no clear answer; an order may be in force or \
+                   not. Last: 10.1.0.1:8649: status 504 no majority";
+    expect_that!(
+        found(&fleet_report, unreadable_registers),
+        elements_are![eq(problem)]
+    );
+}
--- a/crates/emberpin-ctl/tests/common/mod.rs
+++ b/crates/emberpin-ctl/tests/common/mod.rs
@@ -8,7 +8,7 @@
 
 /// The configuration of a healthy registry.
 pub const CONFIG: &str = r#"{"svcs":[{"name":"s","hcheck":"/h","maxconn":9,"ver":3}],"vhosts":[]}"#;
-/// Stands for the response of a healthy registry: its status, or its configuration.
+/// Stands for the response of a healthy registry: its status, its locks, or its configuration.
 pub const HEALTHY: &str = "healthy";
 /// The status of a healthy registry, without the time.
 const STATUS: &str = r#"{"name":"core","settled":true,"voters":["a","b","c"],"registries":[],"limiters":[{"name":"e","zone":"z","behind":2}],"instances":[{"id":"i-1","service":"s","address":"10.0.0.1:80","zone":"z","status":"up","cold_ms":5,"heard_ms":7}],"items":1,"disk":null,"clock_ms":NOW}"#;
@@ -57,6 +57,8 @@
 fn healthy_response(request: &str) -> String {
     if request.starts_with("GET /status ") {
         ok(&STATUS.replace("NOW", &now_ms().to_string()))
+    } else if request.starts_with("GET /locks ") {
+        ok(r#"{"locks":[]}"#)
     } else {
         ok(CONFIG)
     }
--- a/crates/emberpin-ctl/tests/program.rs
+++ b/crates/emberpin-ctl/tests/program.rs
@@ -156,7 +156,8 @@
             now_ms()
         ))
     };
-    let first = FakeRegistry::on(first, &[&status("one"), &ok(CONFIG)]);
+    let no_locks = ok(r#"{"locks":[]}"#);
+    let first = FakeRegistry::on(first, &[&status("one"), &ok(CONFIG), &no_locks]);
     let second = FakeRegistry::on(second, &[&status("two")]);
     let (code, out, err) = emberpinctl(&["--at", &first.address, "doctor"]);
     expect_that!((code, out.as_str()), eq((Some(1), "")));
@@ -167,6 +168,67 @@
     expect_that!(err.lines().count(), eq(2), "{err}");
     expect_that!(err, contains_substring("\n  -> "));
     expect_that!(second.requests(), elements_are![eq("GET /status ")]);
+    expect_that!(
+        first.requests(),
+        elements_are![
+            eq("GET /status "),
+            eq("GET /config/get "),
+            eq("GET /locks ")
+        ]
+    );
+}
+
+/// The findings of the doctor at one registry, and what it printed, when the registry answers thus about its locks.
+fn diagnose_with(locks_responses: &[&str]) -> (Option<i32>, String) {
+    let status = ok(&format!(
+        r#"{{"name":"n","settled":true,"voters":["127.0.0.1","127.0.0.1","127.0.0.1"],"registries":[],"limiters":[{{"name":"e","zone":"z","behind":0}}],"instances":[{{"id":"i-1","service":"s","address":"a","zone":"z","status":"up","cold_ms":0,"heard_ms":0}}],"items":1,"disk":null,"clock_ms":{}}}"#,
+        now_ms()
+    ));
+    let config = ok(CONFIG);
+    let responses = [&[status.as_str(), &config][..], locks_responses].concat();
+    let registry = FakeRegistry::start(&responses);
+    let (code, out, err) = emberpinctl(&["--at", &registry.address, "doctor"]);
+    (code, out + &err)
+}
+
+#[gtest]
+fn doctor_finds_nothing_where_applications_hold_no_locks_or_cannot() {
+    let missing = response("404 Not Found", "", "there is no such call");
+    for locks in [&ok(r#"{"locks":[]}"#), &missing] {
+        let (code, output) = diagnose_with(&[locks]);
+        expect_that!(
+            (code, output.as_str()),
+            eq((Some(0), "nothing ails, by the word of 1 registries\n"))
+        );
+    }
+}
+
+#[gtest]
+fn doctor_finds_a_stuck_lock_and_registers_that_no_majority_confirms() {
+    let stuck = ok(
+        r#"{"locks":[{"name":"l","owner":"a3.7","fence":41,"hold_ms":3000,"known_for_ms":36001}]}"#,
+    );
+    let (code, output) = diagnose_with(&[&stuck]);
+    expect_that!(code, some(eq(1)));
+    expect_that!(
+        output,
+        starts_with(
+            "lock l: held by a3.7 with fence 41 for 3000 ms, renewed 36001 ms ago at least\n  -> "
+        )
+    );
+    for status in ["503 Service Unavailable", "504 Gateway Timeout"] {
+        let (code, output) = diagnose_with(&[&response(status, "", "no majority")]);
+        expect_that!(code, some(eq(1)));
+        expect_that!(
+            output,
+            starts_with("locks, numbers and cells cannot be read: no clear answer; ")
+        );
+        expect_that!(
+            output,
+            contains_substring(format!("status {} no majority", &status[..3]))
+        );
+        expect_that!(output.lines().count(), eq(2), "{output}");
+    }
 }
 
 #[gtest]
