--- a/crates/emberpin-demo/src/invariants.rs
+++ b/crates/emberpin-demo/src/invariants.rs
@@ -1,6 +1,7 @@
 //! The invariant checker: judges the record of the stand-ins, and nothing that the gateway says of itself.
 
-use crate::record::{Attempt, Evacuation, Record};
+use crate::election::in_order;
+use crate::record::{Attempt, Evacuation, LeaderTerm, Record};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -56,6 +57,26 @@
     /// A valid command of the operator was not acknowledged.
     #[error("{0} was not acknowledged")]
     Unacknowledged(String),
+    /// Two candidates counted themselves leader at the same time.
+    #[error("{first} and {second} both led for {overlap:.1?}")]
+    TwoLeaders {
+        /// Who led first.
+        first: &'static str,
+        /// Who was elected before that term was over.
+        second: &'static str,
+        /// For how long both did.
+        overlap: Duration,
+    },
+    /// A later leader has no higher fencing token.
+    #[error("{candidate} was elected with fence {fence} after {earlier}")]
+    FenceNotRising {
+        /// Who was elected.
+        candidate: &'static str,
+        /// Its fencing token.
+        fence: u64,
+        /// The token of the other candidate that led before.
+        earlier: u64,
+    },
     /// A process ended without having been killed.
     #[error("{0}")]
     ProcessExited(String),
@@ -73,6 +94,7 @@
         violations.extend(check_evacuation(record, evacuation));
     }
     violations.extend(check_read_back(record));
+    violations.extend(check_leaders(&record.leader_terms));
     let commands = record.unacknowledged_commands.iter().cloned();
     violations.extend(commands.map(Violation::Unacknowledged));
     let processes = record.exited_processes.iter().cloned();
@@ -137,6 +159,34 @@
         .collect()
 }
 
+/// Checks that one candidate led at a time. One that is elected again goes on with its own term.
+fn check_leaders(terms: &[LeaderTerm]) -> Vec<Violation> {
+    let terms = in_order(terms);
+    let mut violations = Vec::new();
+    for (n, term) in terms.iter().enumerate() {
+        let others = terms[..n]
+            .iter()
+            .filter(|other| other.candidate != term.candidate);
+        for other in others {
+            if other.until > term.from {
+                violations.push(Violation::TwoLeaders {
+                    first: other.candidate,
+                    second: term.candidate,
+                    overlap: other.until.min(term.until) - term.from,
+                });
+            }
+            if other.fence >= term.fence {
+                violations.push(Violation::FenceNotRising {
+                    candidate: term.candidate,
+                    fence: term.fence,
+                    earlier: other.fence,
+                });
+            }
+        }
+    }
+    violations
+}
+
 fn check_read_back(record: &Record) -> Vec<Violation> {
     let violation = |item: &str, what| Violation::ReadBack {
         item: item.into(),
--- a/crates/emberpin-demo/src/lib.rs
+++ b/crates/emberpin-demo/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`scenario`] runs the demonstration. The core machines and edges of a [`deployment`] are processes of their own, which
 //! [`gateway`] starts and kills; the servers, the operator and the clients are stand-ins in this process, and note in the
-//! [`record`] what they observe. Meanwhile a core machine is killed and a server crashes. At the end the [`report`] sums
+//! [`record`] what they observe. Two of the clients elect a leader by a lock ([`election`]). Meanwhile a core machine is killed and a server crashes. At the end the [`report`] sums
 //! the record up, with every violation that [`invariants`] finds in it.
 #![forbid(unsafe_code)]
 
@@ -11,6 +11,7 @@
 pub mod configuration;
 pub mod deployment;
 pub mod edge;
+pub mod election;
 pub mod error;
 pub mod gateway;
 pub mod http;
--- a/crates/emberpin-demo/src/node_settings.rs
+++ b/crates/emberpin-demo/src/node_settings.rs
@@ -93,7 +93,7 @@
 
 fn bounds_sections(bounds: Bounds) -> String {
     format!(
-        "[infra]\nhb = \"{}ms\"\n[defs]\n[defs.tolerance]\nnodes = 1\nzones = 1\n[defs.bounds]\n\
+        "[infra]\nhb = \"{}ms\"\n[defs]\ninvariants = [\"coord\"]\n[defs.tolerance]\nnodes = 1\nzones = 1\n[defs.bounds]\n\
          seed_lag = \"3s\"\nreuse = \"2s\"\ncontact = \"3000ms\"\nack = \"5000ms\"\nsync_time = \"4s\"\n\
          drain = \"{}ms\"\ngrace = \"6s\"\nlost = \"200ms\"\napply = \"2500ms\"\nrevert = \"250ms\"\n\
          skew = \"8000ms\"\nretry_ratio = 0.2\nretry_win = \"10s\"\nretry_extra = 60\nwarm_excess = 1.5\n\
--- a/crates/emberpin-demo/src/record.rs
+++ b/crates/emberpin-demo/src/record.rs
@@ -72,6 +72,19 @@
     pub finish_requested_at: Option<Duration>,
 }
 
+/// The time in which a candidate counted itself leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaderTerm {
+    /// Who led.
+    pub candidate: &'static str,
+    /// The fencing token of the term.
+    pub fence: u64,
+    /// When the candidate learned that it was elected.
+    pub from: Duration,
+    /// When its hold was over, counted from the send of its last good call.
+    pub until: Duration,
+}
+
 /// The configuration by item: the key is kind and name, the value has the version and all fields.
 pub type ConfigItems = BTreeMap<String, JsonValue>;
 
@@ -86,6 +99,8 @@
     pub requests: Vec<ClientRequest>,
     /// Evacuations whose begin was acknowledged.
     pub evacuations: Vec<Evacuation>,
+    /// The terms of elected candidates, in the order in which they learned of them.
+    pub leader_terms: Vec<LeaderTerm>,
     /// The configuration that results from all acknowledged changes.
     pub acknowledged_items: ConfigItems,
     /// The configuration as the gateway shows it at the end; `None` if no response came.
--- a/crates/emberpin-demo/src/scenario.rs
+++ b/crates/emberpin-demo/src/scenario.rs
@@ -3,6 +3,7 @@
 use crate::clients::Clients;
 use crate::configuration::{CHARTS_SERVICE, LEDGER_SERVICE, SERVICES};
 use crate::deployment::{Bounds, Deployment, ZONES};
+use crate::election::{self, Candidate, CANDIDATES};
 use crate::error::DemoError;
 use crate::gateway::Gateway;
 use crate::http;
@@ -171,6 +172,9 @@
         for route in &ROUTES {
             traffic.spawn(self.clients.clone().send_requests(route, end));
         }
+        for index in 0..CANDIDATES.len() {
+            traffic.spawn(self.candidate(index).run(end));
+        }
         let events = self.inject_events().await?;
         while traffic.join_next().await.is_some() {}
         let timeline = self.finish_events(events).await;
@@ -179,6 +183,13 @@
         Ok(timeline)
     }
 
+    /// A candidate of the election, which calls the registry of the same index first. So the second one meets the core
+    /// machine that is killed.
+    fn candidate(&self, index: usize) -> Candidate {
+        let registries = self.gateway.deployment().ctl_addresses();
+        Candidate::new(index, registries, self.options.seed, self.recorder.clone())
+    }
+
     /// Injects the events at their times.
     async fn inject_events(&mut self) -> Result<InjectedEvents, DemoError> {
         self.sleep_until(schedule::EVACUATION_BEGIN).await;
@@ -273,6 +284,7 @@
 
     fn report(&self, timeline: &Timeline) -> Report {
         let mut events = timeline.lines();
+        events.push(election::summary(&self.recorder.lock().leader_terms));
         if self.options.keep_folder {
             events.push(format!("folder: {}", self.gateway.folder().display()));
         }
--- a/crates/emberpin-demo/tests/command.rs
+++ b/crates/emberpin-demo/tests/command.rs
@@ -68,6 +68,10 @@
         report,
         contains_regex("servers: one crashed at .*, one drained and left")
     );
+    expect_that!(
+        report,
+        contains_regex("election: [1-9][0-9]* terms of 2 candidates in .*nobody led for")
+    );
 }
 
 #[gtest]
--- a/crates/emberpin-demo/tests/invariants.rs
+++ b/crates/emberpin-demo/tests/invariants.rs
@@ -2,9 +2,10 @@
 #![allow(missing_docs, reason = "a test has no public interface")]
 
 use emberpin_demo::configuration::items;
+use emberpin_demo::election;
 use emberpin_demo::invariants::{check, Violation};
 use emberpin_demo::record::{
-    Arrival, Attempt, ClientRequest, ConfigItems, Evacuation, Outcome, Record,
+    Arrival, Attempt, ClientRequest, ConfigItems, Evacuation, LeaderTerm, Outcome, Record,
 };
 use emberpin_demo::report::{AddedLatency, Report};
 use googletest::prelude::*;
@@ -41,8 +42,18 @@
     items(&jzon::parse(&text).expect("lists"))
 }
 
+fn term(candidate: &'static str, fence: u64, from: u64, until: u64) -> LeaderTerm {
+    LeaderTerm {
+        candidate,
+        fence,
+        from: ms(from),
+        until: ms(until),
+    }
+}
+
 /// A record in which every rule holds: a readonly attempt that ran twice, a rejection that did not run, one that may
-/// have run as its status guarantees nothing, and an evacuation that was obeyed.
+/// have run as its status guarantees nothing, an evacuation that was obeyed, and leaders of which one was elected again
+/// before its term was over.
 fn valid_record() -> Record {
     Record {
         arrivals: vec![
@@ -71,6 +82,12 @@
             bound: ms(1_000),
             finish_requested_at: Some(ms(3_000)),
         }],
+        leader_terms: vec![
+            term("one", 1, 100, 600),
+            term("one", 1, 500, 900),
+            term("two", 2, 900, 1_500),
+            term("one", 4, 1_700, 2_000),
+        ],
         acknowledged_items: configuration(9, "2s"),
         read_back: Some(configuration(9, "2s")),
         unacknowledged_commands: Vec::new(),
@@ -89,6 +106,37 @@
     expect_that!(check(&valid_record()), is_empty());
 }
 
+#[gtest]
+fn two_leaders_at_a_time_are_a_violation_in_whatever_order_they_were_noted() {
+    let found = violations_after(|record| {
+        record.leader_terms[3].from = ms(1_400);
+        record.leader_terms.reverse();
+    });
+    expect_that!(found, elements_are![eq("two and one both led for 100.0ms")]);
+}
+
+#[gtest]
+fn a_leader_whose_fence_is_not_above_that_of_the_one_before_is_a_violation() {
+    for fence in [1, 2] {
+        let found = violations_after(|record| record.leader_terms[3].fence = fence);
+        let expected = format!("one was elected with fence {fence} after 2");
+        expect_that!(found, elements_are![eq(&expected)]);
+    }
+}
+
+#[gtest]
+fn the_summary_of_the_election_says_for_how_long_nobody_led() {
+    let terms = valid_record().leader_terms;
+    expect_that!(
+        election::summary(&terms),
+        eq(
+            "election: 4 terms of 2 candidates in 1.9 s; after leaders that fell silent nobody led for 0.20 s, \
+             0.20 s at most at a time"
+        )
+    );
+    expect_that!(election::summary(&[]), eq("election: nobody was elected"));
+}
+
 #[gtest]
 fn a_mutating_attempt_that_runs_twice_is_a_violation() {
     let found = check(&Record {
