--- a/crates/emberpin-consensus/src/guards.rs
+++ b/crates/emberpin-consensus/src/guards.rs
@@ -59,6 +59,12 @@
     pub bootstrap_agreement: bool,
     /// An unresponsive voter is evicted early when the others could not bear a further loss.
     pub evict_early_without_margin: bool,
+    /// A leader sends the items of its last round with its next proposal.
+    pub send_last_items: bool,
+    /// A replica that starts counts the holds of locks from its start.
+    pub count_holds_from_start: bool,
+    /// A renewal of a lock begins its hold anew.
+    pub renewals_restart_holds: bool,
 }
 
 impl Guards {
@@ -104,6 +110,9 @@
             restore_after_disk_failure: true,
             bootstrap_agreement: true,
             evict_early_without_margin: true,
+            send_last_items: true,
+            count_holds_from_start: true,
+            renewals_restart_holds: true,
         }
     }
 }
--- a/crates/emberpin-consensus/src/replica.rs
+++ b/crates/emberpin-consensus/src/replica.rs
@@ -265,7 +265,8 @@
             self.repair_at = None;
         }
         self.confirm_comparisons();
-        self.coordination.note_learned(&new, self.now);
+        let guards = self.guards();
+        self.coordination.note_learned(&new, self.now, &guards);
         let accepted = if had_unchosen_items && !has_unchosen_items {
             AcceptedChange::Changed
         } else {
--- a/crates/emberpin-consensus/src/replica/coordination.rs
+++ b/crates/emberpin-consensus/src/replica/coordination.rs
@@ -4,6 +4,7 @@
 use super::{Action, Replica};
 use crate::call::{CallId, CoordinationReply, PossibleEffect, WhenLed};
 use crate::event::Rounds;
+use crate::guards::Guards;
 use crate::task::{Operation, Task, TaskResult};
 use crate::time::Timestamp;
 use emberpin_config::{Item, ItemKey};
@@ -39,9 +40,14 @@
 
 impl Coordination {
     /// Notes when locks got their present content.
-    pub fn note_learned(&mut self, items: &[Item], now: Timestamp) {
+    pub fn note_learned(&mut self, items: &[Item], now: Timestamp, guards: &Guards) {
         for item in items.iter().filter(|item| is_lock(&item.key)) {
-            self.locks_learned_at.insert(item.key.clone(), now);
+            let key = item.key.clone();
+            if guards.renewals_restart_holds {
+                self.locks_learned_at.insert(key, now);
+            } else {
+                self.locks_learned_at.entry(key).or_insert(now);
+            }
         }
     }
 
@@ -114,6 +120,7 @@
             locks_learned_at: &self.coordination.locks_learned_at,
             started_at: self.started_at,
             now: self.now,
+            guards: self.guards(),
         }
     }
 
--- a/crates/emberpin-consensus/src/replica/proposal.rs
+++ b/crates/emberpin-consensus/src/replica/proposal.rs
@@ -34,8 +34,10 @@
             self.pacing.record_success();
             return self.complete(round.outcomes, actions);
         }
-        let transferred = if round.is_led {
+        let transferred = if round.is_led && self.guards().send_last_items {
             std::mem::take(&mut round.last_items)
+        } else if round.is_led {
+            Vec::new()
         } else if self.guards().transfer_missing_items {
             round.missing_items(self.state())
         } else {
--- a/crates/emberpin-consensus/src/replica/register_view.rs
+++ b/crates/emberpin-consensus/src/replica/register_view.rs
@@ -1,5 +1,6 @@
 //! Registers as a proposer sees them in a round: what is chosen, and on top of it what the round proposes.
 
+use crate::guards::Guards;
 use crate::time::Timestamp;
 use emberpin_config::{Configuration, Item, ItemKey, ItemKind, Version};
 use emberpin_coordination::{Change, RegisterKey, RegisterKind, Registers};
@@ -18,6 +19,7 @@
     /// When this replica started: it has known since then what its disk held.
     pub started_at: Timestamp,
     pub now: Timestamp,
+    pub guards: Guards,
 }
 
 impl RegisterView<'_> {
@@ -49,7 +51,11 @@
         if self.proposed.contains_key(&key) {
             return Duration::ZERO;
         }
-        let learned_at = self.locks_learned_at.get(&key).unwrap_or(&self.started_at);
+        let learned_at = match self.locks_learned_at.get(&key) {
+            Some(learned_at) => learned_at,
+            None if self.guards.count_holds_from_start => &self.started_at,
+            None => return Duration::MAX,
+        };
         self.now.saturating_since(*learned_at)
     }
 
--- a/crates/emberpin-consensus/tests/cluster/faults.rs
+++ b/crates/emberpin-consensus/tests/cluster/faults.rs
@@ -40,6 +40,21 @@
         node.disk.truncate(node.synced);
     }
 
+    /// Freezes a process: it handles nothing until it wakes, while time goes on.
+    pub fn freeze(&mut self, ip: Ipv4Addr) {
+        let node = self.node(ip);
+        node.is_frozen = node.replica.is_some();
+    }
+
+    /// Wakes a frozen process: it handles at once all that came meanwhile.
+    pub fn wake(&mut self, ip: Ipv4Addr) {
+        let node = self.node(ip);
+        node.is_frozen = false;
+        for event in std::mem::take(&mut node.frozen_events) {
+            self.handle(ip, event);
+        }
+    }
+
     /// From now on the disk takes no writes. Writes in flight are lost, which the replica notices at its next write.
     pub fn fill_disk(&mut self, ip: Ipv4Addr) {
         self.node(ip).disk_full = true;
--- a/crates/emberpin-consensus/tests/cluster/mod.rs
+++ b/crates/emberpin-consensus/tests/cluster/mod.rs
@@ -291,6 +291,8 @@
         node.next_tick_at = 0;
         node.is_syncing = false;
         node.waiting_events.clear();
+        node.is_frozen = false;
+        node.frozen_events.clear();
         node.learned_versions.clear();
         let persisted = node.persisted_state();
         let mut actions = Vec::new();
@@ -318,6 +320,10 @@
 
     fn handle(&mut self, ip: Ipv4Addr, event: Event) {
         let node = self.node(ip);
+        if node.is_frozen {
+            node.frozen_events.push_back(event);
+            return;
+        }
         if node.is_syncing {
             node.waiting_events.push_back(event);
             return;
@@ -339,7 +345,14 @@
 
     /// A sync is over: the host handles that, and the events that came meanwhile.
     fn on_synced(&mut self, ip: Ipv4Addr, token: WriteToken) {
-        self.node(ip).is_syncing = false;
+        let node = self.node(ip);
+        node.is_syncing = false;
+        if node.is_frozen {
+            let synced = Event::Persisted { token };
+            node.frozen_events.push_back(synced);
+            node.frozen_events.extend(node.waiting_events.drain(..));
+            return;
+        }
         let waiting = self.take_waiting_events(ip);
         let synced = std::iter::once(Event::Persisted { token });
         self.handle_all(ip, synced.chain(waiting));
--- a/crates/emberpin-consensus/tests/cluster/node.rs
+++ b/crates/emberpin-consensus/tests/cluster/node.rs
@@ -30,6 +30,10 @@
     pub(super) is_syncing: bool,
     /// Events that wait for the end of that sync.
     pub(super) waiting_events: VecDeque<Event>,
+    /// Its process is frozen: it handles nothing until it wakes. What it wrote before is synced all the same.
+    pub is_frozen: bool,
+    /// Events that came meanwhile.
+    pub(super) frozen_events: VecDeque<Event>,
     /// The versions that its followers were notified of by this process.
     pub(super) learned_versions: BTreeMap<ItemKey, Version>,
 }
