--- /dev/null
+++ b/crates/emberpin-consensus/tests/random_registers.rs
@@ -0,0 +1,194 @@
+//! Locks, counters and cells under random faults of every kind, drawn from seeds: no two callers hold a lock, numbers and
+//! revisions rise, reads are not stale, and nothing acknowledged is lost. A search that finds nothing without one of the
+//! safeguards would be too weak, so each of these is shown to be found.
+//!
+//! `EMBERPIN_RUNS` sets how many seeds are searched, `EMBERPIN_FIRST_SEED` the first one, and `EMBERPIN_TRACE` has a
+//! violation come with what callers were told.
+
+mod cluster;
+mod register_callers;
+
+use cluster::faults::FaultDuration;
+use cluster::seeds::first_violation;
+use cluster::Cluster;
+use emberpin_consensus::{Guards, Rounds};
+use googletest::prelude::*;
+use register_callers::RegisterCallers;
+use std::net::Ipv4Addr;
+
+/// How long faults are injected, in milliseconds.
+const FAULT_SPAN: u64 = 7_000;
+/// How many seeds are searched in the usual test run; a run takes longer than those of other searches.
+const DEFAULT_RUNS: u64 = 24;
+/// How many seeds it may take to detect a missing safeguard.
+const MUTANT_RUNS: u64 = 80;
+
+/// One run; the first violation, if there is one.
+fn run(seed: u64, guards: Guards) -> Option<String> {
+    let (count, tolerated) = [(3, 1), (5, 2), (5, 1)][(seed % 3) as usize];
+    let mut cluster = Cluster::with_rounds(Rounds::Led, seed, count, tolerated, guards);
+    cluster.network_delay = 1..2 + cluster.below(20);
+    cluster.late_percent = cluster.below(4);
+    cluster.duplicate_percent = cluster.below(4);
+    let has_slow_disks = cluster.below(4) == 0;
+    cluster.sync_time = if has_slow_disks { 10..60 } else { 1..6 };
+    let mut callers = RegisterCallers::new(&mut cluster);
+    let mut machine_count = count;
+    // In some runs faults are rare, so that leaders lead for long.
+    let max_pause = cluster.choose(&[250, 700, 1_500]);
+    let fault_rate = 1 + cluster.below(12);
+    callers.max_pause = cluster.choose(&[8, 60]);
+    callers.run(&mut cluster, 600);
+    // Some runs take long enough for machines to be evicted from the roster.
+    let (duration, span) = if seed % 5 == 4 {
+        (FaultDuration::Long, 3 * FAULT_SPAN)
+    } else {
+        (FaultDuration::Short, FAULT_SPAN)
+    };
+    let until = cluster.now + span;
+    while cluster.now < until && cluster.violation.is_none() {
+        let pause = cluster.below(max_pause);
+        callers.run(&mut cluster, pause);
+        if cluster.below(12) >= fault_rate {
+            continue;
+        }
+        match cluster.below(3) {
+            0 => freeze_or_stall(&mut cluster, &mut callers),
+            _ => {
+                let now = cluster.now;
+                callers.note_fault(now, "a fault");
+                cluster.inject_random_fault(&mut machine_count, tolerated, duration);
+            }
+        }
+    }
+    if cluster.violation.is_none() {
+        for host in all(&cluster) {
+            cluster.wake(host);
+            cluster.node(host).stalled_until = 0;
+        }
+        cluster.heal_and_check();
+    }
+    if cluster.violation.is_none() {
+        callers.check_at_end(&mut cluster);
+    }
+    if std::env::var_os("EMBERPIN_TRACE").is_some() {
+        println!("seed {seed}: {}", callers.summary());
+    }
+    let violation = cluster.violation?;
+    Some(format!("seed {seed}: {violation}\n{}", callers.trace()))
+}
+
+fn all(cluster: &Cluster) -> Vec<Ipv4Addr> {
+    cluster.nodes.keys().copied().collect()
+}
+
+/// Freezes a machine or wakes all frozen ones; or has a disk stall for seconds, or fill up, or frees the full ones.
+fn freeze_or_stall(cluster: &mut Cluster, callers: &mut RegisterCallers) {
+    let all = all(cluster);
+    let one = cluster.choose(&all);
+    let now = cluster.now;
+    match cluster.below(11) {
+        9.. => lose_power_at_an_answer(cluster, callers),
+        0..3 => {
+            callers.note_fault(now, &format!("{one} freezes"));
+            cluster.freeze(one);
+        }
+        3..6 => {
+            callers.note_fault(now, "all wake");
+            for host in all {
+                cluster.wake(host);
+            }
+        }
+        6 => {
+            callers.note_fault(now, &format!("the disk of {one} stalls"));
+            cluster.node(one).stalled_until = now + 200 + cluster.below(3_000);
+        }
+        7 => cluster.fill_disk(one),
+        _ => {
+            for host in all {
+                cluster.free_disk(host);
+            }
+        }
+    }
+}
+
+/// All machines lose their power, and everything that is not synced, at the moment of an answer; then they start.
+fn lose_power_at_an_answer(cluster: &mut Cluster, callers: &mut RegisterCallers) {
+    let before = callers.done_count();
+    let until = cluster.now + 300;
+    while callers.done_count() == before && cluster.now < until && cluster.violation.is_none() {
+        callers.run(cluster, 1);
+    }
+    callers.note_fault(cluster.now, "all lose their power");
+    let all = all(cluster);
+    for host in &all {
+        cluster.lose_power_and_unsynced_writes(*host);
+    }
+    cluster.start_all(&all);
+}
+
+fn environment_number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// The violation that a missing safeguard leads to.
+fn violation_with(name: &str, guards: Guards) -> Option<String> {
+    first_violation(name, MUTANT_RUNS, |seed| run(seed, guards))
+}
+
+#[gtest]
+fn locks_counters_and_cells_keep_their_rules_with_random_faults() {
+    let runs = environment_number("EMBERPIN_RUNS").unwrap_or(DEFAULT_RUNS);
+    let first = environment_number("EMBERPIN_FIRST_SEED").unwrap_or_default();
+    let run = |seed| run(first + seed, Guards::default());
+    expect_that!(first_violation("registers", runs, run), none());
+}
+
+#[gtest]
+fn random_registers_detect_broken_promises() {
+    let guards = Guards {
+        keep_promises: false,
+        ..Guards::default()
+    };
+    expect_that!(violation_with("broken promises", guards), some(anything()));
+}
+
+#[gtest]
+fn random_registers_detect_answers_before_the_sync() {
+    let guards = Guards {
+        sync_before_reply: false,
+        ..Guards::default()
+    };
+    let found = violation_with("answers before the sync", guards);
+    expect_that!(found, some(anything()));
+}
+
+#[gtest]
+fn random_registers_detect_proposals_without_the_items_of_the_last_round() {
+    let guards = Guards {
+        send_last_items: false,
+        ..Guards::default()
+    };
+    let found = violation_with("proposals without the last items", guards);
+    expect_that!(found, some(anything()));
+}
+
+#[gtest]
+fn random_registers_detect_locks_that_are_free_at_a_start() {
+    let guards = Guards {
+        count_holds_from_start: false,
+        ..Guards::default()
+    };
+    let found = violation_with("locks that are free at a start", guards);
+    expect_that!(found, some(anything()));
+}
+
+#[gtest]
+fn random_registers_detect_locks_that_are_free_in_spite_of_renewals() {
+    let guards = Guards {
+        renewals_restart_holds: false,
+        ..Guards::default()
+    };
+    let found = violation_with("locks that are free in spite of renewals", guards);
+    expect_that!(found, some(anything()));
+}
