--- a/crates/emberpin-consensus/tests/cluster/seeds.rs
+++ b/crates/emberpin-consensus/tests/cluster/seeds.rs
@@ -41,8 +41,11 @@
         }
     });
     let violations = violations.into_inner().expect("a lock");
-    match violations.keys().next() {
-        Some(seed) => println!("{name}: violated with seed {seed}"),
+    match violations.iter().next() {
+        Some((seed, violation)) => {
+            let summary = violation.lines().next().unwrap_or_default();
+            println!("{name}: violated with seed {seed}: {summary}");
+        }
         None => println!("{name}: no violation with {runs} seeds"),
     }
     violations.into_values().next()
--- a/crates/emberpin-consensus/tests/random_registers.rs
+++ b/crates/emberpin-consensus/tests/random_registers.rs
@@ -19,9 +19,9 @@
 /// How long faults are injected, in milliseconds.
 const FAULT_SPAN: u64 = 7_000;
 /// How many seeds are searched in the usual test run; a run takes longer than those of other searches.
-const DEFAULT_RUNS: u64 = 24;
+const DEFAULT_RUNS: u64 = 60;
 /// How many seeds it may take to detect a missing safeguard.
-const MUTANT_RUNS: u64 = 80;
+const MUTANT_RUNS: u64 = 400;
 
 /// One run; the first violation, if there is one.
 fn run(seed: u64, guards: Guards) -> Option<String> {
@@ -92,6 +92,12 @@
         0..3 => {
             callers.note_fault(now, &format!("{one} freezes"));
             cluster.freeze(one);
+            // Mostly for as long as it takes others to take the lead, at times through further faults.
+            if cluster.below(4) > 0 {
+                let span = cluster.below(1_200);
+                callers.run(cluster, span);
+                cluster.wake(one);
+            }
         }
         3..6 => {
             callers.note_fault(now, "all wake");
--- a/crates/emberpin-consensus/tests/register_callers/mod.rs
+++ b/crates/emberpin-consensus/tests/register_callers/mod.rs
@@ -180,7 +180,7 @@
         let caller = &mut self.callers[index];
         caller.holding.take_if(|holding| now >= holding.until);
         caller.absent_until = now + cluster.below(self.max_pause);
-        match cluster.below(200) {
+        match cluster.below(400) {
             // It sleeps, at times beyond its hold.
             0..4 => caller.absent_until = now + cluster.below(2 * MAX_HOLD),
             4 => return self.die(cluster, index),
@@ -193,7 +193,7 @@
             self.facts.on_finish_sent(lock, &caller.owner);
         }
         self.send(cluster, index, operation);
-        match cluster.below(100) {
+        match cluster.below(200) {
             // It sleeps, or dies, while the call is under way.
             0 => self.callers[index].absent_until = now + cluster.below(2 * MAX_HOLD),
             1 => self.die(cluster, index),
