--- a/crates/emberpin-consensus/tests/random_registers.rs
+++ b/crates/emberpin-consensus/tests/random_registers.rs
@@ -18,6 +18,8 @@
 
 /// How long faults are injected, in milliseconds.
 const FAULT_SPAN: u64 = 7_000;
+/// How long a process that shuts down waits for its replica to leave the roster.
+const LEAVE_TIMEOUT: u64 = 700;
 /// How many seeds are searched in the usual test run; a run takes longer than those of other searches.
 const DEFAULT_RUNS: u64 = 60;
 /// How many seeds it may take to detect a missing safeguard.
@@ -82,13 +84,20 @@
     cluster.nodes.keys().copied().collect()
 }
 
-/// Freezes a machine or wakes all frozen ones; or has a disk stall for seconds, or fill up, or frees the full ones.
+/// Freezes a machine or wakes all frozen ones; has a disk stall for seconds, or fill up, or frees the full ones; has a
+/// replica leave the roster; or takes all power at an answer.
 fn freeze_or_stall(cluster: &mut Cluster, callers: &mut RegisterCallers) {
     let all = all(cluster);
     let one = cluster.choose(&all);
     let now = cluster.now;
-    match cluster.below(11) {
-        9.. => lose_power_at_an_answer(cluster, callers),
+    match cluster.below(12) {
+        9 => {
+            callers.note_fault(now, &format!("{one} leaves"));
+            cluster.begin_leaving(one);
+            callers.run(cluster, LEAVE_TIMEOUT);
+            cluster.kill(one);
+        }
+        10.. => lose_power_at_an_answer(cluster, callers),
         0..3 => {
             callers.note_fault(now, &format!("{one} freezes"));
             cluster.freeze(one);
--- a/crates/emberpin-consensus/tests/register_callers/facts.rs
+++ b/crates/emberpin-consensus/tests/register_callers/facts.rs
@@ -262,7 +262,7 @@
                 });
             }
             (Operation::WatchGroup { group, after, .. }, Outcome::Events { events, revision }) => {
-                self.on_events(group, *after, events, *revision, floors)
+                self.on_events(group, *after, events, *revision, floors);
             }
             (Operation::WatchGroup { .. }, Outcome::EventsDropped) => {
                 self.require(false, || "LOST: events were dropped".into());
