--- /dev/null
+++ b/crates/emberpin-demo/tests/coordination_faults.rs
@@ -0,0 +1,382 @@
+//! The calls of applications for locks, numbers and cells, while stores and registries are killed and frozen.
+#![allow(missing_docs, reason = "a test has no public interface")]
+
+mod core_machines;
+
+use core_machines::applications::Applications;
+use core_machines::history::History;
+use core_machines::{
+    begin_body, finish_body, heartbeat_body, number, put_body, settings, CoreMachines, SILENCE,
+};
+use emberpin_demo::role::Role;
+use googletest::prelude::*;
+use hyper::Method;
+use nix::sys::signal::Signal;
+use std::time::Duration;
+use tokio::task::LocalSet;
+use tokio::time::{sleep, Instant};
+
+const CALLERS: u32 = 24;
+/// Calls go on within this time after the leading store is lost.
+const TAKEOVER_TIME: Duration = Duration::from_secs(2);
+/// `release` of the settings: how long after its hold a lock is free.
+const RELEASE_TIME: Duration = Duration::from_millis(1_500);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// More changes of a group than are kept.
+const MORE_THAN_KEPT: u64 = 8_400;
+
+/// The longest time without an answer, from one moment to another, among answers of one kind.
+fn longest_gap(answers: impl Iterator<Item = Duration>, from: Duration, to: Duration) -> Duration {
+    let mut moments: Vec<Duration> = answers.filter(|at| (from..=to).contains(at)).collect();
+    moments.extend([from, to]);
+    moments.sort_unstable();
+    let gaps = moments.windows(2).map(|pair| pair[1] - pair[0]);
+    gaps.max().unwrap_or_default()
+}
+
+/// Whether all kinds of calls went on from one moment to another, and no rule was broken.
+fn verify_run(history: &History, from: Duration, to: Duration) -> googletest::Result<()> {
+    let violations = history.violations();
+    if let Some(first) = violations.first() {
+        println!("seen at {}:\n{}", first.subject, history.of(&first.subject));
+    }
+    verify_that!(violations, is_empty())?;
+    let numbers = history.numbers.iter().map(|number| number.span.received);
+    let puts = history.puts.iter().map(|put| put.span.received);
+    let gets = history.gets.iter().map(|get| get.span.received);
+    let holds = history.holds.iter().map(|hold| hold.span.received);
+    let gaps = [
+        ("numbers", longest_gap(numbers, from, to)),
+        ("puts", longest_gap(puts, from, to)),
+        ("reads", longest_gap(gets, from, to)),
+        ("locks", longest_gap(holds, from, to)),
+    ];
+    println!("longest times without an answer: {gaps:?}");
+    for (kind, gap) in gaps {
+        verify_that!((kind, gap), (eq(kind), lt(TAKEOVER_TIME)))?;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn calls_go_on_within_two_seconds_after_the_leading_store_is_killed_under_load(
+) -> googletest::Result<()> {
+    let run = async {
+        let mut machines = CoreMachines::start_three(81);
+        machines.wait_until_served().await;
+        let applications = Applications::start(&machines.ctl_addresses(), CALLERS, 1);
+        sleep(Duration::from_secs(2)).await;
+        let leader = machines.leader().await;
+        let killed_at = applications.run.now();
+        machines.kill(leader, Role::Store);
+        sleep(2 * TAKEOVER_TIME).await;
+        let to = applications.run.now();
+        let run = applications.finish().await;
+        let history = run.history.borrow();
+        verify_run(&history, killed_at, to)
+    };
+    LocalSet::new().run_until(run).await
+}
+
+#[tokio::test]
+async fn a_leading_store_that_freezes_and_wakes_neither_stops_calls_nor_breaks_a_rule(
+) -> googletest::Result<()> {
+    let run = async {
+        let machines = CoreMachines::start_three(82);
+        machines.wait_until_served().await;
+        let applications = Applications::start(&machines.ctl_addresses(), CALLERS, 2);
+        sleep(Duration::from_secs(2)).await;
+        let leader = machines.leader().await;
+        let frozen_at = applications.run.now();
+        machines.signal(leader, Role::Store, Signal::SIGSTOP);
+        sleep(Duration::from_secs(3)).await;
+        machines.signal(leader, Role::Store, Signal::SIGCONT);
+        sleep(Duration::from_secs(3)).await;
+        let to = applications.run.now();
+        let run = applications.finish().await;
+        let history = run.history.borrow();
+        verify_run(&history, frozen_at, to)
+    };
+    LocalSet::new().run_until(run).await
+}
+
+#[tokio::test]
+async fn a_lock_whose_holder_dies_is_free_after_its_hold_and_not_before() -> googletest::Result<()>
+{
+    const HOLD: Duration = Duration::from_secs(2);
+    let machines = CoreMachines::start_three(83);
+    machines.wait_until_served().await;
+    let (status, body) = machines
+        .post(0, "/locks/l1/begin", &begin_body("dead", 2_000))
+        .await;
+    let granted_at = Instant::now();
+    verify_that!(status, eq(200))?;
+    let fence = number(&body, "fence");
+    let begin = begin_body("next", 2_000);
+    let next_fence = loop {
+        let sent = Instant::now();
+        let (status, body) = machines.post(1, "/locks/l1/begin", &begin).await;
+        if status == 200 {
+            break number(&body, "fence");
+        }
+        verify_that!(status, eq(409))?;
+        verify_that!(sent.duration_since(granted_at), lt(HOLD + RELEASE_TIME))?;
+        sleep(POLL_INTERVAL).await;
+    };
+    // The holder counted from before the answer, so that it has ended by a few milliseconds less.
+    let answer_time = Duration::from_millis(100);
+    verify_that!(granted_at.elapsed(), ge(HOLD - answer_time))?;
+    verify_that!(next_fence, gt(fence))?;
+    let heartbeat = heartbeat_body("dead", fence, 2_000);
+    let (status, _) = machines.post(2, "/locks/l1/heartbeat", &heartbeat).await;
+    verify_that!(status, eq(409))
+}
+
+#[tokio::test]
+async fn a_late_call_to_give_a_lock_back_does_not_end_a_hold_that_began_after_it(
+) -> googletest::Result<()> {
+    let machines = CoreMachines::start_three(84);
+    machines.wait_until_served().await;
+    let begin = begin_body("a", 20_000);
+    let (status, body) = machines.post(1, "/locks/l1/begin", &begin).await;
+    verify_that!(status, eq(200))?;
+    let finish = finish_body("a", number(&body, "fence"));
+    // The registry reads the call once it wakes. Its caller goes elsewhere after a second of silence.
+    machines.signal(0, Role::Registry, Signal::SIGSTOP);
+    let call = (Method::POST, "/locks/l1/finish");
+    let late = machines.call_within(SILENCE, 0, call, &finish);
+    verify_that!(late.await, none())?;
+    let (status, _) = machines.post(1, "/locks/l1/begin", &begin).await;
+    verify_that!(status, eq(200))?;
+    machines.signal(0, Role::Registry, Signal::SIGCONT);
+    machines.get(0, "/cells/unused/get").await;
+    sleep(Duration::from_millis(500)).await;
+    let (status, _) = machines
+        .post(1, "/locks/l1/begin", &begin_body("b", 20_000))
+        .await;
+    verify_that!(status, eq(409))
+}
+
+#[tokio::test]
+async fn a_put_that_is_sent_again_through_another_registry_gets_its_first_revision(
+) -> googletest::Result<()> {
+    let machines = CoreMachines::start_three(85);
+    machines.wait_until_served().await;
+    let first = put_body("first", 0);
+    let (status, body) = machines.post(0, "/cells/g1.a/put", &first).await;
+    let revision = number(&body, "rev");
+    verify_that!((status, revision), eq((200, 1)))?;
+    let again = machines.post(1, "/cells/g1.a/put", &first).await;
+    verify_that!((again.0, number(&again.1, "rev")), eq((200, revision)))?;
+    let second = put_body("second", revision);
+    let (status, body) = machines.post(1, "/cells/g1.a/put", &second).await;
+    verify_that!((status, number(&body, "rev") > revision), eq((200, true)))?;
+    // Also after the cell has changed.
+    let again = machines.post(2, "/cells/g1.a/put", &first).await;
+    verify_that!((again.0, number(&again.1, "rev")), eq((200, revision)))?;
+    let (_, body) = machines.get(0, "/cells/g1.a/get").await;
+    verify_that!(body, contains_substring("\"second\""))
+}
+
+#[tokio::test]
+async fn answers_have_the_statuses_and_bodies_of_the_page() -> googletest::Result<()> {
+    let machines = CoreMachines::start_three(86);
+    machines.wait_until_served().await;
+    let post = |path: &'static str, body: String| {
+        let machines = &machines;
+        async move { machines.post(0, path, &body).await }
+    };
+    let (status, body) = post("/locks/l1/begin", begin_body("a", 5_000)).await;
+    let fence = number(&body, "fence");
+    verify_that!((status, body), eq(&(200, format!("{{\"fence\":{fence}}}"))))?;
+    let (status, _) = post("/locks/l1/begin", begin_body("b", 5_000)).await;
+    verify_that!(status, eq(409))?;
+    // The holder itself is given the lock anew.
+    let (status, body) = post("/locks/l1/begin", begin_body("a", 5_000)).await;
+    verify_that!((status, number(&body, "fence") >= fence), eq((200, true)))?;
+    let fence = number(&body, "fence");
+    let (status, _) = post("/locks/l1/heartbeat", heartbeat_body("a", fence, 5_000)).await;
+    verify_that!(status, eq(200))?;
+    let (status, _) = post("/locks/l1/heartbeat", heartbeat_body("b", fence, 5_000)).await;
+    verify_that!(status, eq(409))?;
+    // Whether or not the lock is held; one of another owner stays held.
+    let (status, _) = post("/locks/l1/finish", finish_body("b", fence)).await;
+    verify_that!(status, eq(200))?;
+    let (status, _) = post("/locks/l1/begin", begin_body("b", 5_000)).await;
+    verify_that!(status, eq(409))?;
+    let (status, _) = post("/locks/l1/finish", finish_body("a", fence)).await;
+    verify_that!(status, eq(200))?;
+    let (status, body) = post("/locks/l1/begin", begin_body("b", 5_000)).await;
+    verify_that!((status, number(&body, "fence") > fence), eq((200, true)))?;
+    let (status, body) = post("/numbers/n1", "{}".into()).await;
+    let value = number(&body, "val");
+    verify_that!((status, body), eq(&(200, format!("{{\"val\":{value}}}"))))?;
+
+    verify_that!(machines.get(0, "/cells/g1.a/get").await.0, eq(404))?;
+    let watched = machines.get(0, "/watch/g1.?after=0&wait_ms=2000").await;
+    verify_that!(watched, eq(&(200, "{\"events\":[],\"rev\":0}".into())))?;
+    let written = post("/cells/g1.a/put", put_body("x", 0)).await;
+    verify_that!(written, eq(&(200, "{\"rev\":1}".into())))?;
+    let changed = post("/cells/g1.a/put", put_body("y", 0)).await;
+    verify_that!(changed, eq(&(412, "{\"rev\":1}".into())))?;
+    let changed = post("/cells/g1.b/put", put_body("z", 7)).await;
+    verify_that!(changed, eq(&(412, "{\"rev\":0}".into())))?;
+    // One count of revisions for all cells of a group, and another one for the next group.
+    let written = post("/cells/g1.b/put", put_body("z", 0)).await;
+    verify_that!(written, eq(&(200, "{\"rev\":2}".into())))?;
+    let written = post("/cells/g2.b/put", put_body("z", 0)).await;
+    verify_that!(written, eq(&(200, "{\"rev\":1}".into())))?;
+    let read = machines.get(0, "/cells/g1.a/get").await;
+    verify_that!(read, eq(&(200, "{\"val\":\"x\",\"rev\":1}".into())))?;
+    let watched = machines.get(0, "/watch/g1.?after=1&wait_ms=2000").await;
+    let events = "{\"events\":[{\"name\":\"g1.b\",\"val\":\"z\",\"rev\":2}],\"rev\":2}";
+    verify_that!(watched, eq(&(200, events.into())))?;
+    let waits_since = Instant::now();
+    let watched = machines.get(0, "/watch/g1.?after=2&wait_ms=300").await;
+    verify_that!(watched, eq(&(200, "{\"events\":[],\"rev\":2}".into())))?;
+    verify_that!(waits_since.elapsed(), ge(Duration::from_millis(300)))
+}
+
+#[tokio::test]
+async fn a_watch_from_a_revision_that_is_no_longer_kept_is_answered_410() -> googletest::Result<()>
+{
+    const PUTTERS: u64 = 48;
+    let machines = CoreMachines::start_three(87);
+    machines.wait_until_served().await;
+    let machines = &machines;
+    let put_often = |putter: u64| async move {
+        let (path, mut revision) = (format!("/cells/g1.{putter}/put"), 0);
+        for change in 0..MORE_THAN_KEPT / PUTTERS {
+            let body = put_body(&format!("{putter}-{change}"), revision);
+            let (status, body) = machines.post(putter as usize % 3, &path, &body).await;
+            assert_eq!((status, number(&body, "rev") > revision), (200, true));
+            revision = number(&body, "rev");
+        }
+    };
+    futures_of((0..PUTTERS).map(put_often)).await;
+    let (status, _) = machines.get(0, "/watch/g1.?after=1&wait_ms=100").await;
+    verify_that!(status, eq(410))?;
+    let path = format!("/watch/g1.?after={}&wait_ms=100", MORE_THAN_KEPT - 8_000);
+    let (status, body) = machines.get(1, &path).await;
+    verify_that!(status, eq(200))?;
+    verify_that!(
+        jzon::parse(&body).or_fail()?["events"][0]["rev"].as_u64(),
+        some(eq(MORE_THAN_KEPT - 8_000 + 1))
+    )
+}
+
+/// Runs all of these side by side.
+async fn futures_of(futures: impl Iterator<Item = impl std::future::Future<Output = ()>>) {
+    let mut futures: Vec<_> = futures.map(Box::pin).collect();
+    std::future::poll_fn(|context| {
+        futures.retain_mut(|future| future.as_mut().poll(context).is_pending());
+        match futures.is_empty() {
+            true => std::task::Poll::Ready(()),
+            false => std::task::Poll::Pending,
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_watch_is_answered_by_a_put_through_another_registry() -> googletest::Result<()> {
+    let machines = CoreMachines::start_three(88);
+    machines.wait_until_served().await;
+    let (status, _) = machines.post(0, "/cells/g1.a/put", &put_body("x", 0)).await;
+    verify_that!(status, eq(200))?;
+    for (watcher, putter) in [(0, 1), (1, 2), (2, 0)] {
+        let value = format!("put-{putter}");
+        let (_, body) = machines.get(watcher, "/cells/g1.a/get").await;
+        let revision = number(&body, "rev");
+        let path = format!("/watch/g1.?after={revision}&wait_ms=8000");
+        let since = Instant::now();
+        let put = async {
+            sleep(Duration::from_millis(300)).await;
+            let body = put_body(&value, revision);
+            machines.post(putter, "/cells/g1.a/put", &body).await
+        };
+        let (watched, put) = tokio::join!(machines.get(watcher, &path), put);
+        verify_that!((watched.0, put.0), eq((200, 200)))?;
+        verify_that!(watched.1, contains_substring(format!("\"{value}\"")))?;
+        verify_that!(number(&watched.1, "rev"), eq(number(&put.1, "rev")))?;
+        verify_that!(since.elapsed(), lt(SILENCE))?;
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn calls_that_cannot_be_read_are_answered_400_and_change_nothing() -> googletest::Result<()> {
+    let machines = CoreMachines::start_three(89);
+    machines.wait_until_served().await;
+    let long = "x".repeat(513);
+    let calls = [
+        ("/locks/l1/begin", "{".to_owned(), "body"),
+        ("/locks/l1/begin", "{\"owner\":\"a\"}".into(), "hold"),
+        ("/locks/l1/begin", begin_body("a", 0), "hold"),
+        (
+            "/locks/l1/begin",
+            "{\"owner\":\"a\",\"hold\":\"soon\"}".into(),
+            "hold",
+        ),
+        (
+            "/locks/l1/begin",
+            "{\"owner\":7,\"hold\":\"1s\"}".into(),
+            "body",
+        ),
+        ("/locks/l1/begin", begin_body(&long, 100), "owner"),
+        ("/locks/l1/heartbeat", begin_body("a", 100), "fence"),
+        (
+            "/locks/l1/heartbeat",
+            "{\"owner\":\"a\",\"fence\":-1,\"hold\":\"1s\"}".into(),
+            "body",
+        ),
+        ("/locks/l1/finish", "{\"owner\":\"a\"}".into(), "fence"),
+        ("/cells/g1.a/put", "{\"when\":0}".into(), "val"),
+        (
+            "/cells/g1.a/put",
+            "{\"val\":\"x\",\"when\":\"now\"}".into(),
+            "body",
+        ),
+        ("/cells/g1.a/put", put_body(&long, 0), "val"),
+    ];
+    for (path, body, reason) in calls {
+        let (status, response) = machines.post(0, path, &body).await;
+        verify_that!((path, &body, status), eq((path, &body, 400)))?;
+        verify_that!(response, contains_substring(reason))?;
+    }
+    let (status, response) = machines.get(0, "/watch/g1.?after=first&wait_ms=100").await;
+    verify_that!((status, response.contains("after")), eq((400, true)))?;
+    let (status, _) = machines.get(0, "/cells/g1.a/get").await;
+    verify_that!(status, eq(404))?;
+    let (status, _) = machines
+        .post(0, "/locks/l1/begin", &begin_body("b", 100))
+        .await;
+    verify_that!(status, eq(200))
+}
+
+#[tokio::test]
+async fn without_the_rules_for_coordination_there_are_no_such_calls() -> googletest::Result<()> {
+    let machines = CoreMachines::start(90, 1, settings::Applications::NotServed);
+    let calls = [
+        (Method::POST, "/locks/l1/begin", begin_body("a", 1_000)),
+        (
+            Method::POST,
+            "/locks/l1/heartbeat",
+            heartbeat_body("a", 1, 1_000),
+        ),
+        (Method::POST, "/locks/l1/finish", finish_body("a", 1)),
+        (Method::POST, "/numbers/n1", "{}".into()),
+        (Method::POST, "/cells/g1.a/put", put_body("x", 0)),
+        (Method::GET, "/cells/g1.a/get", String::new()),
+        (Method::GET, "/watch/g1.?after=0&wait_ms=100", String::new()),
+    ];
+    machines.get(0, "/status").await;
+    for (method, path, body) in calls {
+        let answer = machines
+            .call_within(SILENCE, 0, (method, path), &body)
+            .await;
+        let status = answer.map(|(status, _)| status);
+        verify_that!((path, status), eq((path, Some(404))))?;
+    }
+    Ok(())
+}
--- a/crates/emberpin-demo/tests/core_machines/faults.rs
+++ b/crates/emberpin-demo/tests/core_machines/faults.rs
@@ -121,6 +121,7 @@
                     "machine {machine} is killed for {down:?}: {roles:?}"
                 ));
                 for role in roles {
+                    self.expect_no_end(machine, *role);
                     machines.kill(machine, *role);
                     self.plan(Instant::now() + down, machine, *role, Step::Start);
                 }
@@ -129,6 +130,7 @@
                 self.note(format!("machine {machine} is asked to end: {roles:?}"));
                 for role in roles {
                     machines.signal(machine, *role, Signal::SIGTERM);
+                    self.expect_no_end(machine, *role);
                     let at = Instant::now() + self.draw_time(0, 1_000);
                     self.plan(at, machine, *role, Step::StartAfterEnd);
                 }
@@ -143,6 +145,7 @@
             }
             _ => {
                 self.note("all processes are killed".into());
+                self.planned.clear();
                 machines.kill_all();
                 let at = Instant::now() + self.draw_time(0, 500);
                 for machine in 0..machines.count() {
@@ -189,6 +192,14 @@
         });
     }
 
+    /// Drops the plan to start a process once it has ended.
+    fn expect_no_end(&mut self, machine: usize, role: Role) {
+        self.planned.retain(|planned| {
+            planned.step != Step::StartAfterEnd
+                || (planned.machine, planned.role) != (machine, role)
+        });
+    }
+
     fn draw_machine(&mut self, machines: &CoreMachines) -> usize {
         self.random.rand_range(0..machines.count() as u32) as usize
     }
