--- a/crates/emberpin-demo/tests/core_machines/faults.rs
+++ b/crates/emberpin-demo/tests/core_machines/faults.rs
@@ -32,6 +32,10 @@
 pub struct Faults {
     random: Rand32,
     started_at: Instant,
+    /// The machine that most faults of the present series hit.
+    victim: usize,
+    /// How many faults of ten hit any machine.
+    spread: u32,
     planned: Vec<Planned>,
     /// When some process was last down or frozen.
     last_trouble: Instant,
@@ -40,9 +44,13 @@
 
 impl Faults {
     pub fn new(seed: u64) -> Faults {
+        let mut random = Rand32::new(seed);
+        let spread = [0, 3, 10][random.rand_range(0..3) as usize];
         Faults {
-            random: Rand32::new(seed),
+            random,
             started_at: Instant::now(),
+            victim: 0,
+            spread,
             planned: Vec::new(),
             last_trouble: Instant::now(),
             log: Vec::new(),
@@ -59,6 +67,7 @@
             if Instant::now() >= next_fault {
                 if left_in_series == 0 {
                     left_in_series = 1 + self.random.rand_range(0..6);
+                    self.victim = self.draw_machine(machines);
                 }
                 self.begin_fault(machines);
                 left_in_series -= 1;
@@ -98,7 +107,10 @@
     }
 
     fn begin_fault(&mut self, machines: &mut CoreMachines) {
-        let machine = self.draw_machine(machines);
+        let machine = match self.random.rand_range(0..10) {
+            drawn if drawn < self.spread => self.draw_machine(machines),
+            _ => self.victim,
+        };
         let roles: &[Role] = match self.random.rand_range(0..4) {
             0 => &ROLES[..1],
             1 => &ROLES[1..],
