--- a/crates/emberpin-demo/tests/core_machines/faults.rs
+++ b/crates/emberpin-demo/tests/core_machines/faults.rs
@@ -10,6 +10,8 @@
 
 /// How long all machines have to be well before a disk may be taken away: `sync_time` of the settings.
 const SYNC_TIME: Duration = Duration::from_secs(6);
+/// A process that was asked to end has ended by then.
+const REPAIR_TIME: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What is done to a process later.
@@ -98,9 +100,16 @@
 
     /// Ends all troubles.
     async fn repair(&mut self, machines: &mut CoreMachines) {
+        let until = Instant::now() + REPAIR_TIME;
         while !self.planned.is_empty() {
             self.carry_out_due(machines);
             sleep_until(Instant::now() + POLL_INTERVAL).await;
+            let still_planned = self.planned.first().map(|planned| planned.step);
+            assert!(
+                Instant::now() < until,
+                "{still_planned:?} is not done:\n{}",
+                self.log.join("\n")
+            );
         }
         machines.restart_all();
         self.note("all processes run".into());
@@ -141,6 +150,9 @@
             13..=15 => {
                 self.note(format!("machine {machine} is asked to end: {roles:?}"));
                 for role in roles {
+                    if !machines.is_running(machine, *role) {
+                        continue;
+                    }
                     machines.signal(machine, *role, Signal::SIGTERM);
                     self.expect_no_end(machine, *role);
                     let at = Instant::now() + self.draw_time(0, 1_000);
