--- a/crates/emberpin-consensus/examples/search_model.rs
+++ b/crates/emberpin-consensus/examples/search_model.rs
@@ -1,8 +1,9 @@
 //! Searches the model of the protocol for every order of the proposers' ballots:
 //! `cargo run --release -p emberpin-consensus --example search_model -- 0123`, where each digit is a round of the
 //! first writer (0), the second one (1), the proposer of a roster change (2), or a voter that lost its disk (3).
-//! `[rounds] [disk losses] [power losses] [spread items] [threads] [voters] [seconds] [states]` change the bounds. There are 3 or 5
-//! voters, no search begins after that many seconds, and each ends at about that many states, counted with repetitions.
+//! `[rounds] [disk losses] [power losses] [spread items] [threads] [voters] [seconds] [states] [leaders]` change the bounds. There
+//! are 3 or 5 voters, no search begins after that many seconds, and each ends at about that many states, counted with
+//! repetitions. Of the two writers none, the first or both lead.
 
 #[path = "../tests/model/register.rs"]
 mod register;
@@ -64,6 +65,7 @@
         .get(7)
         .and_then(|text| text.parse().ok())
         .unwrap_or(usize::MAX);
+    let leaders = number(8, 0);
     let (mut finished, mut ended_early, mut skipped) = (0, 0, 0);
     let (started, mut states, mut depth, mut largest) = (Instant::now(), 0, 0, 0);
     let mut ever = BTreeSet::new();
@@ -84,6 +86,7 @@
                 disk_losses,
                 power_losses,
                 spread_items,
+                leaders,
                 ..base
             };
             let found = search_up_to(bounds, usize::from(threads), max_states);
@@ -115,7 +118,7 @@
         println!("  after {took:.1} s");
     }
     println!(
-        "{} orders of the rounds {rounds:?}, disk losses {disk_losses}, power losses {power_losses}, spread items {spread_items}",
+        "{} orders of the rounds {rounds:?}, disk losses {disk_losses}, power losses {power_losses}, spread items {spread_items}, leaders {leaders}",
         orders.len()
     );
     println!("{finished} searches complete, {ended_early} ended early, {skipped} not begun");
--- a/crates/emberpin-consensus/tests/model.rs
+++ b/crates/emberpin-consensus/tests/model.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use register::{
-    search, Action, Mutation, RegisterModel, ACKNOWLEDGED, CAUGHT_UP, CHANGED, FIRST_WRITER,
+    search, Action, Mutation, RegisterModel, ACKNOWLEDGED, CAUGHT_UP, CHANGED, FIRST_WRITER, LED,
     RECOVERING, REFUSED, ROSTER_CHANGER, SECOND_WRITER, STALE_READ, TWO_CHOSEN,
 };
 
@@ -252,3 +252,141 @@
         ..bounds
     });
 }
+
+/// The first writer leads: each of its rounds after the first one may go without a phase 1.
+fn led_rounds(order: &[u8]) -> RegisterModel {
+    RegisterModel {
+        leaders: 1,
+        ..only_rounds(order)
+    }
+}
+
+#[gtest]
+fn led_rounds_lose_no_acknowledged_item() {
+    let happened = search_without_violation(RegisterModel {
+        power_losses: 1,
+        ..led_rounds(&[FIRST_WRITER, SECOND_WRITER, FIRST_WRITER])
+    });
+    expect_that!(
+        happened,
+        unordered_elements_are![eq(&ACKNOWLEDGED), eq(&REFUSED), eq(&LED)]
+    );
+    search_without_violation(RegisterModel {
+        power_losses: 1,
+        spread_items: 2,
+        ..led_rounds(&[FIRST_WRITER, FIRST_WRITER, SECOND_WRITER])
+    });
+}
+
+#[gtest]
+fn led_rounds_around_a_lost_disk_lose_no_acknowledged_item() {
+    let happened = search_without_violation(RegisterModel {
+        disk_losses: 1,
+        ..led_rounds(&[FIRST_WRITER, RECOVERING, FIRST_WRITER])
+    });
+    expect_that!(
+        happened,
+        unordered_elements_are![eq(&ACKNOWLEDGED), eq(&CAUGHT_UP), eq(&LED)]
+    );
+}
+
+#[gtest]
+fn led_rounds_around_a_roster_change_lose_no_acknowledged_item() {
+    let happened = search_without_violation(led_rounds(&[
+        FIRST_WRITER,
+        FIRST_WRITER,
+        ROSTER_CHANGER,
+        SECOND_WRITER,
+    ]));
+    expect_that!(
+        happened,
+        unordered_elements_are![eq(&ACKNOWLEDGED), eq(&REFUSED), eq(&CHANGED), eq(&LED)]
+    );
+}
+
+#[gtest]
+fn search_detects_telling_the_promise_of_the_next_ballot_before_its_sync() {
+    let bounds = RegisterModel {
+        power_losses: 1,
+        ..led_rounds(&[FIRST_WRITER, SECOND_WRITER, FIRST_WRITER])
+    };
+    expect_that!(
+        violation_with(Mutation::AnswerBeforePromiseSync, bounds),
+        some(eq(TWO_CHOSEN))
+    );
+}
+
+#[gtest]
+fn search_detects_last_items_that_are_not_sent_along() {
+    let bounds = led_rounds(&[FIRST_WRITER, FIRST_WRITER, SECOND_WRITER]);
+    expect_that!(
+        violation_with(Mutation::OmitLastItems, bounds),
+        some(eq(STALE_READ))
+    );
+}
+
+/// What was announced may be lost with the power, as voters write it without a sync.
+#[gtest]
+fn search_detects_last_items_that_are_not_sent_along_once_all_voters_learned_them() {
+    let bounds = RegisterModel {
+        power_losses: 1,
+        spread_items: 2,
+        ..led_rounds(&[FIRST_WRITER, FIRST_WRITER, SECOND_WRITER])
+    };
+    expect_that!(
+        violation_with(Mutation::OmitLearnedItems, bounds),
+        some(eq(STALE_READ))
+    );
+}
+
+#[gtest]
+fn search_detects_a_roster_change_by_a_led_round() {
+    let bounds = led_rounds(&[FIRST_WRITER, FIRST_WRITER, SECOND_WRITER]);
+    expect_that!(
+        violation_with(Mutation::LeadRosterChange, bounds),
+        some(eq(STALE_READ))
+    );
+}
+
+/// Searches with a mutation that violates nothing, but reaches states that are not reached without it.
+fn search_with_harmless_mutation(mutation: Mutation, bounds: RegisterModel) {
+    let without = RegisterModel {
+        reduced: false,
+        ..bounds
+    };
+    let with = RegisterModel {
+        mutation: Some(mutation),
+        ..without.clone()
+    };
+    let (without, with) = (search(without, 2), search(with, 2));
+    println!(
+        "{mutation:?}: {} states, {} without it",
+        with.states, without.states
+    );
+    expect_that!(without.violated, is_empty());
+    expect_that!(with.violated, is_empty());
+    expect_that!((with.complete, without.complete), eq((true, true)));
+    expect_that!(with.states, gt(without.states));
+}
+
+/// The leader's own check only spares it a round that voters reject: whoever caught up after its voter promised the
+/// next ballot did so by a higher one, which a majority promised.
+#[gtest]
+fn void_promises_of_the_next_ballot_are_rejected_anyway() {
+    let bounds = RegisterModel {
+        disk_losses: 1,
+        ..led_rounds(&[RECOVERING, FIRST_WRITER, FIRST_WRITER, SECOND_WRITER])
+    };
+    search_with_harmless_mutation(Mutation::CountStaleKeptPromises, bounds);
+}
+
+/// So it is with the check of the roster: a change that is chosen after the next ballot was promised has a higher
+/// ballot, which a majority of the new roster promised.
+#[gtest]
+fn next_ballots_of_a_replaced_roster_are_rejected_anyway() {
+    let bounds = RegisterModel {
+        spread_items: 1,
+        ..led_rounds(&[FIRST_WRITER, FIRST_WRITER, ROSTER_CHANGER])
+    };
+    search_with_harmless_mutation(Mutation::LeadAfterRosterChange, bounds);
+}
--- a/crates/emberpin-consensus/tests/model/register.rs
+++ b/crates/emberpin-consensus/tests/model/register.rs
@@ -4,6 +4,9 @@
 //!
 //! The network is a set that only grows: messages may be delivered late, twice, or never.
 
+mod led_rounds;
+
+use led_rounds::{KeptPromise, Leadership};
 use stateright::{Checker, HasDiscoveries, Model, Path, Property};
 
 /// Three voters, and the one that is to replace the last of them; or five voters, whose roster stays.
@@ -57,6 +60,29 @@
     AnswerBeforeSync,
     /// A voter accepts ballots below the one that it promised.
     BreakPromises,
+    /// A voter tells that it promised a leader's next ballot before that promise is on its disk.
+    AnswerBeforePromiseSync,
+    /// A leader's proposal does not carry the items of its last round.
+    OmitLastItems,
+    /// It does not carry them once all voters have learned them, which write them without a sync.
+    OmitLearnedItems,
+    /// A promise of a leader's next ballot counts although its voter has lost its disk since.
+    CountStaleKeptPromises,
+    /// A leader uses its next ballot although the roster was replaced, by the new one.
+    LeadAfterRosterChange,
+    /// A leader changes the roster by its next ballot, without a joint round.
+    LeadRosterChange,
+}
+
+/// What the caller of a round asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// The proposer's own item; a conflict is rejected.
+    Write,
+    /// Only a leader's.
+    Read,
+    /// Only for [`Mutation::LeadRosterChange`]; other changes are the calls of [`ROSTER_CHANGER`].
+    ChangeRoster,
 }
 
 /// What is searched, and within which bounds.
@@ -73,6 +99,8 @@
     pub power_losses: u8,
     /// How often a chosen item may be spread outside of rounds.
     pub spread_items: u8,
+    /// How many of the writers lead: none, the first, or both.
+    pub leaders: u8,
     /// Whether rounds that have no further effect are dropped, so that there are fewer states.
     pub reduced: bool,
     /// Whether further searches look for a shortest trace.
@@ -89,6 +117,7 @@
             five_voters: false,
             power_losses: 0,
             spread_items: 0,
+            leaders: 0,
             reduced: true,
             shortest: true,
         }
@@ -146,6 +175,14 @@
     pub joint: bool,
     pub promises: [Option<Promise>; NODES],
     pub proposal: Option<Proposal>,
+    /// The ballot that voters promise when they accept, or 0.
+    pub next_ballot: Ballot,
+    /// Those promises.
+    pub next_promises: [Option<KeptPromise>; NODES],
+    /// Whether phase 1 was done by the proposer's last round.
+    pub is_led: bool,
+    /// The chosen items that a leader evaluated the call on.
+    pub known: Items,
     /// The incarnation in which each voter promised; only for [`Mutation::FenceAcceptsOnly`].
     pub promising_incarnations: [Option<Ballot>; NODES],
     pub accepted: u8,
@@ -172,8 +209,12 @@
     pub rounds: u8,
     /// It saw an accepted change of the roster: its next round is joint.
     pub saw_roster_change: bool,
-    /// Its caller has got a reply.
+    /// Its caller has got a reply, and there is no other call.
     pub done: bool,
+    /// Only of a leader: its write was answered; it goes on with reads.
+    pub has_replied: bool,
+    /// What a leader has from its last round.
+    pub leadership: Option<Leadership>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -196,6 +237,8 @@
     pub caught_up: bool,
     /// A round read a state without an item that was acknowledged before it began.
     pub read_is_stale: bool,
+    /// A round without a phase 1 of its own was chosen.
+    pub led: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -216,6 +259,12 @@
     Propose {
         ballot: Ballot,
         quorum: u8,
+        call: Call,
+    },
+    /// A leader begins its next round, which has its phase 1 from the last one, and proposes.
+    Lead {
+        ballot: Ballot,
+        call: Call,
     },
     /// A voter receives a proposal; it is synced before the answer is sent.
     Accept {
@@ -337,6 +386,7 @@
         let number = usize::from(proposer(ballot));
         let own = &mut state.proposers[number];
         (own.rounds, own.saw_roster_change) = (own.rounds + 1, false);
+        own.leadership = None;
         if uses_second_roster {
             self.learn(&mut state.nodes[usize::from(replica)].now, ROSTER);
         }
@@ -355,6 +405,10 @@
             joint,
             promises: [None; NODES],
             proposal: None,
+            next_ballot: 0,
+            next_promises: [None; NODES],
+            is_led: false,
+            known: 0,
             promising_incarnations: [None; NODES],
             accepted: 0,
             outcome: Reply::Nothing,
@@ -390,7 +444,7 @@
         }
     }
 
-    fn propose(&self, state: &mut State, nth: usize, quorum: u8) {
+    fn propose(&self, state: &mut State, nth: usize, quorum: u8, call: Call) {
         let round = state.rounds[nth];
         let replica = usize::from(round.replica);
         let number = proposer(round.ballot);
@@ -444,7 +498,7 @@
         let waits = round.joint && number != ROSTER_CHANGER;
         let mut items = possibly_chosen;
         round.outcome = match () {
-            () if waits => Reply::Nothing,
+            () if waits || call == Call::Read => Reply::Nothing,
             () if configuration & wanted != 0 => Reply::Acknowledged,
             () if configuration & other != 0 => Reply::Refused,
             () => {
@@ -452,7 +506,7 @@
                 Reply::Acknowledged
             }
         };
-        if items == 0 {
+        if items == 0 && !self.leads(number) {
             return self.reply(state, nth);
         }
         let missing = promises().fold(0, |missing, promise| {
@@ -471,6 +525,10 @@
             }
         }
         round.promises = [None; NODES];
+        round.known = if self.leads(number) { configuration } else { 0 };
+        if !round.joint {
+            self.reserve_next_ballot(state, nth);
+        }
     }
 
     /// A voter that lost its disk has caught up by a round, and votes again.
@@ -527,7 +585,10 @@
 
     /// Whether a voter accepts the proposal when it receives it.
     fn accepts(&self, round: &Round, voter: usize, node: &Node) -> bool {
-        let rejects = round.ballot < node.now.promised && !self.has(Mutation::BreakPromises);
+        let is_repeated =
+            node.now.accepted.ballot == round.ballot && node.now.promised == round.next_ballot;
+        let rejects =
+            round.ballot < node.now.promised && !is_repeated && !self.has(Mutation::BreakPromises);
         let fenced = self.has(Mutation::FenceAcceptsOnly)
             && round.promising_incarnations[voter] != Some(node.now.incarnation);
         node.now.voting && !rejects && !fenced
@@ -541,7 +602,11 @@
         if round.outcome == Reply::Nothing {
             return;
         }
-        state.proposers[number].done = true;
+        if self.leads(number as u8) {
+            state.proposers[number].has_replied = true;
+        } else {
+            state.proposers[number].done = true;
+        }
         let acknowledged = round.outcome == Reply::Acknowledged;
         state.refused |= !acknowledged;
         state.acknowledged |=
@@ -554,7 +619,8 @@
             return;
         };
         let node = &mut state.nodes[voter];
-        node.now.promised = node.now.promised.max(round.ballot);
+        let last_synced = node.synced;
+        node.now.promised = node.now.promised.max(round.ballot).max(round.next_ballot);
         node.now.accepted = AcceptedProposal {
             ballot: round.ballot,
             items: proposal.items,
@@ -564,6 +630,13 @@
         if !self.has(Mutation::AnswerBeforeSync) {
             node.synced = node.now;
         }
+        if self.has(Mutation::AnswerBeforePromiseSync) {
+            node.synced.promised = last_synced.promised.max(round.ballot);
+        }
+        round.next_promises[voter] = (round.next_ballot != 0).then_some(KeptPromise {
+            incarnation: node.now.incarnation,
+            latest_incarnations: node.now.latest_incarnations,
+        });
         round.accepted |= 1 << voter;
         if self.has_quorum(round, round.accepted, None) {
             state.chosen |= proposal.items;
@@ -593,9 +666,22 @@
             None => !round.is_over && !cannot_promise(round),
         });
         for (number, proposer) in (0..).zip(&mut state.proposers) {
+            let Proposer {
+                leadership,
+                has_replied,
+                ..
+            } = *proposer;
+            let leadership = leadership.filter(|kept| {
+                let mut voters = (0..NODES)
+                    .filter(|voter| self.roster(kept.uses_second_roster) & 1 << voter != 0);
+                !may_reduce || voters.any(|voter| nodes[voter].synced.promised <= kept.ballot)
+            });
+            proposer.leadership = leadership;
             if proposer.done || self.ballot(number, proposer.rounds).is_none() {
                 *proposer = Proposer {
                     done: true,
+                    has_replied,
+                    leadership,
                     ..Proposer::default()
                 };
             }
@@ -604,6 +690,7 @@
             if round.is_over {
                 (round.promises, round.acknowledged_before) = ([None; NODES], 0);
                 (round.replica, round.outcome) = (0, Reply::Nothing);
+                (round.next_promises, round.is_led, round.known) = ([None; NODES], false, 0);
                 if self.has_quorum(round, round.accepted, None) {
                     round.accepted = self.targets(round);
                 }
@@ -686,7 +773,7 @@
     }
 
     /// What a round's proposer may do with the answers.
-    fn proposer_actions(&self, round: &Round, actions: &mut Vec<Action>) {
+    fn proposer_actions(&self, state: &State, round: &Round, actions: &mut Vec<Action>) {
         let ballot = round.ballot;
         if round.is_over {
             return;
@@ -709,7 +796,12 @@
                 && self.has_quorum(round, quorum, me)
                 && (0..NODES).any(one_less)
             {
-                actions.push(Action::Propose { ballot, quorum });
+                let calls = self.calls(state, proposer(ballot)).into_iter();
+                actions.extend(calls.map(|call| Action::Propose {
+                    ballot,
+                    quorum,
+                    call,
+                }));
             }
         }
     }
@@ -782,6 +874,7 @@
             chosen: 0,
             caught_up: false,
             read_is_stale: false,
+            led: false,
         }]
     }
 
@@ -792,8 +885,9 @@
         self.begin_actions(state, actions);
         for round in &state.rounds {
             self.voter_actions(state, round, actions);
-            self.proposer_actions(round, actions);
+            self.proposer_actions(state, round, actions);
         }
+        self.lead_actions(state, actions);
         self.spread_actions(state, actions);
         self.fault_actions(state, actions);
     }
@@ -817,7 +911,12 @@
                 let promise = self.prepare(node, &last.rounds[nth]);
                 state.rounds[nth].promises[usize::from(voter)] = Some(promise);
             }
-            Action::Propose { ballot, quorum } => self.propose(&mut state, nth(ballot)?, quorum),
+            Action::Propose {
+                ballot,
+                quorum,
+                call,
+            } => self.propose(&mut state, nth(ballot)?, quorum, call),
+            Action::Lead { ballot, call } => self.lead(&mut state, ballot, call),
             Action::Accept { ballot, voter } => {
                 self.accept(&mut state, nth(ballot)?, usize::from(voter));
             }
@@ -826,6 +925,7 @@
                 let replica = usize::from(state.rounds[nth].replica);
                 let items = state.rounds[nth].proposal?.items;
                 self.learn(&mut state.nodes[replica].now, items);
+                self.finish_led(&mut state, nth, items);
                 self.reply(&mut state, nth);
             }
             Action::Spread { voter, item } => {
@@ -849,6 +949,7 @@
                     .rounds
                     .iter_mut()
                     .for_each(|round| round.is_over |= round.replica == voter);
+                self.end_leaderships(&mut state, 1 << voter);
             }
             Action::PowerLoss { voters } => {
                 state.power_losses += 1;
@@ -860,6 +961,7 @@
                 state.rounds.iter_mut().for_each(|round| {
                     round.is_over |= voters & 1 << round.replica != 0;
                 });
+                self.end_leaderships(&mut state, voters);
             }
         }
         self.reduce(&mut state);
@@ -873,6 +975,9 @@
                 state.chosen & (FIRST | SECOND) != FIRST | SECOND
             }),
         ];
+        if self.mutation.is_none() && self.leaders > 0 {
+            all.push(Property::sometimes(LED, |_, state: &State| state.led));
+        }
         if self.mutation.is_none() {
             all.extend([
                 Property::sometimes(ACKNOWLEDGED, |_, state: &State| wrote(state)),
@@ -893,6 +998,7 @@
 pub const CAUGHT_UP: &str = "a voter without a disk catches up";
 pub const CHANGED: &str = "the roster is changed";
 pub const ALL: &str = "a write, a recovery and a change of the roster in one run";
+pub const LED: &str = "a round without a phase 1 of its own is chosen";
 pub const STALE_READ: &str = "a read sees everything acknowledged before it";
 pub const TWO_CHOSEN: &str = "of two items that conflict one at most is chosen";
 
