--- a/crates/emberpin-consensus/tests/model.rs
+++ b/crates/emberpin-consensus/tests/model.rs
@@ -369,10 +369,10 @@
     expect_that!(with.states, gt(without.states));
 }
 
-/// The leader's own check only spares it a round that voters reject: whoever caught up after its voter promised the
-/// next ballot did so by a higher one, which a majority promised.
+/// Whoever catches up after it promised the next ballot of a leader whose round is chosen does so by a higher ballot,
+/// and accepts nothing below that: its promise is kept, whether or not the leader counts it.
 #[gtest]
-fn void_promises_of_the_next_ballot_are_rejected_anyway() {
+fn void_promises_of_the_next_ballot_are_kept_anyway() {
     let bounds = RegisterModel {
         disk_losses: 1,
         ..led_rounds(&[RECOVERING, FIRST_WRITER, FIRST_WRITER, SECOND_WRITER])
@@ -380,8 +380,8 @@
     search_with_harmless_mutation(Mutation::CountStaleKeptPromises, bounds);
 }
 
-/// So it is with the check of the roster: a change that is chosen after the next ballot was promised has a higher
-/// ballot, which a majority of the new roster promised.
+/// A change of the roster that is chosen after the next ballot was promised has a higher ballot, which a majority of the
+/// new roster promised.
 #[gtest]
 fn next_ballots_of_a_replaced_roster_are_rejected_anyway() {
     let bounds = RegisterModel {
