Name leases and fencing tokens by the terms of the field

No change of behaviour: operations acquire, renew and release locks; the wire keeps begin, heartbeat, finish, hold and fence. The list of locks is tested on the registers in memory that the other tests use.

--- a/crates/emberpin-consensus/src/replica.rs
+++ b/crates/emberpin-consensus/src/replica.rs
@@ -266,7 +266,7 @@
         }
         self.confirm_comparisons();
         let guards = self.guards();
-        self.coordination.note_learned(&new, self.now, &guards);
+        self.coordination.record_learned(&new, self.now, &guards);
         let accepted = if had_unchosen_items && !has_unchosen_items {
             AcceptedChange::Changed
         } else {
--- a/crates/emberpin-consensus/src/replica/coordination.rs
+++ b/crates/emberpin-consensus/src/replica/coordination.rs
@@ -39,8 +39,8 @@
 }
 
 impl Coordination {
-    /// Notes when locks got their present content.
-    pub fn note_learned(&mut self, items: &[Item], now: Timestamp, guards: &Guards) {
+    /// Records when locks got their present content.
+    pub fn record_learned(&mut self, items: &[Item], now: Timestamp, guards: &Guards) {
         for item in items.iter().filter(|item| is_lock(&item.key)) {
             let key = item.key.clone();
             if guards.renewals_restart_holds {
--- a/crates/emberpin-consensus/tests/led_rounds.rs
+++ b/crates/emberpin-consensus/tests/led_rounds.rs
@@ -5,7 +5,7 @@
 use cluster::{ip, spreads_chosen_items, Cluster, Start};
 use emberpin_consensus::message::Message;
 use emberpin_consensus::{CoordinationReply, Guards, PossibleEffect, Rounds, WhenLed};
-use emberpin_coordination::{Fence, Operation, Outcome};
+use emberpin_coordination::{FencingToken, Operation, Outcome};
 use googletest::prelude::*;
 use std::time::Duration;
 
@@ -46,10 +46,10 @@
 }
 
 fn begin_lock(owner: &str) -> Operation {
-    Operation::BeginLock {
+    Operation::AcquireLock {
         lock: "l".into(),
         owner: owner.into(),
-        hold: Duration::from_millis(500),
+        lease: Duration::from_millis(500),
     }
 }
 
@@ -233,7 +233,9 @@
     let mut cluster = cluster(1);
     expect_that!(
         cluster.operate(ip(1), begin_lock("a")),
-        some(eq(&Outcome::LockGranted { fence: Fence(1) }))
+        some(eq(&Outcome::LockGranted {
+            fence: FencingToken(1)
+        }))
     );
     cluster.run(100);
     for host in 1..=3 {
@@ -243,7 +245,9 @@
     cluster.run(1_000);
     expect_that!(
         cluster.operate(ip(1), begin_lock("b")),
-        some(eq(&Outcome::LockGranted { fence: Fence(2) }))
+        some(eq(&Outcome::LockGranted {
+            fence: FencingToken(2)
+        }))
     );
 }
 
@@ -252,17 +256,22 @@
 fn a_finish_that_comes_late_does_not_release_a_later_hold_of_its_owner() {
     let mut cluster = cluster(1);
     let first = cluster.operate(ip(1), begin_lock("a"));
-    expect_that!(first, some(eq(&Outcome::LockGranted { fence: Fence(1) })));
+    expect_that!(
+        first,
+        some(eq(&Outcome::LockGranted {
+            fence: FencingToken(1)
+        }))
+    );
     let again = cluster.operate(ip(1), begin_lock("a"));
     expect_that!(again, some(matches_pattern!(Outcome::LockGranted { .. })));
-    let finish = Operation::FinishLock {
+    let finish = Operation::ReleaseLock {
         lock: "l".into(),
         owner: "a".into(),
-        fence: Fence(1),
+        fence: FencingToken(1),
     };
     expect_that!(
         cluster.operate(ip(1), finish),
-        some(eq(&Outcome::LockFinished))
+        some(eq(&Outcome::LockReleased))
     );
     let other = cluster.operate(ip(1), begin_lock("b"));
     expect_that!(other, some(eq(&Outcome::LockDenied)));
--- a/crates/emberpin-consensus/tests/register_callers/facts.rs
+++ b/crates/emberpin-consensus/tests/register_callers/facts.rs
@@ -2,7 +2,7 @@
 //! REFUSED and LOST.
 
 use super::{group, OperationResult};
-use emberpin_coordination::{CellEvent, Fence, Operation, Outcome, Revision};
+use emberpin_coordination::{CellEvent, FencingToken, Operation, Outcome, Revision};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::Write;
 
@@ -13,9 +13,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Floors {
     /// The highest fence that another caller got, of the lock.
-    other_fence: Fence,
+    other_fence: FencingToken,
     /// The highest fence that this caller got, of the lock.
-    own_fence: Fence,
+    own_fence: FencingToken,
     /// The highest number of the counter.
     number: u64,
     /// The highest revision of the cell.
@@ -46,7 +46,7 @@
     /// By lock and owner: until when the owner counts itself holder.
     holds: BTreeMap<(String, String), u64>,
     /// By lock: who got which fence.
-    fences: BTreeMap<String, BTreeMap<Fence, String>>,
+    fences: BTreeMap<String, BTreeMap<FencingToken, String>>,
     numbers: BTreeSet<u64>,
     puts: BTreeMap<String, Put>,
     /// By group and revision: the cell and its value.
@@ -118,7 +118,7 @@
     pub fn floors(&self, operation: &Operation, owner: &str) -> Floors {
         let mut floors = Floors::default();
         match operation {
-            Operation::BeginLock { lock, .. } => {
+            Operation::AcquireLock { lock, .. } => {
                 for (fence, holder) in self.fences.get(lock).into_iter().flatten() {
                     if holder == owner {
                         floors.own_fence = *fence;
@@ -135,7 +135,7 @@
                 floors.group = self.last_revision(&group(cell));
             }
             Operation::WatchGroup { group, .. } => floors.group = self.last_revision(group),
-            Operation::RenewLock { .. } | Operation::FinishLock { .. } => {}
+            Operation::RenewLock { .. } | Operation::ReleaseLock { .. } => {}
         }
         floors
     }
@@ -207,12 +207,12 @@
         };
         self.done_count += 1;
         match (operation, outcome) {
-            (Operation::BeginLock { lock, owner, .. }, Outcome::LockGranted { fence }) => {
+            (Operation::AcquireLock { lock, owner, .. }, Outcome::LockGranted { fence }) => {
                 self.on_fence(lock, owner, *fence, floors);
             }
-            (Operation::BeginLock { .. }, Outcome::LockDenied)
+            (Operation::AcquireLock { .. }, Outcome::LockDenied)
             | (Operation::RenewLock { .. }, Outcome::LockRenewed | Outcome::LockDenied)
-            | (Operation::FinishLock { .. }, Outcome::LockFinished) => {}
+            | (Operation::ReleaseLock { .. }, Outcome::LockReleased) => {}
             (Operation::NextNumber { .. }, Outcome::Number { value }) => {
                 let is_new = self.numbers.insert(*value);
                 self.require(is_new, || format!("ORDER: number {value} was given twice"));
@@ -282,7 +282,7 @@
         self.check_refused(value);
     }
 
-    fn on_fence(&mut self, lock: &str, owner: &str, fence: Fence, floors: &Floors) {
+    fn on_fence(&mut self, lock: &str, owner: &str, fence: FencingToken, floors: &Floors) {
         self.require(fence > floors.other_fence, || {
             format!("ONE: {owner} got {fence:?} of {lock}, known: {floors:?}")
         });
--- a/crates/emberpin-consensus/tests/register_callers/mod.rs
+++ b/crates/emberpin-consensus/tests/register_callers/mod.rs
@@ -9,7 +9,7 @@
 mod registry;
 
 use crate::cluster::Cluster;
-use emberpin_coordination::{group_of, Fence, Operation, Outcome, Revision};
+use emberpin_coordination::{group_of, FencingToken, Operation, Outcome, Revision};
 use facts::Facts;
 use registry::{LateRequests, Registry};
 use std::collections::BTreeMap;
@@ -22,8 +22,8 @@
 /// How many callers there are, watchers included.
 const CALLERS: usize = 10;
 const WATCHERS: usize = 2;
-/// The longest hold, in milliseconds.
-const MAX_HOLD: u64 = 1_500;
+/// The longest lease, in milliseconds.
+const MAX_LEASE: u64 = 1_500;
 /// How often a put without a clear answer is sent again.
 const PUT_RESENDS: u32 = 4;
 /// How often an operation is tried at the end; each attempt takes up to 900 ms.
@@ -52,7 +52,7 @@
 #[derive(Clone, Debug)]
 struct Holding {
     lock: String,
-    fence: Fence,
+    fence: FencingToken,
     until: u64,
 }
 
@@ -182,12 +182,12 @@
         caller.absent_until = now + cluster.below(self.max_pause);
         match cluster.below(400) {
             // It sleeps, at times beyond its hold.
-            0..4 => caller.absent_until = now + cluster.below(2 * MAX_HOLD),
+            0..4 => caller.absent_until = now + cluster.below(2 * MAX_LEASE),
             4 => return self.die(cluster, index),
             _ => {}
         }
         let operation = self.next_operation(cluster, index);
-        if let Operation::FinishLock { lock, .. } = &operation {
+        if let Operation::ReleaseLock { lock, .. } = &operation {
             let caller = &mut self.callers[index];
             caller.holding = None;
             self.facts.on_finish_sent(lock, &caller.owner);
@@ -195,7 +195,7 @@
         self.send(cluster, index, operation);
         match cluster.below(200) {
             // It sleeps, or dies, while the call is under way.
-            0 => self.callers[index].absent_until = now + cluster.below(2 * MAX_HOLD),
+            0 => self.callers[index].absent_until = now + cluster.below(2 * MAX_LEASE),
             1 => self.die(cluster, index),
             _ => {}
         }
@@ -214,7 +214,7 @@
         }
         caller.holding = None;
         caller.unclear_put = None;
-        caller.absent_until = cluster.now + cluster.below(MAX_HOLD);
+        caller.absent_until = cluster.now + cluster.below(MAX_LEASE);
     }
 
     fn next_operation(&mut self, cluster: &mut Cluster, index: usize) -> Operation {
@@ -233,23 +233,23 @@
             }
         }
         let owner = caller.owner.clone();
-        let hold = Duration::from_millis(20 + cluster.below(MAX_HOLD - 20));
+        let hold = Duration::from_millis(20 + cluster.below(MAX_LEASE - 20));
         match cluster.below(20) {
             0..11 => match caller.holding.clone() {
-                None => Operation::BeginLock {
+                None => Operation::AcquireLock {
                     lock: cluster.choose(&LOCKS).into(),
                     owner,
-                    hold,
+                    lease,
                 },
                 Some(Holding { lock, fence, .. }) => match cluster.below(6) {
                     0..3 => Operation::RenewLock {
                         lock,
                         owner,
                         fence,
-                        hold,
+                        lease,
                     },
-                    3 => Operation::BeginLock { lock, owner, hold },
-                    _ => Operation::FinishLock { lock, owner, fence },
+                    3 => Operation::AcquireLock { lock, owner, lease },
+                    _ => Operation::ReleaseLock { lock, owner, fence },
                 },
             },
             11..13 => Operation::NextNumber {
@@ -319,12 +319,12 @@
             .map(|caller| caller.watched_up_to)
             .collect();
         // All holds are over then.
-        self.pass_time(cluster, 2 * MAX_HOLD);
+        self.pass_time(cluster, 2 * MAX_LEASE);
         for lock in LOCKS {
-            let begin = Operation::BeginLock {
+            let begin = Operation::AcquireLock {
                 lock: lock.into(),
                 owner: self.callers[0].owner.clone(),
-                hold: Duration::from_millis(MAX_HOLD),
+                lease: Duration::from_millis(MAX_LEASE),
             };
             self.operate_at_end(cluster, begin);
         }
@@ -405,7 +405,7 @@
                 if !is_denied {
                     return Some(outcome);
                 }
-                self.pass_time(cluster, MAX_HOLD);
+                self.pass_time(cluster, MAX_LEASE);
             }
         }
         cluster.fail(format!("LOST: no answer at the end to {operation:?}"));
@@ -439,7 +439,7 @@
         outcome: &Outcome,
         facts: &mut Facts,
     ) {
-        let (Operation::BeginLock { lock, hold, .. } | Operation::RenewLock { lock, hold, .. }) =
+        let (Operation::AcquireLock { lock, lease, .. } | Operation::RenewLock { lock, lease, .. }) =
             operation
         else {
             return;
--- a/crates/emberpin-coordination/src/evaluate.rs
+++ b/crates/emberpin-coordination/src/evaluate.rs
@@ -49,15 +49,17 @@
         return Ok(Evaluation::unchanged(Outcome::OutOfSpace));
     }
     match operation {
-        Operation::BeginLock { lock, owner, hold } => lock::begin(registers, lock, owner, *hold),
+        Operation::AcquireLock { lock, owner, lease } => {
+            lock::acquire(registers, lock, owner, *lease)
+        }
         Operation::RenewLock {
             lock,
             owner,
             fence,
-            hold,
-        } => lock::renew(registers, lock, owner, *fence, *hold),
-        Operation::FinishLock { lock, owner, fence } => {
-            lock::finish(registers, lock, owner, *fence)
+            lease,
+        } => lock::renew(registers, lock, owner, *fence, *lease),
+        Operation::ReleaseLock { lock, owner, fence } => {
+            lock::release(registers, lock, owner, *fence)
         }
         Operation::NextNumber { counter } => counter::next_number(registers, counter),
         Operation::PutCell {
--- a/crates/emberpin-coordination/src/lock.rs
+++ b/crates/emberpin-coordination/src/lock.rs
@@ -1,12 +1,12 @@
 //! Locks.
 //!
-//! A holder counts its hold from the moment at which it sent the call, on its own clock. Replicas count from the moment
-//! at which they learned the hold, which is later. So a replica that has known a hold for longer than the hold itself,
+//! A holder counts its lease from the moment at which it sent the call, on its own clock. Replicas count from the moment
+//! at which they learned the lease, which is later. So a replica that has known a lease for longer than the lease itself,
 //! and than the clocks may differ in that time, knows that the holder no longer counts itself as one. A replica that
 //! starts counts from its start: a lock may be free later than it could be, and never sooner.
 
 use crate::evaluate::Evaluation;
-use crate::operation::Fence;
+use crate::operation::FencingToken;
 use crate::outcome::{HeldLock, Outcome};
 use crate::register::{read, write, InvalidRegister, RegisterKey, RegisterKind, Registers};
 use serde::{Deserialize, Serialize};
@@ -20,9 +20,9 @@
 /// How many locks, held or not, one list goes through. The caller asks again for those that follow.
 pub const MAX_LISTED_LOCKS: usize = 1_024;
 
-/// A hold.
+/// A lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Hold {
+struct Lease {
     owner: String,
     /// How long it lasts from its last renewal on, in milliseconds.
     millis: u64,
@@ -32,32 +32,32 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Lock {
     /// The token granted last; 0 before the first.
-    fence: Fence,
+    fence: FencingToken,
     /// The token of the present owner's first call. It may not have been told of the later ones.
-    first_fence: Fence,
-    /// The present hold; `None` if the lock was released.
-    hold: Option<Hold>,
+    first_fence: FencingToken,
+    /// The present lease; `None` if the lock was released.
+    lease: Option<Lease>,
     /// How often the lock was granted or renewed. Makes the content of each renewal differ from the one before.
     renewals: u64,
 }
 
-/// By how much longer than its duration a replica waits for the end of a hold.
-pub fn clock_tolerance(hold: Duration) -> Duration {
-    hold / MAX_CLOCK_DRIFT_DIVISOR + CLOCK_RESOLUTION
+/// By how much longer than its duration a replica waits for the end of a lease.
+pub fn clock_tolerance(lease: Duration) -> Duration {
+    lease / MAX_CLOCK_DRIFT_DIVISOR + CLOCK_RESOLUTION
 }
 
-/// Grants the lock if it is free or its hold is over. The present owner gets its hold anew. Each grant has a token of its
-/// own, so that a release which comes late does not end a later hold of the same owner.
-pub fn begin(
+/// Grants the lock if it is free or its lease is over. The present owner gets its lease anew. Each grant has a token of its
+/// own, so that a release which comes late does not end a later lease of the same owner.
+pub fn acquire(
     registers: &impl Registers,
     name: &str,
     owner: &str,
-    hold: Duration,
+    lease: Duration,
 ) -> Result<Evaluation, InvalidRegister> {
     let key = RegisterKey::new(RegisterKind::Lock, name);
     let mut lock: Lock = read(registers, &key)?;
     let age = registers.age(&key);
-    match &lock.hold {
+    match &lock.lease {
         Some(held) if held.owner == owner => {}
         Some(held) if !is_over(held, age) => {
             return Ok(Evaluation::unchanged(Outcome::LockDenied));
@@ -66,17 +66,17 @@
     }
     lock.fence = lock.fence.next();
     let outcome = Outcome::LockGranted { fence: lock.fence };
-    Ok(extend(key, lock, owner, hold, age, outcome))
+    Ok(extend(key, lock, owner, lease, age, outcome))
 }
 
-/// Renews the lock if the owner still has it, also when its hold is over and nobody else came. Any token of its tenure
+/// Renews the lock if the owner still has it, also when its lease is over and nobody else came. Any token of its tenure
 /// will do: it may not have been told of the last one.
 pub fn renew(
     registers: &impl Registers,
     name: &str,
     owner: &str,
-    fence: Fence,
-    hold: Duration,
+    fence: FencingToken,
+    lease: Duration,
 ) -> Result<Evaluation, InvalidRegister> {
     let key = RegisterKey::new(RegisterKind::Lock, name);
     let lock: Lock = read(registers, &key)?;
@@ -85,24 +85,24 @@
         return Ok(Evaluation::unchanged(Outcome::LockDenied));
     }
     let age = registers.age(&key);
-    Ok(extend(key, lock, owner, hold, age, Outcome::LockRenewed))
+    Ok(extend(key, lock, owner, lease, age, Outcome::LockRenewed))
 }
 
 /// Releases the lock if the owner has it with this very token; otherwise there is nothing to do.
-pub fn finish(
+pub fn release(
     registers: &impl Registers,
     name: &str,
     owner: &str,
-    fence: Fence,
+    fence: FencingToken,
 ) -> Result<Evaluation, InvalidRegister> {
     let key = RegisterKey::new(RegisterKind::Lock, name);
     let mut lock: Lock = read(registers, &key)?;
     if !is_held_by(&lock, owner) || lock.fence != fence {
-        return Ok(Evaluation::unchanged(Outcome::LockFinished));
+        return Ok(Evaluation::unchanged(Outcome::LockReleased));
     }
-    lock.hold = None;
+    lock.lease = None;
     Ok(Evaluation::Complete {
-        outcome: Outcome::LockFinished,
+        outcome: Outcome::LockReleased,
         changes: vec![write(key, &lock)],
     })
 }
@@ -117,8 +117,8 @@
     let mut locks = Vec::new();
     for name in names {
         let key = RegisterKey::new(RegisterKind::Lock, name);
-        let Lock { fence, hold, .. } = read(registers, &key)?;
-        let Some(Hold { owner, millis }) = hold else {
+        let Lock { fence, lease, .. } = read(registers, &key)?;
+        let Some(Lease { owner, millis }) = lease else {
             continue;
         };
         let known_for = registers.age(&key);
@@ -126,28 +126,28 @@
             name: key.name,
             owner,
             fence,
-            hold: Duration::from_millis(millis),
+            lease: Duration::from_millis(millis),
             known_for,
         });
     }
     Ok(Evaluation::unchanged(Outcome::Locks { locks, next_after }))
 }
 
-/// The lock with a new hold of the owner. It does not end before the owner's present one: the owner counts by that one
+/// The lock with a new lease of the owner. It does not end before the owner's present one: the owner counts by that one
 /// if the response to this call is lost.
 fn extend(
     key: RegisterKey,
     mut lock: Lock,
     owner: &str,
-    hold: Duration,
+    lease: Duration,
     age: Duration,
     outcome: Outcome,
 ) -> Evaluation {
-    let present = lock.hold.filter(|held| held.owner == owner);
+    let present = lock.lease.filter(|held| held.owner == owner);
     let remaining = present.map_or(Duration::ZERO, |held| latest_end(&held).saturating_sub(age));
-    lock.hold = Some(Hold {
+    lock.lease = Some(Lease {
         owner: owner.into(),
-        millis: whole_millis(hold.max(remaining)),
+        millis: whole_millis(lease.max(remaining)),
     });
     lock.renewals += 1;
     Evaluation::Complete {
@@ -157,17 +157,19 @@
 }
 
 fn is_held_by(lock: &Lock, owner: &str) -> bool {
-    lock.hold.as_ref().is_some_and(|hold| hold.owner == owner)
+    lock.lease
+        .as_ref()
+        .is_some_and(|lease| lease.owner == owner)
 }
 
-/// Whether a hold that was chosen this long ago, at least, is over by its holder's clock.
-fn is_over(hold: &Hold, age: Duration) -> bool {
-    age > latest_end(hold)
+/// Whether a lease that was chosen this long ago, at least, is over by its holder's clock.
+fn is_over(lease: &Lease, age: Duration) -> bool {
+    age > latest_end(lease)
 }
 
-/// How long after a hold was chosen its holder may count itself as one, by any clock.
-fn latest_end(hold: &Hold) -> Duration {
-    let duration = Duration::from_millis(hold.millis);
+/// How long after a lease was chosen its holder may count itself as one, by any clock.
+fn latest_end(lease: &Lease) -> Duration {
+    let duration = Duration::from_millis(lease.millis);
     duration + clock_tolerance(duration)
 }
 
--- a/crates/emberpin-coordination/src/operation.rs
+++ b/crates/emberpin-coordination/src/operation.rs
@@ -8,13 +8,13 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct Fence(pub u64);
+pub struct FencingToken(pub u64);
 
-impl Fence {
+impl FencingToken {
     /// The token of the next grant.
     #[must_use]
-    pub fn next(self) -> Fence {
-        Fence(self.0 + 1)
+    pub fn next(self) -> FencingToken {
+        FencingToken(self.0 + 1)
     }
 }
 
@@ -44,13 +44,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Operation {
     /// Acquires a lock, or renews it for the owner that holds it.
-    BeginLock {
+    AcquireLock {
         /// The lock's name.
         lock: String,
-        /// Who acquires it. A caller keeps this name from one hold to the next.
+        /// Who acquires it. A caller keeps this name from one lease to the next.
         owner: String,
         /// How long the caller counts itself holder, from the moment at which it sent the call.
-        hold: Duration,
+        lease: Duration,
     },
     /// Renews a lock.
     RenewLock {
@@ -59,18 +59,18 @@
         /// Who holds it.
         owner: String,
         /// The token that the holder was granted.
-        fence: Fence,
+        fence: FencingToken,
         /// How long the caller counts itself holder, from the moment at which it sent the call.
-        hold: Duration,
+        lease: Duration,
     },
     /// Releases a lock, if the owner still holds it.
-    FinishLock {
+    ReleaseLock {
         /// The lock's name.
         lock: String,
         /// Who held it.
         owner: String,
         /// The token that the holder was granted.
-        fence: Fence,
+        fence: FencingToken,
     },
     /// Takes a number that is above all that the counter has given before.
     NextNumber {
@@ -113,9 +113,9 @@
     /// The operation's name in metrics and log lines.
     pub fn name(&self) -> &'static str {
         match self {
-            Operation::BeginLock { .. } => "lock_begin",
+            Operation::AcquireLock { .. } => "lock_begin",
             Operation::RenewLock { .. } => "lock_renew",
-            Operation::FinishLock { .. } => "lock_finish",
+            Operation::ReleaseLock { .. } => "lock_finish",
             Operation::NextNumber { .. } => "number",
             Operation::PutCell { .. } => "cell_put",
             Operation::GetCell { .. } => "cell_get",
--- a/crates/emberpin-coordination/src/outcome.rs
+++ b/crates/emberpin-coordination/src/outcome.rs
@@ -1,6 +1,6 @@
 //! What applications are told.
 
-use crate::operation::{Fence, Revision};
+use crate::operation::{FencingToken, Revision};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -23,9 +23,9 @@
     /// Who holds it.
     pub owner: String,
     /// The holder's token.
-    pub fence: Fence,
-    /// How long the hold lasts from its last renewal on.
-    pub hold: Duration,
+    pub fence: FencingToken,
+    /// How long the lease lasts from its last renewal on.
+    pub lease: Duration,
     /// For how long the replica that was asked has known the last renewal: a lower bound of its age.
     pub known_for: Duration,
 }
@@ -38,13 +38,13 @@
     /// The caller holds the lock.
     LockGranted {
         /// Its fencing token.
-        fence: Fence,
+        fence: FencingToken,
     },
-    /// The caller still holds the lock, for another hold.
+    /// The caller still holds the lock, for another lease.
     LockRenewed,
     /// The caller does not hold the lock.
-    LockFinished,
-    /// Another owner holds the lock, or the caller's hold was lost.
+    LockReleased,
+    /// Another owner holds the lock, or the caller's lease was lost.
     LockDenied,
     /// A number of a counter.
     Number {
--- a/crates/emberpin-coordination/src/register.rs
+++ b/crates/emberpin-coordination/src/register.rs
@@ -98,11 +98,11 @@
 /// The register that an operation would make if it does not exist yet.
 pub(crate) fn subject(operation: &Operation) -> Option<RegisterKey> {
     match operation {
-        Operation::BeginLock { lock, .. } => Some(RegisterKey::new(RegisterKind::Lock, lock)),
+        Operation::AcquireLock { lock, .. } => Some(RegisterKey::new(RegisterKind::Lock, lock)),
         Operation::NextNumber { counter } => Some(RegisterKey::new(RegisterKind::Counter, counter)),
         Operation::PutCell { cell, .. } => Some(RegisterKey::new(RegisterKind::Cell, cell)),
         Operation::RenewLock { .. }
-        | Operation::FinishLock { .. }
+        | Operation::ReleaseLock { .. }
         | Operation::GetCell { .. }
         | Operation::WatchGroup { .. }
         | Operation::ListLocks { .. } => None,
--- a/crates/emberpin-coordination/tests/cells.rs
+++ b/crates/emberpin-coordination/tests/cells.rs
@@ -108,7 +108,7 @@
     expect_that!(memory.put("g.b", "v2", 0), some(eq(&out_of_space)));
     expect_that!(memory.put_always("g.b", "v3"), some(eq(&out_of_space)));
     expect_that!(memory.get("g.b"), some(eq(&Outcome::NoCell)));
-    expect_that!(memory.finish("a", 1), some(eq(&Outcome::LockFinished)));
+    expect_that!(memory.finish("a", 1), some(eq(&Outcome::LockReleased)));
     expect_that!(memory.begin("b", hold), some(eq(&granted(2))));
     expect_that!(
         memory.next_number("n"),
--- a/crates/emberpin-coordination/tests/locks.rs
+++ b/crates/emberpin-coordination/tests/locks.rs
@@ -93,10 +93,10 @@
     memory.begin("a", HOLD);
     for (owner, fence) in [("a", 1), ("a", 3), ("b", 2)] {
         let finished = memory.finish(owner, fence);
-        expect_that!(finished, some(eq(&Outcome::LockFinished)));
+        expect_that!(finished, some(eq(&Outcome::LockReleased)));
         expect_that!(memory.begin("b", HOLD), some(eq(&Outcome::LockDenied)));
     }
-    expect_that!(memory.finish("a", 2), some(eq(&Outcome::LockFinished)));
+    expect_that!(memory.finish("a", 2), some(eq(&Outcome::LockReleased)));
     expect_that!(memory.begin("b", HOLD), some(eq(&granted(3))));
 }
 
--- a/crates/emberpin-coordination/tests/memory/mod.rs
+++ b/crates/emberpin-coordination/tests/memory/mod.rs
@@ -2,7 +2,8 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use emberpin_coordination::{
-    evaluate, CellEvent, Evaluation, Fence, Operation, Outcome, RegisterKey, Registers, Revision,
+    evaluate, CellEvent, Evaluation, FencingToken, Operation, Outcome, RegisterKey, RegisterKind,
+    Registers, Revision,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -32,6 +33,12 @@
         content.map_or(Duration::ZERO, |content| self.now - content.since)
     }
 
+    fn names_after(&self, kind: RegisterKind, after: &str, limit: usize) -> Vec<String> {
+        let of_kind = self.contents.keys().filter(|key| key.kind == kind);
+        let later = of_kind.filter(|key| key.name.as_str() > after);
+        later.map(|key| key.name.clone()).take(limit).collect()
+    }
+
     fn size_bytes(&self) -> usize {
         self.size_bytes
     }
@@ -58,28 +65,28 @@
         self.now += span;
     }
 
-    pub fn begin(&mut self, owner: &str, hold: Duration) -> Option<Outcome> {
-        self.operate(&Operation::BeginLock {
+    pub fn begin(&mut self, owner: &str, lease: Duration) -> Option<Outcome> {
+        self.operate(&Operation::AcquireLock {
             lock: "l".into(),
             owner: owner.into(),
-            hold,
+            lease,
         })
     }
 
-    pub fn renew(&mut self, owner: &str, fence: u64, hold: Duration) -> Option<Outcome> {
+    pub fn renew(&mut self, owner: &str, fence: u64, lease: Duration) -> Option<Outcome> {
         self.operate(&Operation::RenewLock {
             lock: "l".into(),
             owner: owner.into(),
-            fence: Fence(fence),
-            hold,
+            fence: FencingToken(fence),
+            lease,
         })
     }
 
     pub fn finish(&mut self, owner: &str, fence: u64) -> Option<Outcome> {
-        self.operate(&Operation::FinishLock {
+        self.operate(&Operation::ReleaseLock {
             lock: "l".into(),
             owner: owner.into(),
-            fence: Fence(fence),
+            fence: FencingToken(fence),
         })
     }
 
@@ -123,7 +130,7 @@
 
 pub fn granted(fence: u64) -> Outcome {
     Outcome::LockGranted {
-        fence: Fence(fence),
+        fence: FencingToken(fence),
     }
 }
 
--- a/crates/emberpin-registry/src/coordination_client.rs
+++ b/crates/emberpin-registry/src/coordination_client.rs
@@ -55,7 +55,7 @@
     /// The store could not be reached, so it has not seen the operation.
     NotSent,
     /// The store has sent no reply.
-    Silent,
+    TimedOut,
 }
 
 /// Sends operations to the stores.
@@ -140,7 +140,7 @@
                     *effect = earlier_effect;
                     self.suspect(target.store);
                 }
-                Attempt::Silent => self.suspect(target.store),
+                Attempt::TimedOut => self.suspect(target.store),
             }
         }
     }
@@ -221,10 +221,10 @@
             biased;
             reply = connection.request(id, frame) => match reply {
                 Some(StoreReply::Coordinated { reply, .. }) => Attempt::Replied(reply),
-                _ => Attempt::Silent,
+                _ => Attempt::TimedOut,
             },
-            () = silence(&connection, wait) => Attempt::Silent,
-            () = self.suspected(target.store, Instant::now()) => Attempt::Silent,
+            () = reply_overdue(&connection, wait) => Attempt::TimedOut,
+            () = self.suspected(target.store, Instant::now()) => Attempt::TimedOut,
         }
     }
 
@@ -240,8 +240,8 @@
     }
 }
 
-/// Returns once a store counts as silent that owes a reply since now, beside the time that the operation waits.
-async fn silence(connection: &StoreConnection, wait: Duration) {
+/// Returns once the reply to an operation that is sent now is overdue, beside the time that the operation waits.
+async fn reply_overdue(connection: &StoreConnection, wait: Duration) {
     let sent_at = Instant::now() + wait;
     loop {
         let last_reply_at = connection.last_reply_at();
--- a/crates/emberpin-registry/src/http_api/coordination.rs
+++ b/crates/emberpin-registry/src/http_api/coordination.rs
@@ -3,7 +3,7 @@
 use super::response::{self, HttpResponse};
 use super::route::percent_decode;
 use crate::coordination_client::OperationResult;
-use emberpin_coordination::{CellEvent, Fence, HeldLock, Operation, Outcome, Revision};
+use emberpin_coordination::{CellEvent, FencingToken, HeldLock, Operation, Outcome, Revision};
 use emberpin_runtime::settings::parse_duration;
 use hyper::{StatusCode, Uri};
 use serde::de::DeserializeOwned;
@@ -12,8 +12,8 @@
 
 /// The longest value of a cell, and the longest name of an owner.
 const MAX_TEXT_BYTES: usize = 512;
-/// The longest hold of a lock.
-const MAX_HOLD: Duration = Duration::from_secs(3_600);
+/// The longest lease of a lock.
+const MAX_LEASE: Duration = Duration::from_secs(3_600);
 /// The longest time that a watch waits.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(60);
 
@@ -36,20 +36,22 @@
 #[derive(Deserialize)]
 struct BeginBody {
     owner: String,
-    hold: String,
+    #[serde(rename = "hold")]
+    lease: String,
 }
 
 #[derive(Deserialize)]
 struct HeartbeatBody {
     owner: String,
-    fence: Fence,
-    hold: String,
+    fence: FencingToken,
+    #[serde(rename = "hold")]
+    lease: String,
 }
 
 #[derive(Deserialize)]
 struct FinishBody {
     owner: String,
-    fence: Fence,
+    fence: FencingToken,
 }
 
 #[derive(Deserialize)]
@@ -62,11 +64,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ApplicationCall {
     /// `POST /locks/ID/begin`.
-    BeginLock,
+    AcquireLock,
     /// `POST /locks/ID/heartbeat`.
     RenewLock,
     /// `POST /locks/ID/finish`.
-    FinishLock,
+    ReleaseLock,
     /// `POST /numbers/ID`.
     NextNumber,
     /// `POST /cells/ID/put`.
@@ -83,9 +85,9 @@
     /// The call's name in metrics.
     pub fn name(self) -> &'static str {
         match self {
-            ApplicationCall::BeginLock => "lock_begin",
+            ApplicationCall::AcquireLock => "lock_begin",
             ApplicationCall::RenewLock => "lock_heartbeat",
-            ApplicationCall::FinishLock => "lock_finish",
+            ApplicationCall::ReleaseLock => "lock_finish",
             ApplicationCall::NextNumber => "number",
             ApplicationCall::PutCell => "cell_put",
             ApplicationCall::GetCell => "cell_get",
@@ -108,26 +110,30 @@
 ) -> Result<Operation, InvalidOperation> {
     let name = subject.to_string();
     Ok(match call {
-        ApplicationCall::BeginLock => {
-            let BeginBody { owner, hold } = parse(body)?;
-            Operation::BeginLock {
+        ApplicationCall::AcquireLock => {
+            let BeginBody { owner, lease } = parse(body)?;
+            Operation::AcquireLock {
                 lock: name,
                 owner: limited("owner", owner)?,
-                hold: parse_hold(&hold)?,
+                lease: parse_lease(&lease)?,
             }
         }
         ApplicationCall::RenewLock => {
-            let HeartbeatBody { owner, fence, hold } = parse(body)?;
+            let HeartbeatBody {
+                owner,
+                fence,
+                lease,
+            } = parse(body)?;
             Operation::RenewLock {
                 lock: name,
                 owner: limited("owner", owner)?,
                 fence,
-                hold: parse_hold(&hold)?,
+                lease: parse_lease(&lease)?,
             }
         }
-        ApplicationCall::FinishLock => {
+        ApplicationCall::ReleaseLock => {
             let FinishBody { owner, fence } = parse(body)?;
-            Operation::FinishLock {
+            Operation::ReleaseLock {
                 lock: name,
                 owner: limited("owner", owner)?,
                 fence,
@@ -166,9 +172,9 @@
     Ok(text)
 }
 
-fn parse_hold(text: &str) -> Result<Duration, InvalidOperation> {
+fn parse_lease(text: &str) -> Result<Duration, InvalidOperation> {
     parse_duration(text)
-        .filter(|hold| !hold.is_zero() && *hold <= MAX_HOLD)
+        .filter(|lease| !lease.is_zero() && *lease <= MAX_LEASE)
         .ok_or(InvalidOperation::Field {
             field: "hold",
             expected: "a time such as 3000ms, up to 3600s",
@@ -203,8 +209,8 @@
 }
 
 #[derive(Serialize)]
-struct FenceBody {
-    fence: Fence,
+struct TokenBody {
+    fence: FencingToken,
 }
 
 #[derive(Serialize)]
@@ -241,7 +247,7 @@
 struct LockBody {
     name: String,
     owner: String,
-    fence: Fence,
+    fence: FencingToken,
     hold_ms: u64,
     known_for_ms: u64,
 }
@@ -268,8 +274,8 @@
 
 fn respond_with(outcome: Outcome) -> HttpResponse {
     match outcome {
-        Outcome::LockGranted { fence } => json(StatusCode::OK, &FenceBody { fence }),
-        Outcome::LockRenewed | Outcome::LockFinished => response::empty(),
+        Outcome::LockGranted { fence } => json(StatusCode::OK, &TokenBody { fence }),
+        Outcome::LockRenewed | Outcome::LockReleased => response::empty(),
         Outcome::LockDenied => text(StatusCode::CONFLICT, "the lock is held by another owner\n"),
         Outcome::Number { value } => json(StatusCode::OK, &NumberBody { val: value }),
         Outcome::CellWritten { revision } => json(StatusCode::OK, &RevisionBody { rev: revision }),
@@ -323,7 +329,7 @@
             name: lock.name,
             owner: lock.owner,
             fence: lock.fence,
-            hold_ms: whole_millis(lock.hold),
+            hold_ms: whole_millis(lock.lease),
             known_for_ms: whole_millis(lock.known_for),
         }
     }
--- a/crates/emberpin-registry/src/http_api/route.rs
+++ b/crates/emberpin-registry/src/http_api/route.rs
@@ -127,9 +127,9 @@
     Matcher {
         text: Some("locks"),
         children: &[subject(&[
-            application("begin", "POST", ApplicationCall::BeginLock),
+            application("begin", "POST", ApplicationCall::AcquireLock),
             application("heartbeat", "POST", ApplicationCall::RenewLock),
-            application("finish", "POST", ApplicationCall::FinishLock),
+            application("finish", "POST", ApplicationCall::ReleaseLock),
         ])],
         call: Some(("GET", Route::Application(ApplicationCall::ListLocks))),
     },
--- a/crates/emberpin-store/src/metrics.rs
+++ b/crates/emberpin-store/src/metrics.rs
@@ -162,7 +162,7 @@
     match outcome {
         Outcome::LockGranted { .. } => "granted",
         Outcome::LockRenewed => "renewed",
-        Outcome::LockFinished => "finished",
+        Outcome::LockReleased => "finished",
         Outcome::LockDenied => "denied",
         Outcome::Number { .. } => "number",
         Outcome::CellWritten { .. } => "written",
