--- a/crates/emberpin-consensus/src/guards.rs
+++ b/crates/emberpin-consensus/src/guards.rs
@@ -61,10 +61,10 @@
     pub evict_early_without_margin: bool,
     /// A leader sends the items of its last round with its next proposal.
     pub send_last_items: bool,
-    /// A replica that starts counts the holds of locks from its start.
+    /// A replica that starts counts the leases of locks from its start.
     pub count_holds_from_start: bool,
     /// A renewal of a lock begins its hold anew.
-    pub renewals_restart_holds: bool,
+    pub renewals_restart_leases: bool,
 }
 
 impl Guards {
@@ -112,7 +112,7 @@
             evict_early_without_margin: true,
             send_last_items: true,
             count_holds_from_start: true,
-            renewals_restart_holds: true,
+            renewals_restart_leases: true,
         }
     }
 }
--- a/crates/emberpin-consensus/src/replica/coordination.rs
+++ b/crates/emberpin-consensus/src/replica/coordination.rs
@@ -43,7 +43,7 @@
     pub fn record_learned(&mut self, items: &[Item], now: Timestamp, guards: &Guards) {
         for item in items.iter().filter(|item| is_lock(&item.key)) {
             let key = item.key.clone();
-            if guards.renewals_restart_holds {
+            if guards.renewals_restart_leases {
                 self.locks_learned_at.insert(key, now);
             } else {
                 self.locks_learned_at.entry(key).or_insert(now);
--- a/crates/emberpin-consensus/tests/random_registers.rs
+++ b/crates/emberpin-consensus/tests/random_registers.rs
@@ -201,7 +201,7 @@
 #[gtest]
 fn random_registers_detect_locks_that_are_free_in_spite_of_renewals() {
     let guards = Guards {
-        renewals_restart_holds: false,
+        renewals_restart_leases: false,
         ..Guards::default()
     };
     let found = violation_with("locks that are free in spite of renewals", guards);
--- a/crates/emberpin-consensus/tests/register_callers/facts.rs
+++ b/crates/emberpin-consensus/tests/register_callers/facts.rs
@@ -44,7 +44,7 @@
 pub struct Facts {
     violation: Option<String>,
     /// By lock and owner: until when the owner counts itself holder.
-    holds: BTreeMap<(String, String), u64>,
+    leases: BTreeMap<(String, String), u64>,
     /// By lock: who got which fence.
     fences: BTreeMap<String, BTreeMap<FencingToken, String>>,
     numbers: BTreeSet<u64>,
@@ -135,7 +135,9 @@
                 floors.group = self.last_revision(&group(cell));
             }
             Operation::WatchGroup { group, .. } => floors.group = self.last_revision(group),
-            Operation::RenewLock { .. } | Operation::ReleaseLock { .. } => {}
+            Operation::RenewLock { .. }
+            | Operation::ReleaseLock { .. }
+            | Operation::ListLocks { .. } => {}
         }
         floors
     }
@@ -167,7 +169,7 @@
     }
 
     pub fn on_finish_sent(&mut self, lock: &str, owner: &str) {
-        self.holds.remove(&(lock.into(), owner.into()));
+        self.leases.remove(&(lock.into(), owner.into()));
     }
 
     pub fn on_given_up(&mut self, lock: &str, owner: &str) {
@@ -175,18 +177,18 @@
     }
 
     pub fn on_death(&mut self, owner: &str) {
-        self.holds.retain(|(_, holder), _| holder != owner);
+        self.leases.retain(|(_, holder), _| holder != owner);
     }
 
     /// A caller counts itself holder from now on.
-    pub fn on_hold(&mut self, lock: &str, owner: &str, now: u64, until: u64) {
+    pub fn on_lease(&mut self, lock: &str, owner: &str, now: u64, until: u64) {
         let key = (lock.to_owned(), owner.to_owned());
         if until <= now {
-            self.holds.remove(&key);
+            self.leases.remove(&key);
             return;
         }
-        self.holds.insert(key, until);
-        let others = self.holds.iter();
+        self.leases.insert(key, until);
+        let others = self.leases.iter();
         let other = others
             .filter(|((held, holder), until)| held == lock && holder != owner && now < **until)
             .map(|((_, holder), until)| (holder.clone(), *until))
--- a/crates/emberpin-consensus/tests/register_callers/mod.rs
+++ b/crates/emberpin-consensus/tests/register_callers/mod.rs
@@ -181,7 +181,7 @@
         caller.holding.take_if(|holding| now >= holding.until);
         caller.absent_until = now + cluster.below(self.max_pause);
         match cluster.below(400) {
-            // It sleeps, at times beyond its hold.
+            // It sleeps, at times beyond its lease.
             0..4 => caller.absent_until = now + cluster.below(2 * MAX_LEASE),
             4 => return self.die(cluster, index),
             _ => {}
@@ -201,7 +201,7 @@
         }
     }
 
-    /// A caller dies, and comes back under the same name. It knows nothing of its holds and calls.
+    /// A caller dies, and comes back under the same name. It knows nothing of its leases and calls.
     fn die(&mut self, cluster: &mut Cluster, index: usize) {
         let caller = &mut self.callers[index];
         let owner = &caller.owner;
@@ -233,7 +233,7 @@
             }
         }
         let owner = caller.owner.clone();
-        let hold = Duration::from_millis(20 + cluster.below(MAX_LEASE - 20));
+        let lease = Duration::from_millis(20 + cluster.below(MAX_LEASE - 20));
         match cluster.below(20) {
             0..11 => match caller.holding.clone() {
                 None => Operation::AcquireLock {
@@ -308,7 +308,7 @@
             return;
         };
         caller.note_revisions(&operation, &outcome);
-        caller.note_hold(now, at, &operation, &outcome, &mut self.facts);
+        caller.record_lease(now, at, &operation, &outcome, &mut self.facts);
     }
 
     /// After all faults ended: what was acknowledged is still there.
@@ -318,7 +318,7 @@
             .iter()
             .map(|caller| caller.watched_up_to)
             .collect();
-        // All holds are over then.
+        // All leases are over then.
         self.pass_time(cluster, 2 * MAX_LEASE);
         for lock in LOCKS {
             let begin = Operation::AcquireLock {
@@ -430,8 +430,8 @@
         }
     }
 
-    /// A caller counts itself holder from the answer on until the hold is over that began when it sent the call.
-    fn note_hold(
+    /// A caller counts itself holder from the answer on until the lease is over that began when it sent the call.
+    fn record_lease(
         &mut self,
         now: u64,
         sent_at: u64,
@@ -444,8 +444,8 @@
         else {
             return;
         };
-        let hold = hold.as_millis() as u64;
-        let until = sent_at + hold + hold * self.clock_lag / 1_000;
+        let lease = lease.as_millis() as u64;
+        let until = sent_at + lease + lease * self.clock_lag / 1_000;
         let held = self
             .holding
             .take_if(|holding| holding.lock == *lock && now < holding.until);
@@ -460,7 +460,7 @@
             fence,
             until,
         });
-        facts.on_hold(lock, &self.owner, now, until);
+        facts.on_lease(lock, &self.owner, now, until);
     }
 }
 
--- a/crates/emberpin-store/src/host.rs
+++ b/crates/emberpin-store/src/host.rs
@@ -76,11 +76,10 @@
 }
 
 impl Host<'_> {
-    /// A host whose replicas were just created.
+    /// A host without registers whose replica of the configuration was just created.
     pub fn new<'a>(
         settings: &'a Settings,
         configuration: HostedReplica,
-        registers: Option<HostedReplica>,
         peers: PeerLinks,
         identity: Arc<ProcessIdentity>,
         system: SystemRecord,
@@ -90,7 +89,7 @@
         Host {
             settings,
             configuration,
-            registers,
+            registers: None,
             peers,
             registries: RegistrySessions::default(),
             identity,
--- a/crates/emberpin-store/src/startup.rs
+++ b/crates/emberpin-store/src/startup.rs
@@ -69,42 +69,34 @@
     let registers = register_disk
         .map(|disk| starter.start(ReplicaKind::Registers, register_dir, disk))
         .transpose()?;
-    let (register_replica, register_actions, register_disk_events) = match registers {
-        Some(started) => (
-            Some(started.replica),
-            started.actions,
-            Some(started.disk_events),
-        ),
-        None => (None, Vec::new(), None),
+    let mut sources = EventSources {
+        signals,
+        disk_events: configuration.disk_events,
+        register_disk_events: None,
+        inputs: queued_inputs,
     };
     let seeds = seed_addresses(settings);
     let mut host = Host::new(
         settings,
         configuration.replica,
-        register_replica,
         PeerLinks::new(settings.store_port(), identity.clone(), seeds),
         identity.clone(),
         system,
         StoreMetrics::new(&metrics),
     );
     host.apply_actions(configuration.actions);
-    host.apply_register_actions(register_actions);
-    let mut sources = EventSources {
-        signals,
-        disk_events: configuration.disk_events,
-        register_disk_events,
-        inputs: queued_inputs,
-    };
+    if let Some(registers) = registers {
+        host.registers = Some(registers.replica);
+        host.apply_register_actions(registers.actions);
+        sources.register_disk_events = Some(registers.disk_events);
+    }
     wait_for_first_syncs(&mut host, &mut sources).await?;
     if let Some(endpoint) = metrics_endpoint {
         tokio::spawn(metrics_server::serve(settings.ip, endpoint, metrics));
     }
     tokio::spawn(listen(listener, identity, inputs));
     host.run_event_loop(&mut sources).await?;
-    close_disk(&host.configuration.disk.queue, &mut sources.disk_events).await;
-    if let (Some(registers), Some(events)) = (&host.registers, &mut sources.register_disk_events) {
-        close_disk(&registers.disk.queue, events).await;
-    }
+    close_disks(&host, &mut sources).await;
     Ok(())
 }
 
@@ -221,6 +213,14 @@
     Ok(())
 }
 
+/// Waits for the last syncs of all disks.
+async fn close_disks(host: &Host<'_>, sources: &mut EventSources) {
+    close_disk(&host.configuration.disk.queue, &mut sources.disk_events).await;
+    if let (Some(registers), Some(events)) = (&host.registers, &mut sources.register_disk_events) {
+        close_disk(&registers.disk.queue, events).await;
+    }
+}
+
 /// Waits for the last sync, up to [`CLOSE_TIMEOUT`].
 async fn close_disk(disk: &DiskQueue, disk_events: &mut mpsc::Receiver<DiskEvent>) {
     if disk.close().is_err() {
