--- a/crates/emberpin-proxy/src/controller/control_sessions.rs
+++ b/crates/emberpin-proxy/src/controller/control_sessions.rs
@@ -47,9 +47,11 @@
                 .for_each(|service| service.set_proxy_count(proxy_count));
         }
         self.router.set_proxy_count(self.now(), proxy_count);
-        let has_configuration = !self.configuration.is_empty() && !self.services.is_empty();
-        if self.session_sync.is_synced(session) && has_configuration && !self.published.set_ready()
-        {
+        if !self.session_sync.is_synced(session) || self.configuration.is_empty() {
+            return;
+        }
+        self.has_whole_configuration = true;
+        if !self.services.is_empty() && !self.published.set_ready() {
             let items = self.configuration.len();
             log::info!("proxy is ready: session={session} configuration_items={items}");
         }
--- a/crates/emberpin-proxy/src/controller/mod.rs
+++ b/crates/emberpin-proxy/src/controller/mod.rs
@@ -59,6 +59,9 @@
     zones: ZoneTable,
     evacuated_zones: BTreeSet<String>,
     session_sync: SessionSync,
+    /// Whether a confirmed session has received everything since the start. Before that, a route that is not known here
+    /// may exist.
+    has_whole_configuration: bool,
     random: oorandom::Rand64,
     /// By route name, for the routes in force that share their requests among services.
     split_draws: BTreeMap<String, DrawSequence>,
@@ -96,6 +99,7 @@
             zones: ZoneTable::new(&settings.zone, settings.zone_regions.keys()),
             evacuated_zones: BTreeSet::new(),
             session_sync: SessionSync::default(),
+            has_whole_configuration: false,
             random: oorandom::Rand64::new(u128::from(random_seed())),
             split_draws: BTreeMap::new(),
             published: Rc::new(PublishedState::new(HEAD_BYTES as u64)),
--- a/crates/emberpin-proxy/src/controller/routing.rs
+++ b/crates/emberpin-proxy/src/controller/routing.rs
@@ -24,7 +24,7 @@
 const UPLOAD_TIME_LIMIT: Duration = Duration::from_secs(900);
 /// `Retry-After` where no server of the route's services is known, or the retry budget is spent.
 const RETRY_AFTER_NO_SERVER: Duration = Duration::from_millis(300);
-/// `Retry-After` before the first configuration has come.
+/// `Retry-After` before the whole configuration has come.
 const RETRY_AFTER_NO_CONFIGURATION: Duration = Duration::from_millis(500);
 /// Longest idle time of a connection that carries a request which must not run twice: a server that is gone or has
 /// dropped an idle connection would leave in doubt whether the request ran, whereas a connection that comes up shows
@@ -84,10 +84,10 @@
     fn choose_target(&mut self, request: &RouteRequest) -> Result<Target, RejectionCause> {
         let path = request.outgoing.uri.path();
         let Some(route) = self.router.routes.find(&request.host, path).cloned() else {
-            return Err(if self.configuration.is_empty() {
-                RejectionCause::NotConfigured
-            } else {
+            return Err(if self.has_whole_configuration {
                 RejectionCause::RouteNotFound
+            } else {
+                RejectionCause::NotConfigured
             });
         };
         let draw = self.draw_for_split(&route);
--- a/crates/emberpin-proxy/tests/readiness.rs
+++ b/crates/emberpin-proxy/tests/readiness.rs
@@ -149,3 +149,37 @@
     confirm_until_ready(&proxy, &mut second).await;
     Ok(())
 }
+
+/// Guards `has_whole_configuration`: a proxy that has just started answers 404 for no route that may exist.
+#[tokio::test]
+async fn a_route_that_is_unknown_before_the_whole_configuration_has_come_is_to_be_retried(
+) -> googletest::Result<()> {
+    let proxy = Proxy::start(DEFAULT_BOUNDS).await;
+    let (items, instances) = snapshot_content();
+    let cursor = SnapshotCursor::Item(items[0].key.clone());
+    let mut session = RawSession::accept(&proxy.registry).await;
+    session
+        .send(ToProxy::Snapshot {
+            revision: REVISION,
+            items,
+            instances: vec![],
+            complete: true,
+            next_part: Some(cursor.clone()),
+        })
+        .await;
+    verify_that!(session.next_snapshot_request().await, eq(&cursor))?;
+    session.answer_keep_alive(confirmed(proxy.ip, 1)).await;
+    let unknown = proxy.request("GET", "/unknown/a", "t1").await;
+    verify_that!(unknown.status, eq(503))?;
+    session
+        .send(ToProxy::SnapshotPart {
+            items: vec![],
+            instances,
+            next_part: None,
+        })
+        .await;
+    confirm_until_ready(&proxy, &mut session).await;
+    let unknown = proxy.request("GET", "/unknown/a", "t2").await;
+    verify_that!(unknown.status, eq(404))?;
+    Ok(())
+}
