Record version 4 of the protocol, and let too many watches reject only watches

The tests of recorded messages compared with version 3 failed since version 4 came: the variants it added were not recorded. Recorded now, one of each operation, outcome and message of led rounds; the lines of version 3 are unchanged, and the test that counted the variants of version 3 counts those of version 4, with the ones that it added.

1,024 watches that waited had operations of every kind rejected; now only a further watch is.

--- a/crates/emberpin-consensus/src/replica/calls.rs
+++ b/crates/emberpin-consensus/src/replica/calls.rs
@@ -73,7 +73,7 @@
                 TaskResult::Application(reply) => {
                     actions.push(Action::ReplyToApplication { call_id, reply });
                 }
-                TaskResult::AwaitsChange => self.begin_watch(task),
+                TaskResult::AwaitsChange => self.begin_watch(task, actions),
             }
         }
     }
--- a/crates/emberpin-consensus/src/replica/coordination.rs
+++ b/crates/emberpin-consensus/src/replica/coordination.rs
@@ -86,7 +86,6 @@
         self.options.rounds == Rounds::Led
             && self.disk_unavailable_reason().is_none()
             && self.tasks.len() < MAX_QUEUED_OPERATIONS
-            && self.coordination.watches.len() < MAX_WATCHES
     }
 
     /// Evaluates an operation on everything chosen and on what the round proposes. Returns its result, and the items
@@ -124,11 +123,16 @@
         }
     }
 
-    /// Keeps an operation until there is a change of its group, or its time is over.
-    pub(super) fn begin_watch(&mut self, task: Task) {
+    /// Keeps an operation until there is a change of its group, or its time is over. Rejects it if too many wait.
+    pub(super) fn begin_watch(&mut self, task: Task, actions: &mut Vec<Action>) {
         let Operation::Coordinate { call_id, operation } = task.operation else {
             return;
         };
+        if self.coordination.watches.len() >= MAX_WATCHES {
+            let effect = PossibleEffect::None;
+            let reply = CoordinationReply::Undecided { effect };
+            return actions.push(Action::ReplyToApplication { call_id, reply });
+        }
         let wait = match &operation {
             emberpin_coordination::Operation::WatchGroup { wait, .. } => *wait,
             _ => Duration::ZERO,
--- a/crates/emberpin-registry/tests/recorded_messages.rs
+++ b/crates/emberpin-registry/tests/recorded_messages.rs
@@ -8,6 +8,7 @@
 mod samples;
 
 use emberpin_consensus::Message;
+use emberpin_coordination::{Operation, Outcome};
 use emberpin_membership::peers::RegistryMessage;
 use emberpin_membership::session::{ConnectionRole, FromProxy, ToProxy};
 use emberpin_runtime::frames::{self, ConnectionError};
@@ -24,6 +25,8 @@
 const VALUES: &str = "protocol-2-values.txt";
 /// One of each message of version 3, which has those of version 2 and some more.
 const MESSAGES_OF_VERSION_3: &str = "protocol-3.txt";
+/// One of each message of version 4, which has those of version 3 and some more.
+const MESSAGES_OF_VERSION_4: &str = "protocol-4.txt";
 
 /// The message that a process reads from a frame.
 fn decode<T: DeserializeOwned>(mut frame: &[u8]) -> std::result::Result<T, ConnectionError> {
@@ -77,6 +80,20 @@
     );
 }
 
+/// As [`expect_all_recorded`], for messages between stores, whose variants are recorded behind one prefix or another.
+fn expect_all_recorded_between(frames: &[Vec<u8>], prefixes: &[&[u8]]) {
+    let without_prefix = |frame: &Vec<u8>| {
+        let mut messages = prefixes
+            .iter()
+            .filter_map(|prefix| frame[4..].strip_prefix(*prefix));
+        messages.next().map(|message| message[0])
+    };
+    let mut recorded: Vec<u8> = frames.iter().filter_map(without_prefix).collect();
+    recorded.sort_unstable();
+    recorded.dedup();
+    expect_that!(recorded, eq(&variants::<Message>(&[])));
+}
+
 #[gtest]
 fn sample_values_encode_to_the_recorded_bytes() {
     let path = recorded::path(VALUES);
@@ -101,6 +118,15 @@
         &recorded::frames(MESSAGES_OF_VERSION_3, "to-store"),
         &[samples::to_store(), samples::added_to_store()].concat(),
     );
+    expect_decoded_as(
+        &recorded::frames(MESSAGES_OF_VERSION_4, "to-store"),
+        &[
+            samples::to_store(),
+            samples::added_to_store(),
+            samples::added_to_store_in_version_4(),
+        ]
+        .concat(),
+    );
 }
 
 #[gtest]
@@ -113,6 +139,14 @@
         &recorded::frames(VALUES, "from-store"),
         &values::from_store(),
     );
+    expect_decoded_as(
+        &recorded::frames(MESSAGES_OF_VERSION_4, "from-store"),
+        &[
+            samples::from_store(),
+            samples::added_from_store_in_version_4(),
+        ]
+        .concat(),
+    );
 }
 
 #[gtest]
@@ -156,11 +190,18 @@
 
 #[gtest]
 fn every_variant_of_each_message_is_recorded() {
-    let to_store = recorded::frames(MESSAGES_OF_VERSION_3, "to-store");
+    let to_store = recorded::frames(MESSAGES_OF_VERSION_4, "to-store");
     expect_all_recorded::<ToStore>(&to_store, &[]);
     expect_all_recorded::<ToStore>(&to_store, &[0]);
-    expect_all_recorded::<ToStore>(&to_store, &[1, 10, 1, 0, 7]);
-    expect_all_recorded::<StoreReply>(&recorded::frames(MESSAGES, "from-store"), &[]);
+    expect_all_recorded::<ToStore>(&to_store, &[0, 6, 4]);
+    expect_all_recorded_between(
+        &to_store,
+        &[[1, 10, 1, 0, 7].as_slice(), [2, 10, 1, 0, 7].as_slice()],
+    );
+    let from_store = recorded::frames(MESSAGES_OF_VERSION_4, "from-store");
+    expect_all_recorded::<StoreReply>(&from_store, &[]);
+    expect_all_recorded::<StoreReply>(&from_store, &[4, 4]);
+    expect_all_recorded::<StoreReply>(&from_store, &[4, 4, 0]);
     let to_registry = recorded::frames(MESSAGES, "to-registry");
     let (first, rest) = to_registry.split_at(samples::first().len());
     let (from_proxy, between_registries) = rest.split_at(samples::from_proxy().len());
@@ -172,12 +213,15 @@
 }
 
 #[gtest]
-fn every_message_has_as_many_variants_as_in_version_3() {
-    // Version 2 has five.
-    expect_that!(variants::<StoreRequest>(&[]).len(), eq(6));
-    // Version 2 has 17.
-    expect_that!(variants::<Message>(&[]).len(), eq(19));
-    expect_that!(variants::<StoreReply>(&[]).len(), eq(4));
+fn every_message_has_as_many_variants_as_in_version_4() {
+    // Version 2 has five, version 3 six.
+    expect_that!(variants::<StoreRequest>(&[]).len(), eq(7));
+    // Version 2 has 17, version 3 has 19.
+    expect_that!(variants::<Message>(&[]).len(), eq(22));
+    // Versions 2 and 3 have four.
+    expect_that!(variants::<StoreReply>(&[]).len(), eq(5));
+    expect_that!(variants::<Operation>(&[]).len(), eq(8));
+    expect_that!(variants::<Outcome>(&[]).len(), eq(13));
     expect_that!(variants::<DiskState>(&[]).len(), eq(4));
     expect_that!(variants::<FromProxy>(&[]).len(), eq(3));
     expect_that!(variants::<ToProxy>(&[]).len(), eq(4));
--- a/crates/emberpin-registry/tests/samples/mod.rs
+++ b/crates/emberpin-registry/tests/samples/mod.rs
@@ -6,18 +6,20 @@
 
 use emberpin_config::{Item, ItemKey, ItemKind, Version};
 use emberpin_consensus::message::{
-    Accept, Accepted, BootstrapQuery, BootstrapReply, BucketItems, CandidacyQuery, CandidacyReply,
-    Chosen, CompareDigest, ComparisonId, DigestDiffers, DigestMatches, DiskUnavailable,
-    FetchBuckets, FirstRoster, ItemVersion, NotVoting, Prepare, Promise, Rejected, StaleRoster,
+    Accept, AcceptLed, Accepted, AcceptedLed, BootstrapQuery, BootstrapReply, BucketItems,
+    CandidacyQuery, CandidacyReply, Chosen, CompareDigest, ComparisonId, DigestDiffers,
+    DigestMatches, DiskUnavailable, FetchBuckets, FetchNewer, FirstRoster, ItemVersion, NotVoting,
+    Prepare, Promise, Rejected, StaleRoster,
 };
 use emberpin_consensus::{
-    AcceptedProposal, Ballot, BootstrapNonce, EvacuationChange, Incarnation, LatestIncarnations,
-    Message,
+    AcceptedProposal, Ballot, BootstrapNonce, CoordinationReply, EvacuationChange, Incarnation,
+    LatestIncarnations, Message, PossibleEffect, WhenLed,
 };
+use emberpin_coordination::{CellEvent, FencingToken, HeldLock, Operation, Outcome, Revision};
 use emberpin_membership::ids::{self, AckId, Digest, Nonce};
 use emberpin_membership::instance::{Instance, Status};
 use emberpin_membership::peers::{Ack, InstanceRecord, ProxyIdentity, RegistryMessage};
-use emberpin_membership::session::{ConnectionRole, FromProxy, Revision, SnapshotCursor, ToProxy};
+use emberpin_membership::session::{self, ConnectionRole, FromProxy, SnapshotCursor, ToProxy};
 use emberpin_runtime::frames;
 use emberpin_store::protocol::{
     DiskState, DiskStatus, FreshnessNonce, RequestId, StoreReply, StoreRequest, ToStore,
@@ -32,7 +34,7 @@
     proposer: 7,
     start_nonce: 9,
 };
-const PLACE: Revision = Revision {
+const PLACE: session::Revision = session::Revision {
     incarnation: ids::Incarnation(5),
     number: 6,
 };
@@ -240,6 +242,141 @@
     requests.chain(messages).collect()
 }
 
+/// The messages to a store that version 4 added: each operation, and the messages of led rounds.
+pub fn added_to_store_in_version_4() -> Vec<ToStore> {
+    let request = |operation| {
+        ToStore::Request(StoreRequest::Coordinate {
+            id: RequestId(4),
+            operation,
+            when_led: WhenLed::TakeOver,
+        })
+    };
+    let (lock, owner) = (String::from("l"), String::from("o"));
+    let (fence, lease) = (FencingToken(41), Duration::from_millis(3_000));
+    let operations = vec![
+        Operation::AcquireLock {
+            lock: lock.clone(),
+            owner: owner.clone(),
+            lease,
+        },
+        Operation::RenewLock {
+            lock: lock.clone(),
+            owner: owner.clone(),
+            fence,
+            lease,
+        },
+        Operation::ReleaseLock { lock, owner, fence },
+        Operation::NextNumber {
+            counter: "n".into(),
+        },
+        Operation::PutCell {
+            cell: "g.c".into(),
+            value: "v".into(),
+            expected: Some(Revision(907)),
+        },
+        Operation::GetCell { cell: "g.c".into() },
+        Operation::WatchGroup {
+            group: "g.".into(),
+            after: Revision(930),
+            wait: Duration::from_secs(2),
+        },
+        Operation::ListLocks { after: "l".into() },
+    ];
+    let key = ItemKey {
+        kind: ItemKind::Register,
+        name: "lock/l".into(),
+    };
+    let messages = [
+        Message::AcceptLed(AcceptLed {
+            ballot: BALLOT,
+            next_ballot: BALLOT,
+            roster: roster(),
+            chosen: vec![item(ItemKind::Register, "lock/l", Some("{}"))],
+            items: vec![item(ItemKind::Register, "counter/n", Some("{}"))],
+        }),
+        Message::AcceptedLed(AcceptedLed {
+            ballot: BALLOT,
+            next_ballot: BALLOT,
+            incarnation: Incarnation(BALLOT),
+            latest_incarnations: LatestIncarnations::default(),
+        }),
+        Message::FetchNewer(FetchNewer {
+            comparison_id: ComparisonId(8),
+            buckets: vec![3],
+            known: vec![ItemVersion {
+                key,
+                version: Version(7),
+            }],
+        }),
+    ];
+    let messages = messages.map(|message| ToStore::RegisterConsensus {
+        from: MACHINE,
+        message,
+    });
+    operations
+        .into_iter()
+        .map(request)
+        .chain(messages)
+        .collect()
+}
+
+/// The messages from a store that version 4 added: each outcome of an operation, and the replies without one.
+pub fn added_from_store_in_version_4() -> Vec<StoreReply> {
+    let fence = FencingToken(41);
+    let revision = Revision(931);
+    let event = CellEvent {
+        name: "g.c".into(),
+        value: "v".into(),
+        revision,
+    };
+    let lock = HeldLock {
+        name: "l".into(),
+        owner: "o".into(),
+        fence,
+        lease: Duration::from_secs(3),
+        known_for: Duration::from_millis(20),
+    };
+    let outcomes = [
+        Outcome::LockGranted { fence },
+        Outcome::LockRenewed,
+        Outcome::LockReleased,
+        Outcome::LockDenied,
+        Outcome::Number { value: 5120 },
+        Outcome::CellWritten { revision },
+        Outcome::CellChanged { revision },
+        Outcome::Cell {
+            value: "v".into(),
+            revision,
+        },
+        Outcome::NoCell,
+        Outcome::Events {
+            events: vec![event],
+            revision,
+        },
+        Outcome::EventsDropped,
+        Outcome::OutOfSpace,
+        Outcome::Locks {
+            locks: vec![lock],
+            next_after: Some("l".into()),
+        },
+    ];
+    let without_outcome = [
+        CoordinationReply::NotLeader {
+            leader: MACHINE,
+            effect: PossibleEffect::None,
+        },
+        CoordinationReply::Undecided {
+            effect: PossibleEffect::Unknown,
+        },
+    ];
+    let replies = outcomes.into_iter().map(CoordinationReply::Done);
+    let replies = replies.chain(without_outcome);
+    let id = RequestId(4);
+    replies
+        .map(|reply| StoreReply::Coordinated { id, reply })
+        .collect()
+}
+
 /// Every message from a store.
 pub fn from_store() -> Vec<StoreReply> {
     let disk = DiskStatus {
@@ -375,9 +512,21 @@
     let groups = [
         (
             "to-store",
-            [frames_of(&to_store()), frames_of(&added_to_store())].concat(),
+            [
+                frames_of(&to_store()),
+                frames_of(&added_to_store()),
+                frames_of(&added_to_store_in_version_4()),
+            ]
+            .concat(),
+        ),
+        (
+            "from-store",
+            [
+                frames_of(&from_store()),
+                frames_of(&added_from_store_in_version_4()),
+            ]
+            .concat(),
         ),
-        ("from-store", frames_of(&from_store())),
         ("to-registry", to_registry),
         ("from-registry", from_registry),
     ];
