--- a/crates/emberpin-registry/src/coordination_client.rs
+++ b/crates/emberpin-registry/src/coordination_client.rs
@@ -20,8 +20,9 @@
 /// An operation is answered within this time, beside the time that it asks to wait for: applications call elsewhere
 /// after a second of silence.
 const OPERATION_TIMEOUT: Duration = Duration::from_millis(900);
-/// A store that has sent nothing for this long while an operation waits is suspected.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
+/// A store that has sent nothing for this long while an operation waits is suspected. Doubled with each such suspicion, up to
+/// [`MAX_REPLY_TIME`], and reduced by an eighth with each reply: where all stores are slow, a further one is no faster.
+const MIN_REPLY_TIMEOUT: Duration = Duration::from_millis(250);
 /// A store that leaves one operation without a reply for this long is suspected, though it replies to others.
 const MAX_REPLY_TIME: Duration = Duration::from_millis(700);
 /// How long a store is suspected.
@@ -64,6 +65,8 @@
     state: Arc<StoreState>,
     /// The store that led last, as far as this registry knows.
     leader: watch::Sender<Option<Ipv4Addr>>,
+    /// Between [`MIN_REPLY_TIMEOUT`] and [`MAX_REPLY_TIME`].
+    reply_timeout: Mutex<Duration>,
     /// When stores were last suspected that have not replied since.
     suspects: Mutex<BTreeMap<Ipv4Addr, Instant>>,
 }
@@ -75,6 +78,7 @@
             stores,
             state,
             leader: watch::Sender::new(None),
+            reply_timeout: Mutex::new(MIN_REPLY_TIMEOUT),
             suspects: Mutex::default(),
         }
     }
@@ -121,6 +125,7 @@
                 Attempt::Replied(CoordinationReply::Done(outcome)) => {
                     *effect = earlier_effect;
                     self.trust(target.store);
+                    self.shorten_reply_timeout();
                     self.set_leader(target.store);
                     return outcome;
                 }
@@ -223,7 +228,10 @@
                 Some(StoreReply::Coordinated { reply, .. }) => Attempt::Replied(reply),
                 _ => Attempt::TimedOut,
             },
-            () = reply_overdue(&connection, wait) => Attempt::TimedOut,
+            () = self.reply_overdue(&connection, wait) => {
+                self.lengthen_reply_timeout();
+                Attempt::TimedOut
+            }
             () = self.suspected(target.store, Instant::now()) => Attempt::TimedOut,
         }
     }
@@ -238,17 +246,28 @@
             }
         }
     }
-}
 
-/// Returns once the reply to an operation that is sent now is overdue, beside the time that the operation waits.
-async fn reply_overdue(connection: &StoreConnection, wait: Duration) {
-    let sent_at = Instant::now() + wait;
-    loop {
-        let last_reply_at = connection.last_reply_at();
-        let until = (sent_at.max(last_reply_at) + REPLY_TIMEOUT).min(sent_at + MAX_REPLY_TIME);
-        if Instant::now() >= until {
-            return;
+    /// Returns once the reply to an operation that is sent now is overdue, beside the time that the operation waits.
+    async fn reply_overdue(&self, connection: &StoreConnection, wait: Duration) {
+        let timeout = *lock(&self.reply_timeout);
+        let sent_at = Instant::now() + wait;
+        loop {
+            let last_reply_at = connection.last_reply_at();
+            let until = (sent_at.max(last_reply_at) + timeout).min(sent_at + MAX_REPLY_TIME);
+            if Instant::now() >= until {
+                return;
+            }
+            sleep_until(until).await;
         }
-        sleep_until(until).await;
+    }
+
+    fn lengthen_reply_timeout(&self) {
+        let mut timeout = lock(&self.reply_timeout);
+        *timeout = (*timeout * 2).min(MAX_REPLY_TIME);
+    }
+
+    fn shorten_reply_timeout(&self) {
+        let mut timeout = lock(&self.reply_timeout);
+        *timeout = (*timeout - *timeout / 8).max(MIN_REPLY_TIMEOUT);
     }
 }
