--- a/review/common.rs
+++ b/review/common.rs
@@ -445,6 +445,8 @@
     pub instance: String,
     pub try_id: String,
     pub from: String,
+    /// The first line of its head.
+    pub line: String,
 }
 
 /// What all servers saw.
@@ -591,6 +593,7 @@
                 instance: self.id.clone(),
                 try_id: try_id.clone(),
                 from: from.clone(),
+                line: lines[0].clone(),
             });
             self.record.line(&format!("{} runs {try_id}: {}", self.id, lines[0]));
             thread::sleep(self.work);
