--- a/review/common.rs
+++ b/review/common.rs
@@ -129,7 +129,7 @@
     }
 
     fn ports_are_free(&self) -> bool {
-        let addresses = (0..3).map(|i| self.core_ip(i)).chain((0..self.edges).map(|i| self.edge_ip(i)));
+        let addresses = (0..4).map(|i| self.core_ip(i)).chain((0..self.edges).map(|i| self.edge_ip(i)));
         addresses.into_iter().all(|ip| {
             (0..8).map(|i| self.port + i).chain([9464, 9465, 9466]).all(|port| TcpListener::bind((ip, port)).is_ok())
         })
@@ -268,15 +268,21 @@
 
     /// The operator: sends an order to one limiter after the other until it is answered with 2xx or a final status.
     pub fn order(&self, path: &str, body: &str, limit: Duration) -> Option<Answer> {
+        self.order_at(&[0, 1, 2], path, body, limit)
+    }
+
+    /// The same with the core machines that are in its list.
+    pub fn order_at(&self, machines: &[usize], path: &str, body: &str, limit: Duration) -> Option<Answer> {
         let until = Instant::now() + limit;
         let mut index = 0;
         while Instant::now() < until {
-            let answer = call_following(self.ctl(index % 3), "POST", path, body.as_bytes());
+            let machine = machines[index % machines.len()];
+            let answer = call_following(self.ctl(machine), "POST", path, body.as_bytes());
             let text = match &answer {
                 Ok(answer) => format!("{} {}", answer.status, answer.text()),
                 Err(error) => error.to_string(),
             };
-            self.record.line(&format!("order POST {path} to core {}: {text}", index % 3));
+            self.record.line(&format!("order POST {path} to core {machine}: {text}"));
             if let Ok(answer) = answer {
                 if (200..300).contains(&answer.status) || matches!(answer.status, 400 | 409 | 412 | 413 | 422) {
                     return Some(answer);
