Review: a script that is ended from outside ends its processes too

Cause: processes of a script that was ended early were left running. Change: PR_SET_PDEATHSIG for each process that review/common.rs starts.

--- a/review/common.rs
+++ b/review/common.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,7 +16,10 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
+/// Has a process end together with the one that started it.
+const PR_SET_PDEATHSIG: i32 = 1;
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -218,7 +222,15 @@
         fs::write(&file, self.settings(role, index, bootstrap)).expect("a settings file can be written");
         let log = fs::OpenOptions::new().create(true).append(true).open(self.folder.join(format!("{name}.log")));
         let log = log.expect("a log can be written");
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        // If this script is ended from outside, what it started ends too.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        let child = command
             .args(["--metrics", metrics])
             .env_clear()
             .env("EMBERPIN_NODE_FILE", &file)
