Count the instances that a registry learns from proxies

So the leave was lost with the registries' memory, and proxies that had not been told of it restored the server; late heartbeats and peers had no part in it.

--- a/crates/emberpin-membership/src/registry.rs
+++ b/crates/emberpin-membership/src/registry.rs
@@ -100,6 +100,8 @@
     sessions_changed: bool,
     /// When each proxy last had a session with any registry, by the name of its machine.
     proxies_seen: BTreeMap<String, Timestamp>,
+    /// How many times an instance or its drain was learned from a proxy since the start.
+    learned_from_proxies: u64,
 }
 
 impl Registry {
@@ -126,6 +128,7 @@
             sessions: BTreeMap::new(),
             sessions_changed: false,
             proxies_seen: BTreeMap::new(),
+            learned_from_proxies: 0,
             config,
         }
     }
--- a/crates/emberpin-membership/src/registry/repair.rs
+++ b/crates/emberpin-membership/src/registry/repair.rs
@@ -37,6 +37,7 @@
                 Some(_) => {}
             }
         }
+        self.learned_from_proxies += learned.len() as u64;
         self.restart_learned_warmup(now, &learned);
         self.replicate(now, &learned, actions);
         outdated
--- a/crates/emberpin-membership/src/registry/status.rs
+++ b/crates/emberpin-membership/src/registry/status.rs
@@ -22,6 +22,11 @@
         &self.instances
     }
 
+    /// How many times an instance, or the drain of one, was learned from a proxy since the start.
+    pub fn learned_from_proxies(&self) -> u64 {
+        self.learned_from_proxies
+    }
+
     /// The configuration items, including tombstones of deleted ones.
     pub fn items(&self) -> impl Iterator<Item = &Item> {
         self.items.values()
--- a/crates/emberpin-registry/src/metrics.rs
+++ b/crates/emberpin-registry/src/metrics.rs
@@ -17,6 +17,7 @@
     calls: IntCounterVec,
     call_time: Histogram,
     instances: IntGaugeVec,
+    learned_from_proxies: IntGauge,
     proxies: IntGauge,
     proxy_lag: IntGauge,
     registries: IntGauge,
@@ -38,6 +39,10 @@
             ),
             call_time: set.latencies("call_seconds", "Time from a call's head to its response"),
             instances: set.gauges("instances", "Instances of servers, by status", &["status"]),
+            learned_from_proxies: set.gauge(
+                "instances_learned_from_proxies",
+                "Instances and drains that were learned from a proxy, since the start",
+            ),
             proxies: set.gauge("proxies", "Proxies with a session here"),
             proxy_lag: set.gauge(
                 "proxy_lag_changes",
@@ -82,6 +87,8 @@
         for (status, count) in [("up", up), ("draining", draining), ("removed", removed)] {
             self.instances.with_label_values(&[status]).set(count);
         }
+        self.learned_from_proxies
+            .set(registry.learned_from_proxies() as i64);
         let max_changes_behind = registry.proxy_lags().map(|lag| lag.changes_behind).max();
         self.proxies.set(registry.proxy_lags().count() as i64);
         self.proxy_lag
