--- a/crates/emberpin-demo/src/node_settings.rs
+++ b/crates/emberpin-demo/src/node_settings.rs
@@ -56,7 +56,7 @@
              ip = \"{ip}\"\naz = \"{zone}\"\nrgn = \"{REGION}\"\nvoting = {is_core}\nbootstrap = {bootstrap}\n",
             self.role.name()
         );
-        // Both processes of a core machine get the path of the disk; only the store writes to it.
+        // Both processes of a core machine get the path of the disk, and write to folders of their own.
         if is_core {
             _ = writeln!(text, "datadir = \"{}\"", disk.display());
         }
--- a/crates/emberpin-demo/src/server.rs
+++ b/crates/emberpin-demo/src/server.rs
@@ -59,6 +59,8 @@
     slots: Semaphore,
     pending_requests: AtomicUsize,
     is_draining: AtomicBool,
+    /// Whether the server has announced its leave, after which it sends no heartbeats.
+    is_leaving: AtomicBool,
     heartbeat_seq: AtomicU64,
     random: Mutex<oorandom::Rand32>,
     recorder: Recorder,
@@ -93,6 +95,7 @@
             slots: Semaphore::new(SLOTS),
             pending_requests: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
             heartbeat_seq: AtomicU64::new(0),
             random: Mutex::new(oorandom::Rand32::new(seed)),
             recorder: recorder.clone(),
@@ -116,12 +119,24 @@
     /// leave, and ends. `drain_bound` is the time after which no new request may reach a draining server. Returns
     /// whether both announcements were acknowledged.
     pub async fn shut_down(self, drain_bound: Duration) -> bool {
-        self.instance.is_draining.store(true, Ordering::Relaxed);
-        let drain_acknowledged = self.instance.send_heartbeat().await;
+        let drain_acknowledged = self.announce_drain().await;
         tokio::time::sleep(drain_bound + SHUTDOWN_MARGIN).await;
-        let leave_acknowledged = self.instance.send_leave().await;
+        let leave_acknowledged = self.announce_leave().await;
         drain_acknowledged && leave_acknowledged
     }
+
+    /// Announces the drain, and goes on serving. Returns whether it was acknowledged.
+    pub async fn announce_drain(&self) -> bool {
+        self.instance.is_draining.store(true, Ordering::Relaxed);
+        self.instance.send_heartbeat().await
+    }
+
+    /// Announces the leave, stops the heartbeats, and goes on serving until it is dropped. Returns whether the leave
+    /// was acknowledged.
+    pub async fn announce_leave(&self) -> bool {
+        self.instance.is_leaving.store(true, Ordering::Relaxed);
+        self.instance.send_leave().await
+    }
 }
 
 impl Drop for Server {
--- a/crates/emberpin-demo/src/server/heartbeat.rs
+++ b/crates/emberpin-demo/src/server/heartbeat.rs
@@ -35,9 +35,9 @@
 }
 
 impl Instance {
-    /// Sends heartbeats until the task is aborted.
+    /// Sends heartbeats until the server announces its leave or the task is aborted.
     pub(super) async fn send_heartbeats(self: Arc<Instance>) {
-        loop {
+        while !self.is_leaving.load(Ordering::Relaxed) {
             self.send_heartbeat().await;
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         }
--- a/crates/emberpin-demo/tests/deployed_system/mod.rs
+++ b/crates/emberpin-demo/tests/deployed_system/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 mod deploy_file;
+pub mod leaving_server;
 mod patches;
 pub mod traffic;
 
@@ -35,7 +36,7 @@
 const RETRY_BACKOFF: Duration = Duration::from_millis(50);
 const ZONES: [&str; 3] = ["north-quay", "east-quay", "south-quay"];
 /// The number of core machines: one in each zone. The first zone also has an edge.
-const CORES: usize = 3;
+pub const CORES: usize = 3;
 /// The edge's index among the machines.
 pub const EDGE: usize = CORES;
 /// Each machine uses the same consecutive ports: first those for connections between processes, then `ctl`, `http` and
--- a/crates/emberpin-demo/tests/deployed_system/traffic.rs
+++ b/crates/emberpin-demo/tests/deployed_system/traffic.rs
@@ -17,7 +17,7 @@
 use tokio::time::{interval, timeout};
 
 /// The server's group: the service of all routes, in the zone of the edge.
-const GROUP: ServerGroup = ServerGroup {
+pub const GROUP: ServerGroup = ServerGroup {
     service: "chartroom",
     zone: "north-quay",
 };
@@ -122,7 +122,7 @@
     }
 }
 
-fn new_runtime() -> Runtime {
+pub fn new_runtime() -> Runtime {
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/emberpin-membership/src/guards.rs
+++ b/crates/emberpin-membership/src/guards.rs
@@ -5,6 +5,8 @@
 pub struct Guards {
     /// A server's drain or exit is acknowledged only once a majority of the registries has recorded it.
     pub majority_acknowledgement: bool,
+    /// A registry records drains and exits on its disk, and counts as having recorded one only once it is synced.
+    pub durable_shutdowns: bool,
     /// The reported status of an instance only advances, in whatever order reports arrive.
     pub monotonic_status: bool,
     /// Instances are evicted only after the registry has been confirmed for a whole eviction timeout.
@@ -30,6 +32,7 @@
     fn default() -> Guards {
         Guards {
             majority_acknowledgement: true,
+            durable_shutdowns: true,
             monotonic_status: true,
             confirmed_eviction: true,
             repair_from_proxies: true,
--- a/crates/emberpin-membership/src/ids.rs
+++ b/crates/emberpin-membership/src/ids.rs
@@ -17,6 +17,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AckId(pub u64);
 
+/// The number of a write to a registry's shutdown log, counted from 1 in each process; 0 stands for no write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WriteNumber(pub u64);
+
+impl WriteNumber {
+    /// The number of the write that follows this one.
+    pub const fn next(self) -> WriteNumber {
+        WriteNumber(self.0 + 1)
+    }
+}
+
 /// A digest of the instances that a registry owns. Two registries that compute the same digest agree on the ids and the
 /// status of these instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/emberpin-membership/src/instance_table.rs
+++ b/crates/emberpin-membership/src/instance_table.rs
@@ -95,6 +95,23 @@
             .collect()
     }
 
+    /// The instances whose servers have reported a drain or exit, even if they were evicted since.
+    fn shutdowns(&self) -> impl Iterator<Item = &InstanceEntry> {
+        self.entries
+            .values()
+            .filter(|entry| entry.reported_status() > Status::Up)
+    }
+
+    /// The number of instances whose servers have reported a drain or exit.
+    pub(crate) fn shutdown_count(&self) -> usize {
+        self.shutdowns().count()
+    }
+
+    /// The records of all instances whose servers have reported a drain or exit.
+    pub(crate) fn shutdown_records(&self, now: Timestamp) -> Vec<InstanceRecord> {
+        self.shutdowns().map(|entry| entry.record(now)).collect()
+    }
+
     /// The entries of instances that are not removed and whose heartbeats the registry `owner` receives.
     pub fn owned_by(&self, owner: Ipv4Addr) -> impl Iterator<Item = (&String, &InstanceEntry)> {
         self.entries.iter().filter(move |(_, entry)| {
--- a/crates/emberpin-membership/src/instance_table/entry.rs
+++ b/crates/emberpin-membership/src/instance_table/entry.rs
@@ -29,7 +29,7 @@
     /// Until this time no report makes `warmup_ends_at` earlier. Set when the evacuation of the zone ends, as reports
     /// may date from before that.
     pub(super) warmup_assumed_until: Timestamp,
-    /// Whether a majority of the registries has the status that the server reported.
+    /// Whether a majority of the registries has the status that the server reported on disk.
     pub(crate) is_replicated: bool,
     /// When the instance was last removed, or first known if it was already removed then.
     pub(super) removed_at: Timestamp,
--- a/crates/emberpin-membership/src/registry.rs
+++ b/crates/emberpin-membership/src/registry.rs
@@ -7,7 +7,8 @@
 //!
 //! The files:
 //! - [`events`](Event): the inputs and the actions;
-//! - `servers`: the calls of servers, and `shutdown`: the acknowledgement of their drains and exits;
+//! - `servers`: the calls of servers, `shutdown`: the acknowledgement of their drains and exits, and `shutdown_log`: the
+//!   drains and exits on this registry's disk;
 //! - `peers`: connections to the other registries, and `replication`: the exchange of instances with them;
 //! - `sessions`, `snapshot` and `repair`: the proxies;
 //! - `configuration`: items and voters from the store, and `evacuation`: the operator's requests to change an
@@ -26,6 +27,7 @@
 mod servers;
 mod sessions;
 mod shutdown;
+mod shutdown_log;
 mod snapshot;
 mod status;
 mod timers;
@@ -33,19 +35,22 @@
 pub use evacuation::EvacuationStep;
 pub use events::{Action, Event, RegistryConfig, ServerReply};
 pub use quorum::OperatorCallTarget;
+pub use shutdown_log::WriteMode;
 pub use snapshot::SNAPSHOT_PART_BYTES;
 pub use status::ProxyLag;
 
 use crate::change_log::ChangeLog;
 use crate::clock::Timestamp;
 use crate::guards::Guards;
-use crate::ids::SessionId;
+use crate::ids::{Incarnation, SessionId};
 use crate::instance_table::InstanceTable;
 use crate::lease::Lease;
+use crate::rendezvous;
 use emberpin_config::{Item, ItemKey};
 use peers::Peer;
 use sessions::Session;
 use shutdown::PendingShutdown;
+use shutdown_log::ShutdownLog;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -93,6 +98,8 @@
     pending_shutdowns: Vec<PendingShutdown>,
     /// The last [`crate::ids::AckId`] that was assigned.
     last_ack_id: u64,
+    /// Which drains and exits are on this registry's disk.
+    shutdown_log: ShutdownLog,
 
     /// The sessions of proxies with this registry.
     sessions: BTreeMap<SessionId, Session>,
@@ -124,7 +131,8 @@
             peers: BTreeMap::new(),
             peer_heartbeat_at: now,
             pending_shutdowns: Vec::new(),
-            last_ack_id: 0,
+            last_ack_id: first_ack_id(config.incarnation),
+            shutdown_log: ShutdownLog::default(),
             sessions: BTreeMap::new(),
             sessions_changed: false,
             proxies_seen: BTreeMap::new(),
@@ -152,6 +160,11 @@
         match event {
             Event::Heartbeat { call, instance } => self.on_heartbeat(now, call, instance, actions),
             Event::Leave { call, instance_id } => self.on_leave(now, call, instance_id, actions),
+            Event::ShutdownsRestored(records) => {
+                self.on_shutdowns_restored(now, records, actions);
+            }
+            Event::ShutdownLogOpened => self.on_shutdown_log_opened(),
+            Event::ShutdownsSynced { write } => self.on_shutdowns_synced(write, actions),
             Event::Items(items) => self.on_items(now, items, actions),
             Event::VotersChanged(voters) => self.on_voters_changed(now, voters, actions),
             Event::StoreConfirmed { nonce, age } => self.on_store_confirmed(now, nonce, age),
@@ -170,3 +183,9 @@
         self.run_timers(now, actions);
     }
 }
+
+/// The number after which the ids of acknowledgements begin. It differs between incarnations, so that an acknowledgement
+/// that a peer still owes to an earlier process on this machine is not taken for one of this process.
+fn first_ack_id(incarnation: Incarnation) -> u64 {
+    rendezvous::hash(&[&incarnation.0.to_be_bytes()])
+}
--- a/crates/emberpin-membership/src/registry/events.rs
+++ b/crates/emberpin-membership/src/registry/events.rs
@@ -1,8 +1,9 @@
 //! The inputs of a registry's state machine, and the actions that its host must carry out.
 
-use crate::ids::{CallId, Incarnation, Nonce, SessionId};
+use super::WriteMode;
+use crate::ids::{CallId, Incarnation, Nonce, SessionId, WriteNumber};
 use crate::instance::Instance;
-use crate::peers::{Ack, RegistryMessage};
+use crate::peers::{Ack, InstanceRecord, RegistryMessage};
 use crate::session::{FromProxy, ToProxy};
 use emberpin_config::Item;
 use std::net::Ipv4Addr;
@@ -45,6 +46,17 @@
         /// The id of the server's instance.
         instance_id: String,
     },
+    /// The shutdown log has been read: these are the drains and exits in it, as far as they could be read. Passed before
+    /// each [`Event::ShutdownLogOpened`]; the registry confirms nothing before the first one.
+    ShutdownsRestored(Vec<InstanceRecord>),
+    /// The shutdown log has been opened for writing, or opened again after a write failed. It is unknown whether writes
+    /// after the last [`Event::ShutdownsSynced`] are on the disk.
+    ShutdownLogOpened,
+    /// A write of [`Action::WriteShutdowns`] and all earlier ones are synced.
+    ShutdownsSynced {
+        /// The number of the write.
+        write: WriteNumber,
+    },
     /// The store that the registry follows has delivered configuration items. An item that is no newer than the known
     /// one is ignored.
     Items(Vec<Item>),
@@ -102,7 +114,7 @@
 /// The reply to a server's heartbeat or leave call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerReply {
-    /// The registry has recorded the call; a drain or exit is known to a majority of the registries.
+    /// The registry has recorded the call; a drain or exit is on the disks of a majority of the registries.
     Acknowledged {
         /// The registry to which the server must send its next heartbeat.
         heartbeat_target: Ipv4Addr,
@@ -121,6 +133,16 @@
         /// The reply to send to the server.
         reply: ServerReply,
     },
+    /// Write drains and exits to the shutdown log on this registry's disk, and sync them. Answered by
+    /// [`Event::ShutdownsSynced`]; no other write is requested before that or [`Event::ShutdownLogOpened`].
+    WriteShutdowns {
+        /// Identifies the write.
+        write: WriteNumber,
+        /// Whether the records are added or replace the log's content.
+        mode: WriteMode,
+        /// The records to write.
+        records: Vec<InstanceRecord>,
+    },
     /// Open a connection to a peer, and reopen it whenever it closes.
     ConnectPeer {
         /// The peer's address.
--- a/crates/emberpin-membership/src/registry/quorum.rs
+++ b/crates/emberpin-membership/src/registry/quorum.rs
@@ -32,13 +32,12 @@
         }
     }
 
-    /// Whether this registry and the voting peers for which `is_counted` is true are a majority of the voting
-    /// registries.
+    /// Whether the voting registries for which `is_counted` is true are a majority of them.
     pub(super) fn is_majority(&self, is_counted: impl Fn(&Ipv4Addr) -> bool) -> bool {
         let registries = self.voting_registries();
         let count = registries
             .iter()
-            .filter(|registry| **registry == self.config.address || is_counted(registry))
+            .filter(|registry| is_counted(registry))
             .count();
         count > registries.len() / 2
     }
@@ -67,8 +66,11 @@
 
     /// The greatest age of the state that this registry has sent to proxies: everything that a majority of the stores
     /// and of the registries knew that long ago has been sent. `None` if the age exceeds [`REGISTRY_LEASE_DURATION`] or
-    /// is unknown.
+    /// is unknown, or if the shutdowns on this registry's disk have not been restored yet.
     pub fn confirmed_age(&self, now: Timestamp) -> Option<Duration> {
+        if !self.shutdown_log.is_restored() {
+            return None;
+        }
         // The oldest unsent change was recorded one batch delay before the flush is due.
         let unsent = self.flush_at.map_or(Duration::ZERO, |flush_at| {
             now.duration_since(flush_at.saturating_sub(CHANGE_BATCH_DELAY))
--- a/crates/emberpin-membership/src/registry/replication.rs
+++ b/crates/emberpin-membership/src/registry/replication.rs
@@ -18,7 +18,7 @@
 }
 
 impl Registry {
-    /// Merges changed records, and acknowledges them if the sender has set `ack_id`.
+    /// Merges changed records, and acknowledges them if the sender has set `ack_id`, once their shutdowns are on the disk.
     pub(super) fn on_changed(
         &mut self,
         now: Timestamp,
@@ -29,10 +29,7 @@
     ) {
         self.merge_records(now, from, instances, RecordSource::Changes, actions);
         if let Some(ack_id) = ack_id {
-            actions.push(Action::AcknowledgePeer {
-                peer: from,
-                ack: Ack { ack_id },
-            });
+            self.acknowledge_once_synced(from, Ack { ack_id }, actions);
         }
     }
 
--- a/crates/emberpin-membership/src/registry/servers.rs
+++ b/crates/emberpin-membership/src/registry/servers.rs
@@ -100,7 +100,7 @@
         }
     }
 
-    /// Appends the outcome of a merge to the change log. If the instance is new and up and `address_conflict` is
+    /// Appends the outcome of a merge to the change log, and a drain or exit to the shutdown log. If the instance is new and up and `address_conflict` is
     /// `Evict`, evicts other instances with its address and returns their ids.
     pub(super) fn on_merged(
         &mut self,
@@ -109,6 +109,9 @@
         outcome: MergeOutcome,
         address_conflict: AddressConflict,
     ) -> Vec<String> {
+        if outcome.shutdown_reported {
+            self.shutdown_log.add(instance_id);
+        }
         if outcome.visibly_changed {
             self.record_change(now, Change::Instance(instance_id.to_string()));
         }
--- a/crates/emberpin-membership/src/registry/shutdown.rs
+++ b/crates/emberpin-membership/src/registry/shutdown.rs
@@ -1,9 +1,10 @@
 //! The acknowledgement of drains and exits of servers. A drain or exit is acknowledged only once a majority of the
-//! registries has recorded it, so that it remains known whichever machine fails afterwards.
+//! registries has it on disk, so that it remains known whichever machine fails afterwards, and if all processes are
+//! killed at once.
 
 use super::{Action, Registry, ServerReply};
 use crate::clock::Timestamp;
-use crate::ids::{AckId, CallId};
+use crate::ids::{AckId, CallId, WriteNumber};
 use crate::instance::Status;
 use crate::peers::{Ack, RegistryMessage};
 use std::collections::BTreeSet;
@@ -24,6 +25,8 @@
     instance_id: String,
     status: Status,
     ack_id: AckId,
+    /// The write to this registry's own disk that contains the shutdown.
+    own_write: WriteNumber,
     waiting_since: Timestamp,
     /// The connected peers that have not acknowledged it yet.
     awaited: BTreeSet<Ipv4Addr>,
@@ -64,7 +67,7 @@
             return;
         };
         let record = entry.record(now);
-        self.last_ack_id += 1;
+        self.last_ack_id = self.last_ack_id.wrapping_add(1);
         let ack_id = AckId(self.last_ack_id);
         let peers = self.connected_peers();
         let awaited = peers.iter().copied().collect();
@@ -82,6 +85,7 @@
             instance_id,
             status,
             ack_id,
+            own_write: self.shutdown_log.covering_write(),
             waiting_since: now,
             awaited,
             acknowledged_by: BTreeSet::new(),
@@ -135,14 +139,23 @@
         }
     }
 
-    /// Whether a majority has recorded the shutdown, and either all connected peers have or `ALL_PEERS_TIMEOUT` has
-    /// passed.
+    /// Whether a majority has the shutdown on disk, and either this registry and all connected peers have or
+    /// `ALL_PEERS_TIMEOUT` has passed.
     fn is_acknowledged(&self, pending: &PendingShutdown, waited: Duration) -> bool {
         if !self.guards.majority_acknowledgement {
             return true;
         }
-        let has_majority = self.is_majority(|peer| pending.acknowledged_by.contains(peer));
-        has_majority && (pending.awaited.is_empty() || waited >= ALL_PEERS_TIMEOUT)
+        let is_on_own_disk =
+            self.shutdown_log.is_synced(pending.own_write) || !self.guards.durable_shutdowns;
+        let has_majority = self.is_majority(|registry| {
+            if *registry == self.config.address {
+                is_on_own_disk
+            } else {
+                pending.acknowledged_by.contains(registry)
+            }
+        });
+        let has_all = is_on_own_disk && pending.awaited.is_empty();
+        has_majority && (has_all || waited >= ALL_PEERS_TIMEOUT)
     }
 
     fn acknowledge_shutdown(
--- a/crates/emberpin-membership/src/registry/status.rs
+++ b/crates/emberpin-membership/src/registry/status.rs
@@ -27,6 +27,11 @@
         self.learned_from_proxies
     }
 
+    /// The number of drains and exits of servers that are not on this registry's disk yet.
+    pub fn unsynced_shutdowns(&self) -> usize {
+        self.shutdown_log.unsynced_count()
+    }
+
     /// The configuration items, including tombstones of deleted ones.
     pub fn items(&self) -> impl Iterator<Item = &Item> {
         self.items.values()
--- a/crates/emberpin-membership/src/registry/timers.rs
+++ b/crates/emberpin-membership/src/registry/timers.rs
@@ -34,6 +34,7 @@
 
     /// Does all work that is due. Called after every event.
     pub(super) fn run_timers(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        self.write_shutdowns(now, actions);
         if !self.pending_shutdowns.is_empty() {
             self.check_pending_shutdowns(now, actions);
         }
--- a/crates/emberpin-membership/tests/common/cluster.rs
+++ b/crates/emberpin-membership/tests/common/cluster.rs
@@ -7,9 +7,9 @@
 use emberpin_membership::ids::{CallId, Incarnation, Nonce, SessionId};
 use emberpin_membership::instance::{Instance, Status};
 use emberpin_membership::instance_table::InstanceEntry;
-use emberpin_membership::peers::RegistryMessage;
+use emberpin_membership::peers::{InstanceRecord, RegistryMessage};
 use emberpin_membership::registry::{
-    Action, Event, Registry, RegistryConfig, ServerReply, SNAPSHOT_PART_BYTES,
+    Action, Event, Registry, RegistryConfig, ServerReply, WriteMode, SNAPSHOT_PART_BYTES,
 };
 use emberpin_membership::session::{FromProxy, Revision, ToProxy};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -74,6 +74,10 @@
     pub connect_count: u64,
     voters: Vec<Ipv4Addr>,
     nodes: BTreeMap<u8, Node>,
+    /// The shutdown log on the disk of each machine. It survives the processes of the machine.
+    disks: BTreeMap<u8, Vec<InstanceRecord>>,
+    /// Machines whose disks neither sync nor answer.
+    stalled_disks: BTreeSet<u8>,
     network: Network,
     last_call: u64,
     last_nonce: u64,
@@ -92,6 +96,8 @@
             connect_count: 0,
             voters: (1..=size).map(ip).collect(),
             nodes: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            stalled_disks: BTreeSet::new(),
             network: Network::default(),
             last_call: 0,
             last_nonce: 0,
@@ -121,8 +127,14 @@
 
     // Machines.
 
-    /// Starts a machine with empty tables.
+    /// Starts a machine with empty tables, and restores the shutdowns on its disk.
     pub fn start(&mut self, machine: u8) {
+        self.start_with_unread_log(machine);
+        self.open_shutdown_log(machine);
+    }
+
+    /// Starts a machine with empty tables, whose shutdown log is not read until [`Cluster::open_shutdown_log`].
+    pub fn start_with_unread_log(&mut self, machine: u8) {
         self.last_incarnation += 1;
         let node = Node {
             registry: Registry::new(self.timestamp(), self.config(machine)),
@@ -136,6 +148,34 @@
         self.nodes.insert(machine, node);
     }
 
+    /// Passes the shutdowns on the disk of a machine to its registry, and opens the log.
+    pub fn open_shutdown_log(&mut self, machine: u8) {
+        let records = self.disks.get(&machine).cloned().unwrap_or_default();
+        self.handle_event(machine, Event::ShutdownsRestored(records));
+        self.handle_event(machine, Event::ShutdownLogOpened);
+    }
+
+    /// Removes the content of a machine's disk.
+    pub fn wipe_disk(&mut self, machine: u8) {
+        self.disks.remove(&machine);
+    }
+
+    /// Has the disk of a machine lose all further writes, without an answer.
+    pub fn stall_disk(&mut self, machine: u8) {
+        self.stalled_disks.insert(machine);
+    }
+
+    /// Ends the failure of a machine's disk. The log is opened again.
+    pub fn recover_disk(&mut self, machine: u8) {
+        self.stalled_disks.remove(&machine);
+        self.handle_event(machine, Event::ShutdownLogOpened);
+    }
+
+    /// The number of records in the shutdown log of a machine.
+    pub fn shutdown_log_length(&self, machine: u8) -> usize {
+        self.disks.get(&machine).map_or(0, Vec::len)
+    }
+
     fn config(&self, machine: u8) -> RegistryConfig {
         RegistryConfig {
             address: ip(machine),
@@ -153,9 +193,10 @@
         self.start(machine);
         let registry = Registry::with_guards(self.timestamp(), self.config(machine), guards);
         self.node_mut(machine).registry = registry;
+        self.open_shutdown_log(machine);
     }
 
-    /// Kills a machine; its tables are lost.
+    /// Kills a machine; its tables are lost, and its disk remains.
     pub fn kill(&mut self, machine: u8) {
         self.nodes.remove(&machine);
         for link in self.network.remove_machine(machine) {
@@ -335,6 +376,22 @@
             Action::Reply { call, reply } => {
                 self.node_mut(machine).replies.insert(call, (now, reply));
             }
+            Action::WriteShutdowns {
+                write,
+                mode,
+                records,
+            } => {
+                if self.stalled_disks.contains(&machine) {
+                    return;
+                }
+                let disk = self.disks.entry(machine).or_default();
+                if mode == WriteMode::Replace {
+                    disk.clear();
+                }
+                disk.extend(records);
+                let synced = Event::ShutdownsSynced { write };
+                self.node_mut(machine).events.push_back(synced);
+            }
             Action::ConnectPeer { peer } => {
                 self.connect_count += 1;
                 self.network.connect(machine, peer);
--- a/crates/emberpin-membership/tests/shutdown.rs
+++ b/crates/emberpin-membership/tests/shutdown.rs
@@ -151,3 +151,142 @@
     verify_that!(cluster.status(3, "b"), some(eq(Status::Removed)))?;
     verify_that!(cluster.status(3, "c"), some(eq(Status::Draining)))
 }
+
+/// Guards against an acknowledged exit or drain that is lost with the memory of all registries, after which proxies that
+/// were not told of it restore the server as up.
+#[gtest]
+fn an_acknowledged_shutdown_survives_the_restart_of_all_registries() -> googletest::Result<()> {
+    let mut cluster = Cluster::confirmed(3);
+    for id in ["drained", "left"] {
+        cluster.send_heartbeat(1, instance(id, 1));
+    }
+    cluster.run(50);
+    for call in [
+        cluster.send_heartbeat(1, draining("drained", 2)),
+        cluster.send_leave(1, "left"),
+    ] {
+        verify_that!(cluster.is_acknowledged(1, call), eq(true))?;
+    }
+    for machine in 1..=3 {
+        cluster.kill(machine);
+    }
+    for machine in 1..=3 {
+        cluster.start(machine);
+    }
+    for machine in 1..=3 {
+        let known = vec![instance("drained", 1), instance("left", 1)];
+        cluster.open_session(machine, 9, None, known);
+        cluster.run(500);
+        let mut view = ProxyView::default();
+        view.apply(&cluster.take_messages(machine, 9));
+        expect_that!(
+            view.instances.get("drained"),
+            some(eq(&Status::Draining)),
+            "machine {machine}"
+        );
+        expect_that!(
+            view.instances.get("left"),
+            not(some(eq(&Status::Up))),
+            "machine {machine}"
+        );
+        expect_that!(
+            cluster.status(machine, "left"),
+            some(eq(Status::Removed)),
+            "machine {machine}"
+        );
+    }
+    // A heartbeat that was delayed for all that time does not revive the server.
+    cluster.send_heartbeat(2, instance("left", 1));
+    verify_that!(cluster.status(2, "left"), some(eq(Status::Removed)))
+}
+
+/// Guards against a replaced machine without a disk that brings a server back after all registries have restarted.
+#[gtest]
+fn an_acknowledged_exit_survives_a_lost_disk_and_the_restart_of_all_registries(
+) -> googletest::Result<()> {
+    for wiped in 1..=3 {
+        let mut cluster = Cluster::confirmed(3);
+        cluster.send_heartbeat(1, instance("a", 1));
+        cluster.run(50);
+        let call = cluster.send_leave(1, "a");
+        verify_that!(cluster.is_acknowledged(1, call), eq(true))?;
+        for machine in 1..=3 {
+            cluster.kill(machine);
+        }
+        cluster.wipe_disk(wiped);
+        for machine in 1..=3 {
+            cluster.start(machine);
+        }
+        cluster.open_session(wiped, 9, None, vec![instance("a", 1)]);
+        cluster.run(500);
+        for machine in 1..=3 {
+            let status = cluster.status(machine, "a");
+            expect_that!(status, some(eq(Status::Removed)), "{wiped} wiped");
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn a_shutdown_is_acknowledged_only_once_a_majority_has_synced_it() -> googletest::Result<()> {
+    // A stalled disk delays the acknowledgement by a limited time, also that of the registry that was called.
+    for stalled in 1..=3 {
+        let mut cluster = Cluster::confirmed(3);
+        cluster.stall_disk(stalled);
+        let call = cluster.send_leave(1, "a");
+        let (took, reply) = cluster.await_reply(1, call).expect("a reply");
+        let is_acknowledged = matches!(reply, ServerReply::Acknowledged { .. });
+        verify_that!((took < 250, is_acknowledged), eq((true, true)))?;
+    }
+    // Without a majority of disks, nothing is acknowledged, neither at first nor when the call is repeated.
+    let mut cluster = Cluster::confirmed(3);
+    cluster.stall_disk(2);
+    cluster.stall_disk(3);
+    for machine in [1, 2, 3] {
+        let call = cluster.send_leave(machine, "a");
+        let (_, reply) = cluster.await_reply(machine, call).expect("a reply");
+        verify_that!(reply, eq(ServerReply::NotAcknowledged))?;
+    }
+    // Once the disks accept writes again, they also get what was lost.
+    cluster.recover_disk(2);
+    cluster.run(50);
+    let call = cluster.send_leave(1, "a");
+    verify_that!(cluster.is_acknowledged(1, call), eq(true))?;
+    verify_that!(cluster.shutdown_log_length(2), eq(1))
+}
+
+#[gtest]
+fn a_registry_confirms_nothing_before_its_shutdown_log_is_read() -> googletest::Result<()> {
+    let mut cluster = Cluster::confirmed(3);
+    cluster.kill(1);
+    cluster.start_with_unread_log(1);
+    cluster.run(1_000);
+    cluster.open_session(1, 9, None, vec![]);
+    verify_that!(cluster.query_confirmation(1, 9), some(eq(false)))?;
+    cluster.open_shutdown_log(1);
+    verify_that!(cluster.query_confirmation(1, 9), some(eq(true)))
+}
+
+#[gtest]
+fn the_shutdown_log_drops_the_shutdowns_that_are_no_longer_remembered() -> googletest::Result<()> {
+    const INSTANCES: usize = 600;
+    const REMEMBERED_FOR_MS: u64 = 600_000;
+    let mut cluster = Cluster::confirmed(1);
+    for id in 0..INSTANCES {
+        let id = format!("i-{id}");
+        // Recorded as draining, then as removed.
+        cluster.send_heartbeat(1, draining(&id, 1));
+        cluster.run(5);
+        cluster.send_leave(1, &id);
+        cluster.run(5);
+    }
+    verify_that!(cluster.shutdown_log_length(1), eq(2 * INSTANCES))?;
+    cluster.run(REMEMBERED_FOR_MS + 1_000);
+    cluster.send_leave(1, "last");
+    cluster.run(5);
+    verify_that!(cluster.shutdown_log_length(1), eq(1))?;
+    // A restart restores what the log contains.
+    cluster.kill(1);
+    cluster.start(1);
+    verify_that!(cluster.status(1, "last"), some(eq(Status::Removed)))
+}
--- a/crates/emberpin-registry/src/commands.rs
+++ b/crates/emberpin-registry/src/commands.rs
@@ -99,6 +99,12 @@
     pub async fn send_event(&self, event: Event) {
         self.send(Command::Event(event)).await;
     }
+
+    /// Puts an event for the state machine on the queue, from a thread outside of the runtime; see
+    /// [`CommandSender::send`].
+    pub fn send_event_blocking(&self, event: Event) {
+        _ = self.0.blocking_send(Command::Event(event));
+    }
 }
 
 /// Creates the queue of the event loop.
--- a/crates/emberpin-registry/src/host.rs
+++ b/crates/emberpin-registry/src/host.rs
@@ -3,10 +3,11 @@
 //! Other tasks put commands on its queue. The loop handles one command after the other: it passes events to the state
 //! machine, and applies the actions that the state machine returns, such as to reply to a call or to send a message.
 
-use crate::commands::{self, Command, CommandSender};
+use crate::commands::{Command, CommandSender};
 use crate::connection::{FrameSender, UnreadableFrames};
 use crate::metrics::RegistryMetrics;
 use crate::outbound::PeerConnection;
+use crate::shutdown_log::{ShutdownLog, ShutdownWrite};
 use crate::status_report::{self, ProcessStatus};
 use crate::store_state::StoreState;
 use bytes::Bytes;
@@ -68,6 +69,8 @@
     inbound_peers: HashMap<Ipv4Addr, FrameSender>,
     /// The connections on which this registry sends messages to other ones.
     outbound_peers: BTreeMap<Ipv4Addr, OutboundPeer>,
+    /// Where drains and exits of servers are recorded.
+    shutdown_log: ShutdownLog,
     /// The metrics whose gauges the loop updates; `None` if no metrics endpoint is set.
     gauges: Option<Arc<RegistryMetrics>>,
     /// Events caused by actions. They are handled after all actions of the current event are applied.
@@ -75,30 +78,32 @@
 }
 
 impl Host {
-    /// Creates an event loop whose state machine starts now, and the sender of commands to it.
+    /// Creates an event loop whose state machine starts now. The queue must be that of `commands`.
     pub fn new(
         identity: HostIdentity,
         config: RegistryConfig,
         stores: Arc<StoreState>,
-    ) -> (Host, CommandSender) {
-        let (commands, queue) = commands::queue();
-        let host = Host {
+        shutdown_log: ShutdownLog,
+        commands: CommandSender,
+        queue: mpsc::Receiver<Command>,
+    ) -> Host {
+        Host {
             identity,
             local_ip: config.address,
             registry: Registry::new(Timestamp::ZERO, config),
             stores,
             started_at: Instant::now(),
-            commands: commands.clone(),
+            commands,
             queue,
             pending_calls: HashMap::new(),
             last_call_id: 0,
             sessions: HashMap::new(),
             inbound_peers: HashMap::new(),
             outbound_peers: BTreeMap::new(),
+            deferred_events: shutdown_log.first_events().into(),
+            shutdown_log,
             gauges: None,
-            deferred_events: VecDeque::new(),
-        };
-        (host, commands)
+        }
     }
 
     /// The current time on the state machine's clock, which is 0 at the start of the event loop.
@@ -239,6 +244,18 @@
     fn apply_action(&mut self, action: Action) {
         match action {
             Action::Reply { call, reply } => self.reply_to_call(call, reply),
+            Action::WriteShutdowns {
+                write: number,
+                mode,
+                records,
+            } => {
+                let write = ShutdownWrite {
+                    number,
+                    mode,
+                    records,
+                };
+                self.deferred_events.extend(self.shutdown_log.write(write));
+            }
             Action::ConnectPeer { peer } => self.connect_peer(peer),
             Action::DisconnectPeer { peer } => self.disconnect_peer(peer),
             Action::SendToPeers { peers, message } => self.send_to_peers(&peers, &message),
--- a/crates/emberpin-registry/src/lib.rs
+++ b/crates/emberpin-registry/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`program`] reads the settings, opens the listeners and connects the parts below;
 //! - [`host`] is the event loop, the only owner of the state machine;
 //! - [`commands`] defines the commands that the other tasks put on the event loop's queue;
+//! - [`shutdown_log`] records drains and exits of servers on disk;
 //! - [`inbound`] and [`outbound`] serve the connections with proxies and with other registries;
 //! - [`store_state`], [`store_subscription`], [`store_connection`] and [`store_client`] communicate with the stores,
 //!   which replicate the configuration;
@@ -22,6 +23,7 @@
 pub mod metrics;
 pub mod outbound;
 pub mod program;
+pub mod shutdown_log;
 pub mod status_report;
 pub mod store_client;
 pub mod store_connection;
--- a/crates/emberpin-registry/src/metrics.rs
+++ b/crates/emberpin-registry/src/metrics.rs
@@ -18,6 +18,7 @@
     call_time: Histogram,
     instances: IntGaugeVec,
     learned_from_proxies: IntGauge,
+    unsynced_shutdowns: IntGauge,
     proxies: IntGauge,
     proxy_lag: IntGauge,
     registries: IntGauge,
@@ -43,6 +44,10 @@
                 "instances_learned_from_proxies",
                 "Instances and drains that were learned from a proxy, since the start",
             ),
+            unsynced_shutdowns: set.gauge(
+                "shutdowns_unsynced",
+                "Drains and exits of servers that are not on this machine's disk yet",
+            ),
             proxies: set.gauge("proxies", "Proxies with a session here"),
             proxy_lag: set.gauge(
                 "proxy_lag_changes",
@@ -89,6 +94,8 @@
         }
         self.learned_from_proxies
             .set(registry.learned_from_proxies() as i64);
+        self.unsynced_shutdowns
+            .set(registry.unsynced_shutdowns() as i64);
         let max_changes_behind = registry.proxy_lags().map(|lag| lag.changes_behind).max();
         self.proxies.set(registry.proxy_lags().count() as i64);
         self.proxy_lag
--- a/crates/emberpin-registry/src/program.rs
+++ b/crates/emberpin-registry/src/program.rs
@@ -1,12 +1,14 @@
 //! The program: reads the command line and the settings file, creates the parts of the registry, and runs them on one
 //! thread.
 
+use crate::commands;
 use crate::connection::UnreadableFrames;
 use crate::coordination_client::CoordinationClient;
 use crate::host::{Host, HostIdentity};
 use crate::http_api::{CallHandler, HttpServer};
 use crate::inbound::InboundServer;
 use crate::metrics::RegistryMetrics;
+use crate::shutdown_log::ShutdownLog;
 use crate::store_client::StoreClient;
 use crate::store_state::StoreState;
 use crate::store_subscription::StoreSubscription;
@@ -46,6 +48,8 @@
     },
     #[error("cannot draw a random number: {0}")]
     Random(#[source] getrandom::Error),
+    #[error("cannot start a thread: {0}")]
+    Thread(#[source] io::Error),
     #[error(transparent)]
     Listen(#[from] ListenError),
 }
@@ -157,7 +161,7 @@
     let http_listener = tcp::listen(ctl, "ctl")?;
     let registry_listener = tcp::listen(registry_address, "registry")?;
 
-    let (http_server, inbound_server) = start(settings, incarnation, ctl.port(), metrics);
+    let (http_server, inbound_server) = start(settings, incarnation, ctl.port(), metrics)?;
     let inbound_task = tokio::spawn(inbound_server.serve(registry_listener));
     let http_task = tokio::spawn(http_server.clone().serve(http_listener));
     terminate.recv().await;
@@ -175,7 +179,7 @@
     incarnation: u64,
     ctl_port: u16,
     metrics_endpoint: Option<MetricsEndpoint>,
-) -> (Arc<HttpServer>, Arc<InboundServer>) {
+) -> Result<(Arc<HttpServer>, Arc<InboundServer>), StartError> {
     let process =
         Arc::new(ProcessIdentity::new(incarnation).with_versions(settings.protocol_versions));
     let unreadable_frames = Arc::new(UnreadableFrames::default());
@@ -188,10 +192,17 @@
     };
     let metric_set = MetricSet::new("emberpin_registry");
     let metrics = Arc::new(RegistryMetrics::new(&metric_set));
-    let (mut host, commands) = Host::new(
+    let (commands, queue) = commands::queue();
+    let shutdown_log =
+        ShutdownLog::start(settings.data_dir.as_deref(), settings.ip, commands.clone())
+            .map_err(StartError::Thread)?;
+    let mut host = Host::new(
         identity,
         registry_config(settings, incarnation),
         stores.clone(),
+        shutdown_log,
+        commands.clone(),
+        queue,
     );
     let store_port = settings.store_port();
     let store_client = Arc::new(StoreClient::new(
@@ -211,7 +222,7 @@
     let call_handler = CallHandler::new(commands.clone(), store_client, coordination, ctl_port);
     let http_server = Arc::new(HttpServer::new(call_handler, metrics));
     let inbound_server = Arc::new(InboundServer::new(process, commands, unreadable_frames));
-    (http_server, inbound_server)
+    Ok((http_server, inbound_server))
 }
 
 fn registry_config(settings: &Settings, incarnation: u64) -> RegistryConfig {
--- a/crates/emberpin-registry/tests/common/registry_process.rs
+++ b/crates/emberpin-registry/tests/common/registry_process.rs
@@ -3,6 +3,7 @@
 use super::HTTP_PORT;
 use std::io::Write;
 use std::net::Ipv4Addr;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 
 /// The text of the settings file of one machine. `seeds` are the addresses of all machines that run a registry.
@@ -54,10 +55,22 @@
 }
 
 impl RegistryProcess {
+    /// Starts a registry on a machine without a disk.
     pub fn start(ip: Ipv4Addr, seeds: &[Ipv4Addr]) -> RegistryProcess {
+        RegistryProcess::start_with_settings(&settings(ip, seeds))
+    }
+
+    /// Starts a registry on a machine whose disk is this folder.
+    pub fn start_with_disk(ip: Ipv4Addr, seeds: &[Ipv4Addr], disk: &Path) -> RegistryProcess {
+        let data_dir = format!("[self]\ndatadir = \"{}\"\n", disk.display());
+        let settings = settings(ip, seeds).replace("[self]\n", &data_dir);
+        RegistryProcess::start_with_settings(&settings)
+    }
+
+    fn start_with_settings(settings: &str) -> RegistryProcess {
         let mut settings_file = tempfile::NamedTempFile::new().expect("a file");
         settings_file
-            .write_all(settings(ip, seeds).as_bytes())
+            .write_all(settings.as_bytes())
             .expect("written");
         let child = Command::new(env!("CARGO_BIN_EXE_emberpin-registry"))
             .env("EMBERPIN_NODE_FILE", settings_file.path())
--- a/crates/emberpin-runtime/src/settings/mod.rs
+++ b/crates/emberpin-runtime/src/settings/mod.rs
@@ -40,7 +40,7 @@
     /// Whether this is the first start of the whole system (`self.bootstrap`; default: false). If it is, a store with
     /// an empty disk may bootstrap a new system, even where most machines of an old system were wiped.
     pub bootstrap: bool,
-    /// The folder for a store's files (`self.datadir`; default: none). No store starts without it.
+    /// The folder for the files of a store or registry (`self.datadir`; default: none). No store starts without it.
     pub data_dir: Option<PathBuf>,
     /// The maximum number of open file descriptors of the process (`self.limits.nofile`). A proxy derives from it
     /// how many connections it accepts from clients and opens to servers.
--- a/crates/emberpin-simulator/src/mutants.rs
+++ b/crates/emberpin-simulator/src/mutants.rs
@@ -65,6 +65,7 @@
     "no-history",
     "no-told-version",
     "no-majority",
+    "no-durable",
     "no-rises",
     "no-silence",
     "no-repair",
@@ -143,6 +144,7 @@
 fn membership_guard<'a>(guards: &'a mut MembershipGuards, mutant: &str) -> Option<&'a mut bool> {
     Some(match mutant {
         "no-majority" => &mut guards.majority_acknowledgement,
+        "no-durable" => &mut guards.durable_shutdowns,
         "no-rises" => &mut guards.monotonic_status,
         "no-silence" => &mut guards.confirmed_eviction,
         "no-repair" => &mut guards.repair_from_proxies,
--- a/crates/emberpin-simulator/src/simulation/core_nodes.rs
+++ b/crates/emberpin-simulator/src/simulation/core_nodes.rs
@@ -10,7 +10,9 @@
 use emberpin_consensus::{Replica, ReplicaOptions, Rounds, WriteBatch, WriteToken};
 use emberpin_membership::clock::Timestamp;
 use emberpin_membership::ids::Incarnation;
-use emberpin_membership::registry::{Registry, RegistryConfig};
+use emberpin_membership::ids::WriteNumber;
+use emberpin_membership::peers::InstanceRecord;
+use emberpin_membership::registry::{self, Registry, RegistryConfig, WriteMode};
 use std::time::Duration;
 
 /// The delay between a store and the registry on its machine.
@@ -61,7 +63,10 @@
         let items: Vec<Item> = store.state().follower_items().cloned().collect();
         node.running = Some(CoreProcess::new(store, registry));
         let incarnation = node.process.incarnation;
+        let shutdowns = node.disk.recover_shutdowns();
         self.apply_store_actions(core, actions);
+        self.handle_registry_event(core, registry::Event::ShutdownsRestored(shutdowns));
+        self.handle_registry_event(core, registry::Event::ShutdownLogOpened);
         let at = now + LOCAL_DELAY;
         self.schedule(
             at,
@@ -96,6 +101,12 @@
                 token,
                 writes,
             } => self.on_disk_synced(core, incarnation, token, writes),
+            Event::ShutdownsSynced {
+                core,
+                incarnation,
+                write,
+                writes,
+            } => self.on_shutdowns_synced(core, incarnation, write, writes),
             Event::StoreTimer { core, incarnation } => self.on_store_timer(core, incarnation),
             Event::RegistryTimer { core, incarnation } => self.on_registry_timer(core, incarnation),
             Event::ItemsChosen {
@@ -159,4 +170,43 @@
         }
         self.handle_store_event(core, emberpin_consensus::Event::Persisted { token });
     }
+
+    /// Writes to the shutdown log of a registry, and schedules the end of the sync.
+    pub(super) fn write_shutdowns(
+        &mut self,
+        core: CoreId,
+        write: WriteNumber,
+        mode: WriteMode,
+        records: Vec<InstanceRecord>,
+    ) {
+        let (now, sync_time) = (self.now, self.sync_time.start);
+        let Some(node) = self.cores.get_mut(&core) else {
+            return;
+        };
+        let writes = node.disk.write_shutdowns(mode, records);
+        let at = node.disk.stalled_until.max(now) + sync_time;
+        let event = Event::ShutdownsSynced {
+            core,
+            incarnation: node.process.incarnation,
+            write,
+            writes,
+        };
+        self.schedule(at, event);
+    }
+
+    fn on_shutdowns_synced(
+        &mut self,
+        core: CoreId,
+        incarnation: ProcessIncarnation,
+        write: WriteNumber,
+        writes: usize,
+    ) {
+        if self.running_incarnation(core, incarnation).is_none() {
+            return;
+        }
+        if let Some(node) = self.cores.get_mut(&core) {
+            node.disk.mark_shutdowns_synced(writes);
+        }
+        self.handle_registry_event(core, registry::Event::ShutdownsSynced { write });
+    }
 }
--- a/crates/emberpin-simulator/src/simulation/mod.rs
+++ b/crates/emberpin-simulator/src/simulation/mod.rs
@@ -223,6 +223,7 @@
         match event {
             Event::StoreMessage { to: core, .. }
             | Event::DiskSynced { core, .. }
+            | Event::ShutdownsSynced { core, .. }
             | Event::StoreTimer { core, .. }
             | Event::RegistryTimer { core, .. }
             | Event::ItemsChosen { core, .. }
@@ -262,6 +263,7 @@
         match event {
             Event::StoreMessage { .. }
             | Event::DiskSynced { .. }
+            | Event::ShutdownsSynced { .. }
             | Event::StoreTimer { .. }
             | Event::RegistryTimer { .. }
             | Event::ItemsChosen { .. }
--- a/crates/emberpin-simulator/src/simulation/registries.rs
+++ b/crates/emberpin-simulator/src/simulation/registries.rs
@@ -121,6 +121,11 @@
         }
         match action {
             Action::Reply { call, reply } => self.send_server_response(call, reply),
+            Action::WriteShutdowns {
+                write,
+                mode,
+                records,
+            } => self.write_shutdowns(core, write, mode, records),
             Action::ConnectPeer { peer } => self.connect_peer(core, incarnation, peer),
             Action::DisconnectPeer { peer } => self.disconnect_peer(core, peer),
             Action::SendToPeers { peers, message } => self.send_to_peers(core, &peers, &message),
--- a/crates/emberpin-simulator/src/state/core_node.rs
+++ b/crates/emberpin-simulator/src/state/core_node.rs
@@ -5,7 +5,8 @@
 use crate::machine::CoreId;
 use emberpin_config::{ItemKey, Version};
 use emberpin_consensus::{PersistedState, Replica, WriteBatch};
-use emberpin_membership::registry::Registry;
+use emberpin_membership::peers::InstanceRecord;
+use emberpin_membership::registry::{Registry, WriteMode};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -42,6 +43,13 @@
     }
 }
 
+/// A write to the shutdown log of a registry.
+#[derive(Debug)]
+struct ShutdownWrite {
+    mode: WriteMode,
+    records: Vec<InstanceRecord>,
+}
+
 /// The disk of a core machine.
 #[derive(Debug, Default)]
 pub(crate) struct Disk {
@@ -49,6 +57,10 @@
     writes: Vec<WriteBatch>,
     /// The number of writes, from the first one on, that are synced and survive a power cut.
     synced: usize,
+    /// All writes to the registry's shutdown log since the disk was last empty.
+    shutdown_writes: Vec<ShutdownWrite>,
+    /// The number of writes to the shutdown log, from the first one on, that are synced.
+    synced_shutdown_writes: usize,
     /// The disk does not respond before this time.
     pub stalled_until: Duration,
 }
@@ -66,6 +78,28 @@
         self.synced = self.synced.max(writes);
     }
 
+    /// Adds a write to the shutdown log. Returns the number of writes to it.
+    pub fn write_shutdowns(&mut self, mode: WriteMode, records: Vec<InstanceRecord>) -> usize {
+        self.shutdown_writes.push(ShutdownWrite { mode, records });
+        self.shutdown_writes.len()
+    }
+
+    pub fn mark_shutdowns_synced(&mut self, writes: usize) {
+        self.synced_shutdown_writes = self.synced_shutdown_writes.max(writes);
+    }
+
+    /// The shutdowns that a registry restores from the disk when it starts.
+    pub fn recover_shutdowns(&self) -> Vec<InstanceRecord> {
+        let mut records = Vec::new();
+        for write in &self.shutdown_writes {
+            if write.mode == WriteMode::Replace {
+                records.clear();
+            }
+            records.extend(write.records.iter().cloned());
+        }
+        records
+    }
+
     /// Drops unsynced writes after a power cut. The random number `draw` determines how many of the first ones survive;
     /// without it, none do. A write that may be torn counts as lost. Returns the number of lost writes.
     pub fn lose_power(&mut self, draw: Option<u64>) -> u64 {
@@ -73,12 +107,15 @@
         let kept = draw.map_or(0, |draw| draw % (unsynced + 1)) as usize;
         self.writes.truncate(self.synced + kept);
         self.synced = self.writes.len();
+        self.shutdown_writes.truncate(self.synced_shutdown_writes);
         unsynced - kept as u64
     }
 
     pub fn wipe(&mut self) {
         self.writes.clear();
         self.synced = 0;
+        self.shutdown_writes.clear();
+        self.synced_shutdown_writes = 0;
     }
 
     /// The state that a store recovers from the disk when it starts; `None` if the disk is empty.
--- a/crates/emberpin-simulator/src/state/event.rs
+++ b/crates/emberpin-simulator/src/state/event.rs
@@ -7,7 +7,7 @@
 use crate::machine::{CoreId, Machine, ProxyId};
 use emberpin_config::{Item, Version};
 use emberpin_consensus::{Message, WriteToken};
-use emberpin_membership::ids::Nonce;
+use emberpin_membership::ids::{Nonce, WriteNumber};
 use emberpin_membership::registry::ServerReply;
 use std::time::Duration;
 
@@ -27,6 +27,13 @@
         token: WriteToken,
         writes: usize,
     },
+    /// A disk has synced the first `writes` writes to the shutdown log since it was empty.
+    ShutdownsSynced {
+        core: CoreId,
+        incarnation: ProcessIncarnation,
+        write: WriteNumber,
+        writes: usize,
+    },
     /// The timer of a store fires.
     StoreTimer {
         core: CoreId,
