Let a drain after an unacknowledged leave wait for a majority itself

What callers could see: a server's leave gets 503, as its registry is cut off from the majority, and a heartbeat with drain to the same registry gets 200. The 200 binds, but the other registries and their proxies know of neither.

Cause: on_heartbeat() replied at once if the instance was recorded as removed, whether or not a majority had that.

Why it works: the reply now goes by is_replicated alone, which is set once a majority has the status on disk. What is awaited is the status as recorded, so that the same call also completes the leave.

--- a/crates/emberpin-membership/src/registry/servers.rs
+++ b/crates/emberpin-membership/src/registry/servers.rs
@@ -20,8 +20,8 @@
 }
 
 impl Registry {
-    /// Records a heartbeat. Replies at once, unless the heartbeat reports a drain or exit that is not known to a
-    /// majority yet.
+    /// Records a heartbeat. Replies at once, unless the heartbeat reports a drain, and the drain or a later exit is not on
+    /// the disks of a majority yet.
     pub(super) fn on_heartbeat(
         &mut self,
         now: Timestamp,
@@ -42,7 +42,7 @@
         let is_replicated = self
             .instances
             .get(&id)
-            .is_some_and(|entry| entry.is_replicated || entry.reported_status() == Status::Removed);
+            .is_some_and(|entry| entry.is_replicated);
         let can_reply_now = reported == Status::Up || is_replicated;
         if can_reply_now && (outcome.visibly_changed || outcome.owner_changed) {
             changed.push(id.clone());
@@ -52,7 +52,7 @@
             let reply = self.heartbeat_reply(now, &id, &zone, reported);
             actions.push(Action::Reply { call, reply });
         } else {
-            self.await_majority(now, call, id, reported, actions);
+            self.await_majority(now, call, id, actions);
         }
     }
 
@@ -96,7 +96,7 @@
             };
             actions.push(Action::Reply { call, reply });
         } else {
-            self.await_majority(now, call, instance_id, Status::Removed, actions);
+            self.await_majority(now, call, instance_id, actions);
         }
     }
 
--- a/crates/emberpin-membership/src/registry/shutdown.rs
+++ b/crates/emberpin-membership/src/registry/shutdown.rs
@@ -23,6 +23,7 @@
 pub(super) struct PendingShutdown {
     call: CallId,
     instance_id: String,
+    /// The status that the server had reported when the call arrived.
     status: Status,
     ack_id: AckId,
     /// The write to this registry's own disk that contains the shutdown.
@@ -60,13 +61,12 @@
         now: Timestamp,
         call: CallId,
         instance_id: String,
-        status: Status,
         actions: &mut Vec<Action>,
     ) {
         let Some(entry) = self.instances.get(&instance_id) else {
             return;
         };
-        let record = entry.record(now);
+        let (record, status) = (entry.record(now), entry.reported_status());
         self.last_ack_id = self.last_ack_id.wrapping_add(1);
         let ack_id = AckId(self.last_ack_id);
         let peers = self.connected_peers();
--- a/crates/emberpin-membership/tests/shutdown.rs
+++ b/crates/emberpin-membership/tests/shutdown.rs
@@ -290,3 +290,22 @@
     cluster.start(1);
     verify_that!(cluster.status(1, "last"), some(eq(Status::Removed)))
 }
+
+/// Guards against a drain that is acknowledged only because the same server's leave was received before, although no
+/// majority has recorded that leave.
+#[gtest]
+fn a_drain_after_a_leave_that_was_not_acknowledged_needs_a_majority() -> googletest::Result<()> {
+    let mut cluster = Cluster::confirmed(3);
+    cluster.send_heartbeat(1, instance("a", 1));
+    cluster.run(50);
+    cluster.partition(1, &[2, 3]);
+    let call = cluster.send_leave(1, "a");
+    verify_that!(cluster.is_acknowledged(1, call), eq(false))?;
+    let call = cluster.send_heartbeat(1, draining("a", 2));
+    verify_that!(cluster.is_acknowledged(1, call), eq(false))?;
+    cluster.heal(1, &[2, 3]);
+    cluster.run(2_000);
+    let call = cluster.send_heartbeat(1, draining("a", 3));
+    verify_that!(cluster.is_acknowledged(1, call), eq(true))?;
+    verify_that!(cluster.status(2, "a"), some(eq(Status::Removed)))
+}
