Tell a registry whose change is behind a known drain or exit

What callers could see: a core machine's disk is lost, or the machine is replaced, over a minute after a server's acknowledged exit; a proxy that was cut off all that time connects to the new registry and lists the server as up, which takes it back, and the proxy goes on sending it requests until the eviction, some 5 s later.

Cause: a registry that connects to a new peer lists only the exits of the last minute. The restored instance then goes to the peers as a change, which they merge without effect, as they know of the exit, and nobody tells the sender.

Evidence and test: an_exit_that_peers_know_is_not_undone_by_a_proxy_at_a_replaced_registry failed before (Up where Removed is wanted); it passes now.

Why it works: the receiver of a change that is behind what it knows sends its own record back. The sender then has the further status, and no answer follows, as nobody is behind any more.

--- a/crates/emberpin-membership/src/registry/replication.rs
+++ b/crates/emberpin-membership/src/registry/replication.rs
@@ -77,7 +77,8 @@
     }
 
     /// Merges records from another registry. Drains and exits that were not known are forwarded once to the other
-    /// peers, as the sender may fail before it has reached all of them.
+    /// peers, as the sender may fail before it has reached all of them. A sender whose change is behind a drain or exit
+    /// that is known here is told of it: it may have restored the instance from a proxy.
     pub(super) fn merge_records(
         &mut self,
         now: Timestamp,
@@ -86,9 +87,10 @@
         source: RecordSource,
         actions: &mut Vec<Action>,
     ) {
-        let mut shutdowns = Vec::new();
+        let (mut shutdowns, mut unknown_to_sender) = (Vec::new(), Vec::new());
         for mut record in records {
             let id = record.instance.id.clone();
+            let sent_status = record.instance.status;
             // An eviction is ignored while this registry is in contact with the instance's owner: a sender without that
             // contact cannot know that the heartbeats have stopped.
             record.expired &= !self.is_in_contact_with_owner(now, &id, from);
@@ -98,12 +100,18 @@
                 RecordSource::Table => AddressConflict::Ignore,
             };
             self.on_merged(now, &id, outcome, address_conflict);
+            let known = self.instances.get(&id);
+            let is_sender_behind = known.is_some_and(|entry| entry.reported_status() > sent_status);
+            if source == RecordSource::Changes && is_sender_behind {
+                unknown_to_sender.push(id.clone());
+            }
             // A table may list instances that are new here with shutdowns that all peers know.
             let may_be_unknown_to_peers = source == RecordSource::Changes || !outcome.is_new;
             if outcome.shutdown_reported && may_be_unknown_to_peers {
                 shutdowns.push(id);
             }
         }
+        self.replicate_to(now, vec![from], &unknown_to_sender, actions);
         let other_peers = self.connected_peers();
         let other_peers = other_peers
             .into_iter()
--- a/crates/emberpin-membership/tests/repair.rs
+++ b/crates/emberpin-membership/tests/repair.rs
@@ -78,3 +78,27 @@
     view.apply(&cluster.take_messages(1, 9));
     verify_that!(view.instances.contains_key("a"), eq(true))
 }
+
+/// Guards against a registry without a disk that takes a server back from a proxy, although all other registries know of
+/// its exit: they list only the exits of the last minute when they connect.
+#[gtest]
+fn an_exit_that_peers_know_is_not_undone_by_a_proxy_at_a_replaced_registry(
+) -> googletest::Result<()> {
+    const LONGER_THAN_PEERS_LIST_EXITS_MS: u64 = 61_000;
+    let mut cluster = Cluster::confirmed(3);
+    cluster.send_heartbeat(2, instance("a", 1));
+    cluster.run(50);
+    let call = cluster.send_leave(2, "a");
+    verify_that!(cluster.is_acknowledged(2, call), eq(true))?;
+    cluster.run(LONGER_THAN_PEERS_LIST_EXITS_MS);
+    cluster.kill(1);
+    cluster.wipe_disk(1);
+    cluster.start(1);
+    cluster.run(500);
+    cluster.open_session(1, 9, None, vec![instance("a", 1)]);
+    cluster.run(100);
+    let mut view = ProxyView::default();
+    view.apply(&cluster.take_messages(1, 9));
+    verify_that!(cluster.status(1, "a"), some(eq(Status::Removed)))?;
+    verify_that!(view.instances.get("a"), not(some(eq(&Status::Up))))
+}
