Look through the table of instances only when a write of shutdowns is due

write_shutdowns() runs after every event, and counted the remembered shutdowns whenever one was unwritten: with a stalled disk, on each heartbeat over the whole table. It asks first whether a write is due. Found by reading; no figure.

--- a/crates/emberpin-membership/src/registry/shutdown_log.rs
+++ b/crates/emberpin-membership/src/registry/shutdown_log.rs
@@ -110,21 +110,23 @@
         self.state != LogState::Unread
     }
 
-    /// The mode of the write that is due; `None` if none is due, or one is in progress. `remembered` is the number of
-    /// shutdowns in the table of instances.
-    fn due_write(&self, remembered: usize) -> Option<WriteMode> {
+    /// Whether a write is due and none is in progress.
+    fn is_write_due(&self) -> bool {
         match self.state {
-            LogState::ReplacementDue => Some(WriteMode::Replace),
-            LogState::Open if !self.unwritten.is_empty() && self.in_progress.is_none() => {
-                let limit = MIN_APPENDED_BEFORE_REPLACEMENT.max(2 * remembered);
-                let is_full = self.appended + self.unwritten.len() > limit;
-                Some(if is_full {
-                    WriteMode::Replace
-                } else {
-                    WriteMode::Append
-                })
-            }
-            LogState::Unread | LogState::Closed | LogState::Open => None,
+            LogState::Unread | LogState::Closed => false,
+            LogState::ReplacementDue => true,
+            LogState::Open => !self.unwritten.is_empty() && self.in_progress.is_none(),
+        }
+    }
+
+    /// The mode of the write that is due. `remembered` is the number of shutdowns in the table of instances.
+    fn write_mode(&self, remembered: usize) -> WriteMode {
+        let limit = MIN_APPENDED_BEFORE_REPLACEMENT.max(2 * remembered);
+        let is_full = self.appended + self.unwritten.len() > limit;
+        if is_full || self.state == LogState::ReplacementDue {
+            WriteMode::Replace
+        } else {
+            WriteMode::Append
         }
     }
 
@@ -215,15 +217,11 @@
 
     /// Begins the write that is due, if any. Called after every event.
     pub(super) fn write_shutdowns(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        let is_unchanged =
-            self.shutdown_log.state == LogState::Open && self.shutdown_log.unwritten.is_empty();
-        if is_unchanged || !self.guards.durable_shutdowns {
+        if !self.shutdown_log.is_write_due() || !self.guards.durable_shutdowns {
             return;
         }
         let remembered = self.instances.shutdown_count();
-        let Some(mode) = self.shutdown_log.due_write(remembered) else {
-            return;
-        };
+        let mode = self.shutdown_log.write_mode(remembered);
         let (write, ids) = self.shutdown_log.begin_write(mode);
         let records = match mode {
             WriteMode::Replace => self.instances.shutdown_records(now),
