Make the upload of a test longer than what socket buffers hold

Cause: the test wants the connection to break in the middle of an upload, but its 3 MB fit into the socket buffers of the machine (tcp_rmem up to 32 MiB, tcp_wmem up to 4 MiB). If the stand-in closes late, the whole request has left the limiter, which then rightly answers 502, as the request may have run.

--- a/crates/emberpin-limiter/tests/bodies.rs
+++ b/crates/emberpin-limiter/tests/bodies.rs
@@ -10,6 +10,8 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 
 const LONG_BODY: usize = 3_000_000;
+/// More bytes than the socket buffers of one connection over loopback hold.
+const LONGER_THAN_SOCKET_BUFFERS: usize = 64 << 20;
 
 /// A long body without repetitions, so that lost or swapped chunks are noticed.
 fn long_body() -> Vec<u8> {
@@ -307,12 +309,17 @@
         assert_eq!(Message::read(&client).expect("an answer").status(), 200);
     }
     // The server closes the connection in the middle of the upload: nothing has run, and the body cannot be sent again.
-    // The response arrives although the client has not sent the whole body.
+    // The response arrives although the client has not sent the whole body, which is longer than what the kernel's socket
+    // buffers hold: otherwise the whole request may have left the limiter before the connection closes.
     let client = limiter.connect();
     let mut to = client.try_clone().expect("cloned");
-    to.write_all(upload("spent", "Content-Length: 3000000").as_bytes())
+    let framing = format!("Content-Length: {LONGER_THAN_SOCKET_BUFFERS}");
+    to.write_all(upload("spent", &framing).as_bytes())
         .expect("sent");
-    let sending = std::thread::spawn(move || to.write_all(&sent).expect("sent"));
+    let sending = std::thread::spawn(move || {
+        to.write_all(&vec![b'u'; LONGER_THAN_SOCKET_BUFFERS])
+            .expect("sent");
+    });
     let mut connection = accept(&server);
     read_head(&mut connection);
     connection
