--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -554,6 +554,20 @@
         zone: &str,
         slots: u32,
         handler: impl Fn(&Message, &mut TcpStream) -> Reply + Send + Sync + 'static,
+    ) -> Server {
+        let handler = Arc::new(handler) as Arc<Handler>;
+        Server::start_raw(gateway, service, zone, slots, move |stream, id, state| {
+            serve(stream, id, state, &*handler);
+        })
+    }
+
+    /// Starts a server, which sends heartbeats and serves each connection by `serve`.
+    pub fn start_raw(
+        gateway: &mut Gateway,
+        service: &str,
+        zone: &str,
+        slots: u32,
+        serve: impl Fn(TcpStream, &str, &Mutex<&'static str>) + Send + Sync + 'static,
     ) -> Server {
         let address = gateway.server_address(zone);
         let server = Server {
@@ -566,11 +580,11 @@
             silent: Arc::default(),
         };
         let listener = TcpListener::bind(address).expect("a free port");
-        let (id, state, handler) = (server.id.clone(), server.state.clone(), Arc::new(handler) as Arc<Handler>);
+        let (id, state, serve) = (server.id.clone(), server.state.clone(), Arc::new(serve));
         spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (id, state, handler) = (id.clone(), state.clone(), handler.clone());
-                spawn(move || serve(stream, &id, &state, &*handler));
+                let (id, state, serve) = (id.clone(), state.clone(), serve.clone());
+                spawn(move || serve(stream, &id, &state));
             }
         });
         let ctl = gateway.ctl();
