--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs case 4. TROUBLE=0 leaves the configuration change out. Exit: 1 rule broken, 0 held, 2 could not run.
+# Runs case 4. TROUBLE=0 leaves the configuration changes out. Exit: 1 rule broken, 0 held, 2 could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/case-4 ] || { echo "run review/build-2.sh first" >&2; exit 2; }
 exec timeout -k 5 115 target/review-2/case-4
