--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -18,6 +18,7 @@
 extern "C" {
     fn prctl(option: i32, a: u64, b: u64, c: u64, d: u64) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
@@ -331,17 +332,19 @@
         self.record.line("all proxies are ready");
     }
 
-    /// Kills all processes.
+    /// Kills all processes, and waits for their ends.
     pub fn end(&self) {
         for child in self.processes.values() {
             unsafe { kill(child.id() as i32, SIGKILL) };
         }
+        for child in self.processes.values() {
+            unsafe { waitpid(child.id() as i32, std::ptr::null_mut(), 0) };
+        }
     }
 
     pub fn end_and_exit(&self, code: i32) -> ! {
         self.end();
         if std::env::var("KEEP").is_err() {
-            sleep(ms(100));
             _ = fs::remove_dir_all(&self.folder);
         }
         exit(code)
