--- a/crates/emberpin-balancer/src/decisions/admission.rs
+++ b/crates/emberpin-balancer/src/decisions/admission.rs
@@ -55,6 +55,7 @@
         self.charge(customer, units, admission, actions);
         let pending = PendingRequest {
             deadline: now + request.remaining,
+            idempotency: self.settings.classes[class].idempotency,
             request,
             attempts: 0,
             in_flight: None,
--- a/crates/emberpin-balancer/src/decisions/attempts.rs
+++ b/crates/emberpin-balancer/src/decisions/attempts.rs
@@ -34,6 +34,7 @@
         let sent_at = now - prior.age.max(0.0);
         let pending = PendingRequest {
             deadline: now + request.remaining,
+            idempotency: self.settings.classes[class].idempotency,
             request,
             attempts: 0,
             in_flight: None,
@@ -48,7 +49,7 @@
         // its server first.
         let latency = self.latencies[class].expected_for(units);
         let expected_start = now + latency.mean + TIMEOUT_DEVIATIONS * 0.5 * latency.deviation;
-        let permission = self.retry_permission(expected_start, &pending);
+        let permission = retry_permission(expected_start, &pending);
         self.pending.insert(id, pending);
         let server = match permission {
             RetryPermission::Anywhere => self.choose_server(now, class, units, None, None),
@@ -118,7 +119,7 @@
         if let (Some(_), Some(first), Idempotency::Keyed { window, .. }) = (
             pending.request.prior_attempt,
             pending.first_run,
-            class.idempotency,
+            pending.idempotency,
         ) {
             left = left.min(first.sent_at + window - now);
         }
@@ -126,8 +127,8 @@
         let early_timeout = (latency.mean + TIMEOUT_DEVIATIONS * latency.deviation)
             .max(class.latency_target - RETRY_MEANS * latency.mean);
         let first_repeatable_attempt =
-            class.idempotency != Idempotency::Unsafe && pending.attempts == 0;
-        let in_window = match class.idempotency {
+            pending.idempotency != Idempotency::Unsafe && pending.attempts == 0;
+        let in_window = match pending.idempotency {
             Idempotency::Keyed { window, .. } => early_timeout < window * (1.0 - WINDOW_MARGIN),
             _ => true,
         };
@@ -219,7 +220,7 @@
         if pending.attempts >= self.settings.max_attempts || too_late {
             return None;
         }
-        let scope = match self.retry_permission(now, pending) {
+        let scope = match retry_permission(now, pending) {
             RetryPermission::Anywhere => None,
             RetryPermission::Within(scope) => Some(scope),
             RetryPermission::Denied => return None,
@@ -233,29 +234,6 @@
         self.choose_server(now, class, units, Some(last), scope)
     }
 
-    /// Whether and where a request may be sent again. One that may have run is sent again only where a
-    /// repeat does no harm.
-    fn retry_permission(&self, now: Millis, pending: &PendingRequest) -> RetryPermission {
-        let class = &self.settings.classes[pending.request.class.0];
-        let Some(first) = pending.first_run else {
-            return RetryPermission::Anywhere;
-        };
-        match class.idempotency {
-            Idempotency::Safe => RetryPermission::Anywhere,
-            Idempotency::Unsafe => RetryPermission::Denied,
-            Idempotency::Keyed { scope, window } => {
-                if now - first.sent_at <= window * (1.0 - WINDOW_MARGIN) {
-                    RetryPermission::Within(RetryScope {
-                        scope,
-                        location: first.location,
-                    })
-                } else {
-                    RetryPermission::Denied
-                }
-            }
-        }
-    }
-
     /// Sends the final answer of a request that gets no further attempt: a rejection with a retry delay if
     /// a retry by the client does no harm, otherwise a failure.
     fn reject_or_fail(&mut self, id: RequestId, actions: &mut Vec<Action>) {
@@ -263,7 +241,7 @@
             return;
         };
         let class = pending.request.class.0;
-        let harmless = match (pending.first_run, self.settings.classes[class].idempotency) {
+        let harmless = match (pending.first_run, pending.idempotency) {
             (None, _) | (_, Idempotency::Safe) => true,
             (_, Idempotency::Keyed { scope, .. }) => scope == DedupScope::All,
             (_, Idempotency::Unsafe) => false,
@@ -299,3 +277,25 @@
     /// To no server: a repeat might run it twice.
     Denied,
 }
+
+/// Whether and where a request may be sent again. One that may have run is sent again only where a
+/// repeat does no harm.
+fn retry_permission(now: Millis, pending: &PendingRequest) -> RetryPermission {
+    let Some(first) = pending.first_run else {
+        return RetryPermission::Anywhere;
+    };
+    match pending.idempotency {
+        Idempotency::Safe => RetryPermission::Anywhere,
+        Idempotency::Unsafe => RetryPermission::Denied,
+        Idempotency::Keyed { scope, window } => {
+            if now - first.sent_at <= window * (1.0 - WINDOW_MARGIN) {
+                RetryPermission::Within(RetryScope {
+                    scope,
+                    location: first.location,
+                })
+            } else {
+                RetryPermission::Denied
+            }
+        }
+    }
+}
--- a/crates/emberpin-balancer/src/host_queries.rs
+++ b/crates/emberpin-balancer/src/host_queries.rs
@@ -57,7 +57,7 @@
             .expected_for(pending.request.units)
             .mean;
         let in_time = now + expected <= pending.deadline;
-        let safe = self.settings.classes[class].idempotency == Idempotency::Safe;
+        let safe = pending.idempotency == Idempotency::Safe;
         let second_server = self
             .servers
             .values()
@@ -105,8 +105,9 @@
         self.settings.classes.len()
     }
 
-    /// Replaces a class that no pending request uses, and drops its learned latencies. Does nothing if the class
-    /// does not exist.
+    /// Replaces a class that no pending request should use any more, and drops its learned latencies. Does nothing
+    /// if the class does not exist. A pending request of the class keeps the idempotency with which it arrived, but
+    /// is timed by the new class.
     pub fn replace_class(&mut self, id: ClassId, class: Class) {
         let entry = self
             .settings
--- a/crates/emberpin-balancer/src/state/request.rs
+++ b/crates/emberpin-balancer/src/state/request.rs
@@ -1,12 +1,15 @@
 //! The state of one pending request.
 
-use crate::interface::{DedupScope, Location, Millis, Request, Server, ServerId};
+use crate::interface::{DedupScope, Idempotency, Location, Millis, Request, Server, ServerId};
 
 /// A request that this gateway has not answered yet.
 #[derive(Debug)]
 pub struct PendingRequest {
     /// The request as it was received.
     pub request: Request,
+    /// The idempotency of its class when it arrived. Whether it may run again depends on this alone, whatever
+    /// becomes of the class meanwhile.
+    pub idempotency: Idempotency,
     /// When the client stops waiting.
     pub deadline: Millis,
     /// Number of attempts that were sent.
--- a/crates/emberpin-balancer/tests/host_queries.rs
+++ b/crates/emberpin-balancer/tests/host_queries.rs
@@ -471,3 +471,24 @@
         .replace_class(ClassId(7), class(Idempotency::Safe));
     assert!(rejected(&harness.arrive(7, 0, 1).1));
 }
+
+/// Guards `PendingRequest::idempotency`: a request that must not run twice stays one if its class is replaced while it
+/// is in flight (review/5, TWICE).
+#[test]
+fn a_pending_request_keeps_its_idempotency_when_its_class_is_replaced() {
+    let mut harness = Harness::just_started(
+        Settings {
+            classes: vec![class(Idempotency::Unsafe)],
+            ..single_gateway()
+        },
+        2,
+    );
+    let (request, actions) = harness.arrive(0, 0, 1);
+    let server = sent_to(&actions).expect("sent");
+    harness
+        .gateway
+        .replace_class(ClassId(0), class(Idempotency::Safe));
+    assert!(!would_retry(&harness, request));
+    let actions = harness.end_attempt(request, 0, server, Outcome::Reset);
+    assert!(failed(&actions), "{actions:?}");
+}
--- a/crates/emberpin-proxy/src/command.rs
+++ b/crates/emberpin-proxy/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands to the [`Controller`](crate::controller::Controller), sent by request handlers, registry sessions and
 //! health checks. This module depends on none of the senders, so that none of them depends on another for these types.
 
+use crate::service::Repeatability;
 use emberpin_balancer::{RequestId, ServerId};
 use emberpin_limiter::host::{Reply, UpstreamRequest};
 use emberpin_membership::instance::Instance;
@@ -35,6 +36,9 @@
     /// Attempts already sent to servers. Above 0 only if the request was withdrawn from a service to which its route no
     /// longer leads.
     pub attempts_sent: u32,
+    /// How often it may run, whatever the kind of the route that it gets now: `AtMostOnce` if a mutating route has led
+    /// it to a service before.
+    pub repeatability: Repeatability,
     /// Receives the reply, which is sent once.
     pub reply_to: oneshot::Sender<Reply>,
 }
--- a/crates/emberpin-proxy/src/controller/configuration.rs
+++ b/crates/emberpin-proxy/src/controller/configuration.rs
@@ -4,7 +4,7 @@
 use super::Controller;
 use emberpin_config::{effective_routes, Item, ItemKind, Limits, Service as ServiceItem};
 use emberpin_routing::{Route, WarmupProfile};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 impl Controller {
     /// Applies the merged configuration. Routes are replaced first, as the updates of requests in flight and the
@@ -63,8 +63,9 @@
         }
     }
 
-    /// Frees services and traffic classes that neither the configuration nor a request in flight refers to. Otherwise,
-    /// every change of a route's time limits would leave an unused class behind.
+    /// Frees services that neither the configuration nor a request in flight refers to, and traffic classes that no
+    /// route in force uses and no request in flight holds. Otherwise, every change of a route's time limits would leave
+    /// an unused class behind.
     fn free_unused(&mut self, listed_services: &HashMap<String, WarmupProfile>) {
         let mut routes: HashMap<&str, Vec<&Route>> = HashMap::new();
         for route in self.router.routes.iter() {
@@ -72,16 +73,13 @@
                 routes.entry(&target.service).or_default().push(route);
             }
         }
-        for request in self.in_flight.values() {
-            routes
-                .entry(&request.service)
-                .or_default()
-                .push(&request.route);
-        }
+        let in_flight = self.in_flight.values();
+        let awaited: HashSet<&str> = in_flight.map(|request| request.service.as_str()).collect();
         self.services.retain(|name, service| {
             listed_services.contains_key(name)
                 || !service.is_empty()
                 || routes.contains_key(name.as_str())
+                || awaited.contains(name.as_str())
         });
         for (name, service) in &mut self.services {
             service.retain_classes(routes.get(name.as_str()).into_iter().flatten().copied());
--- a/crates/emberpin-proxy/src/controller/in_flight_request.rs
+++ b/crates/emberpin-proxy/src/controller/in_flight_request.rs
@@ -1,6 +1,7 @@
 //! The record of a request in flight.
 
 use crate::command::RouteRequest;
+use crate::service::{ClassLease, Repeatability};
 use emberpin_balancer::RequestId;
 use emberpin_limiter::host::{Reply, UpstreamRequest};
 use emberpin_routing::Route;
@@ -15,6 +16,10 @@
     /// The newest route that leads it to `service`.
     pub(super) route: Rc<Route>,
     pub(super) service: String,
+    /// Whether it may run more than once. Set by the kind of its first route and only ever restricted after that.
+    pub(super) repeatability: Repeatability,
+    /// Keeps its traffic class from being reused, whatever route is the newest.
+    pub(super) _class: ClassLease,
     pub(super) host: String,
     pub(super) outgoing: Rc<UpstreamRequest>,
     pub(super) arrived_at: Instant,
@@ -42,6 +47,7 @@
             arrived_at: self.arrived_at,
             deadline: self.deadline,
             attempts_sent: self.attempts_sent,
+            repeatability: self.repeatability,
             reply_to,
         }
     }
--- a/crates/emberpin-proxy/src/controller/routing.rs
+++ b/crates/emberpin-proxy/src/controller/routing.rs
@@ -6,11 +6,11 @@
 use super::Controller;
 use crate::command::RouteRequest;
 use crate::metrics::RejectionCause;
-use crate::service::Service;
+use crate::service::{ClassLease, Repeatability, Service};
 use crate::wire::TRY_ID;
-use emberpin_balancer::{ClassId, CustomerId, GatewayId, PlanId};
+use emberpin_balancer::{CustomerId, GatewayId, PlanId};
 use emberpin_limiter::host::{AdmittedRequest, Reply, RequestBody, UpstreamRequest};
-use emberpin_routing::{traffic_split, DrawSequence, RetryBudget, Route, RouteKind};
+use emberpin_routing::{traffic_split, DrawSequence, RetryBudget, Route};
 use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,8 +68,12 @@
         self.metrics.count_request(&target.service);
         let id = request.id;
         let name = target.service.clone();
-        let class = service.class(&target.route);
-        let (call, in_flight) = prepare_call(request, target, class);
+        let repeatability = match request.repeatability {
+            Repeatability::Repeatable => Repeatability::of_kind(target.route.kind),
+            Repeatability::AtMostOnce => Repeatability::AtMostOnce,
+        };
+        let class = service.class(&target.route, repeatability);
+        let (call, in_flight) = prepare_call(request, target, repeatability, class);
         self.in_flight.insert(id, in_flight);
         service.engine.on_request(call);
         self.record_sent_attempts(&name);
@@ -155,11 +159,12 @@
 fn prepare_call(
     request: RouteRequest,
     target: Target,
-    class: ClassId,
+    repeatability: Repeatability,
+    class: ClassLease,
 ) -> (AdmittedRequest, InFlightRequest) {
     let response_limit = response_time_limit(request.deadline, target.route.timeout);
     let mut outgoing = request.outgoing;
-    outgoing.max_idle_time = max_connection_idle(&outgoing, target.route.kind);
+    outgoing.max_idle_time = max_connection_idle(&outgoing, repeatability);
     let expires = match &outgoing.body {
         RequestBody::Buffered(_) => request.arrived_at + response_limit,
         RequestBody::Uploading(_) => Instant::now() + UPLOAD_TIME_LIMIT,
@@ -167,7 +172,7 @@
     let outgoing = Rc::new(outgoing);
     let call = AdmittedRequest {
         id: request.id,
-        class,
+        class: class.id(),
         // The proxy enforces no quotas: all requests are of one customer with one plan, at this proxy only.
         plan: PlanId(0),
         customer: CustomerId(0),
@@ -183,6 +188,8 @@
     let in_flight = InFlightRequest {
         route: target.route,
         service: target.service,
+        repeatability,
+        _class: class,
         host: request.host,
         outgoing,
         arrived_at: request.arrived_at,
@@ -201,12 +208,15 @@
 }
 
 /// Longest time for which the connection that carries a request may have been idle; `None` for any time.
-fn max_connection_idle(outgoing: &UpstreamRequest, kind: RouteKind) -> Option<Duration> {
-    match kind {
+fn max_connection_idle(
+    outgoing: &UpstreamRequest,
+    repeatability: Repeatability,
+) -> Option<Duration> {
+    match repeatability {
         // A request without an id gets a new connection: on a reused one, a late response to an earlier request without
         // an id could not be distinguished from its own response.
         _ if !outgoing.headers.contains_key(TRY_ID) => Some(Duration::ZERO),
-        RouteKind::Mutating => Some(MAX_IDLE_FOR_MUTATING),
-        RouteKind::Readonly | RouteKind::Pull => None,
+        Repeatability::AtMostOnce => Some(MAX_IDLE_FOR_MUTATING),
+        Repeatability::Repeatable => None,
     }
 }
--- a/crates/emberpin-proxy/src/frontend/mod.rs
+++ b/crates/emberpin-proxy/src/frontend/mod.rs
@@ -8,6 +8,7 @@
 use crate::command::{Command, RouteRequest};
 use crate::metrics::{ProxyMetrics, RejectionCause};
 use crate::published_state::PublishedState;
+use crate::service::Repeatability;
 use bytes::Bytes;
 use emberpin_balancer::{ClassId, RequestId};
 use emberpin_limiter::host::{
@@ -225,6 +226,7 @@
             arrived_at: request.arrived_at,
             deadline: request.deadline,
             attempts_sent: 0,
+            repeatability: Repeatability::Repeatable,
             reply_to,
         };
         match self.commands.send(Command::Route(Box::new(request))).await {
--- a/crates/emberpin-proxy/src/service/mod.rs
+++ b/crates/emberpin-proxy/src/service/mod.rs
@@ -4,7 +4,7 @@
 mod settings;
 mod traffic_class;
 
-use emberpin_balancer::{ClassId, Event, Gateway, MembershipUpdate, RequestId, Server, ServerId};
+use emberpin_balancer::{Event, Gateway, MembershipUpdate, RequestId, Server, ServerId};
 use emberpin_limiter::host::{
     Clock, Engine, Input, OverdueAttempts, Pool, SentAttempt, ServerInstance, TimerGrid, Upstream,
 };
@@ -19,7 +19,7 @@
 use traffic_class::TrafficClasses;
 
 pub use endpoint::Endpoint;
-pub use traffic_class::ClassCounts;
+pub use traffic_class::{ClassCounts, ClassLease, Repeatability};
 
 /// Attempts in flight per slot of the servers up to which this proxy is never considered congested: as many queued as
 /// being processed. A queued request then waits for about one typical response, for which every latency target has
@@ -81,13 +81,15 @@
         }
     }
 
-    /// The traffic class of requests on this route.
-    pub fn class(&mut self, route: &Route) -> ClassId {
-        self.classes.class_of(route, &mut self.engine.gateway)
+    /// The traffic class of requests of this repeatability on this route. A request must keep the lease until the
+    /// decision module no longer knows it.
+    pub fn class(&mut self, route: &Route, repeatability: Repeatability) -> ClassLease {
+        self.classes
+            .lease(route, repeatability, &mut self.engine.gateway)
     }
 
-    /// Frees the traffic classes that none of `routes` uses. `routes` must contain all routes in force and all routes
-    /// of requests in flight. The statistics of a freed class are discarded.
+    /// Frees the traffic classes that none of `routes` uses and no request holds a lease of. `routes` must contain all
+    /// routes in force. The statistics of a freed class are discarded.
     pub fn retain_classes<'a>(&mut self, routes: impl Iterator<Item = &'a Route>) {
         self.classes.retain(routes);
     }
--- a/crates/emberpin-proxy/tests/traffic_classes.rs
+++ b/crates/emberpin-proxy/tests/traffic_classes.rs
@@ -3,7 +3,7 @@
 
 use emberpin_config::{Target, Version};
 use emberpin_limiter::host::{LimiterMetrics, Pool, PoolLimits, SocketBudget};
-use emberpin_proxy::service::{ClassCounts, Service};
+use emberpin_proxy::service::{ClassCounts, ClassLease, Repeatability, Service};
 use emberpin_proxy::wire::GatewayWire;
 use emberpin_routing::{Route, RouteKind};
 use googletest::prelude::*;
@@ -53,12 +53,17 @@
     }
 }
 
+/// The class of requests on this route that arrive now.
+fn class(service: &mut Service, route: &Route) -> ClassLease {
+    service.class(route, Repeatability::of_kind(route.kind))
+}
+
 /// Guards the free list in `TrafficClasses`: without it, no change after the 256th would get a class of its own.
 #[tokio::test]
 async fn class_tables_do_not_grow_with_changes_of_a_timeout() -> googletest::Result<()> {
     let mut service = service();
     let unchanged = route(RouteKind::Mutating, 500);
-    let kept = service.class(&unchanged);
+    let kept = class(&mut service, &unchanged).id();
     for change in 1..=CHANGES {
         let (old, new) = (
             route(RouteKind::Readonly, change),
@@ -67,10 +72,10 @@
         // A request on the old route is still in flight while the new route is in force.
         service.retain_classes([&unchanged, &old, &new].into_iter());
         let classes: HashSet<usize> = [&unchanged, &old, &new]
-            .map(|route| service.class(route).0)
+            .map(|route| class(&mut service, route).id().0)
             .into();
         verify_that!(classes.len(), eq(3))?;
-        verify_that!(service.class(&unchanged), eq(kept))?;
+        verify_that!(class(&mut service, &unchanged).id(), eq(kept))?;
     }
     verify_that!(
         service.class_counts(),
@@ -81,18 +86,43 @@
     )
 }
 
-/// Guards `any_of_same_idempotency`: a mutating request never shares a class with idempotent ones.
+/// Guards the leases of `TrafficClasses`: a class that a request in flight uses is not given to requests on another
+/// route, although no route uses it any more.
+#[tokio::test]
+async fn a_class_is_not_reused_while_a_request_holds_a_lease_of_it() -> googletest::Result<()> {
+    let mut service = service();
+    let held = class(&mut service, &route(RouteKind::Mutating, 1));
+    service.retain_classes(std::iter::empty());
+    let other = class(&mut service, &route(RouteKind::Readonly, 2)).id();
+    verify_that!(other, not(eq(held.id())))?;
+    // The route is back, and then gone again: the same class, still in use.
+    let again = class(&mut service, &route(RouteKind::Mutating, 1));
+    verify_that!(again.id(), eq(held.id()))?;
+    drop(again);
+    service.retain_classes(std::iter::empty());
+    let id = held.id();
+    drop(held);
+    let third = class(&mut service, &route(RouteKind::Readonly, 3)).id();
+    verify_that!(third, not(eq(id)))?;
+    // Once nobody holds it, the next change frees it.
+    service.retain_classes(std::iter::empty());
+    let reused = [4, 5, 6].map(|timeout| class(&mut service, &route(RouteKind::Readonly, timeout)));
+    verify_that!(reused.map(|lease| lease.id()).contains(&id), eq(true))
+}
+
+/// Guards `any_of_repeatability`: a mutating request never shares a class with idempotent ones.
 #[tokio::test]
 async fn above_the_limit_requests_share_a_class_of_the_same_idempotency() -> googletest::Result<()>
 {
     let mut service = service();
-    let mutating = service.class(&route(RouteKind::Mutating, 1));
+    let mutating = class(&mut service, &route(RouteKind::Mutating, 1)).id();
     for timeout in 1..1_000 {
         verify_that!(
-            service.class(&route(RouteKind::Readonly, timeout)),
+            class(&mut service, &route(RouteKind::Readonly, timeout)).id(),
             not(eq(mutating))
         )?;
     }
     verify_that!(service.class_counts().allocated, eq(256))?;
-    verify_that!(service.class(&route(RouteKind::Mutating, 2)), eq(mutating))
+    let shared = class(&mut service, &route(RouteKind::Mutating, 2)).id();
+    verify_that!(shared, eq(mutating))
 }
