--- a/crates/emberpin-limiter/src/front/clients.rs
+++ b/crates/emberpin-limiter/src/front/clients.rs
@@ -210,6 +210,7 @@
             max_idle_time: None,
             attempt_check: None,
             withdrawn: Default::default(),
+            used_upstreams: Default::default(),
         };
         let reply = self.forward(admitted, outgoing, time_limit, expires).await;
         let response = match reply {
--- a/crates/emberpin-limiter/src/host.rs
+++ b/crates/emberpin-limiter/src/host.rs
@@ -17,5 +17,5 @@
 pub use crate::operate::figures::{ActiveRequest, LimiterMetrics, RequestOutcome};
 pub use crate::upstream::engine::{Engine, OverdueAttempts, SentAttempt, TimerGrid};
 pub use crate::upstream::roster::ServerInstance;
-pub use crate::upstream::server::{Pool, PoolLimits, Upstream};
+pub use crate::upstream::server::{Pool, PoolLimits, Upstream, UsedUpstreams};
 pub use crate::upstream::wire::{ResponseInfo, Wire};
--- a/crates/emberpin-limiter/src/messages.rs
+++ b/crates/emberpin-limiter/src/messages.rs
@@ -3,6 +3,7 @@
 
 use crate::front::stream::{StreamedResponse, Upload};
 use crate::upstream::endpoint_list::EndpointList;
+use crate::upstream::server::UsedUpstreams;
 use bytes::Bytes;
 use emberpin_balancer::{
     ClassId, CustomerId, GatewayId, LoadReport, Location, Millis, Outcome, PlanId, PriorAttempt,
@@ -56,6 +57,8 @@
     /// Set while the request must not be sent to the servers chosen for it, as its route no longer leads to them: an
     /// attempt of which nothing has been written yet ends as not sent.
     pub withdrawn: Cell<bool>,
+    /// The servers that have received an attempt of it. A further attempt at one of them gets a new connection.
+    pub used_upstreams: UsedUpstreams,
 }
 
 /// A request's body.
--- a/crates/emberpin-limiter/src/stages/takeover.rs
+++ b/crates/emberpin-limiter/src/stages/takeover.rs
@@ -546,6 +546,7 @@
                 max_idle_time: None,
                 attempt_check: Some(Rc::new(check)),
                 withdrawn: Default::default(),
+                used_upstreams: Default::default(),
             },
             prior_attempt: PriorAttempt {
                 age: first_attempt.age_ms,
--- a/crates/emberpin-limiter/src/upstream/server/exchange.rs
+++ b/crates/emberpin-limiter/src/upstream/server/exchange.rs
@@ -75,6 +75,9 @@
         if !self.is_open() || outgoing.is_some_and(|outgoing| outgoing.withdrawn.get()) {
             return Exchange::unsent(Outcome::NotSent);
         }
+        if let Some(outgoing) = outgoing {
+            outgoing.used_upstreams.record(self.key);
+        }
         let upload = match request.body() {
             RequestBody::Buffered(_) => None,
             RequestBody::Uploading(upload) => Some(upload.clone()),
@@ -135,7 +138,7 @@
         started: Instant,
         timeout: Duration,
     ) -> Result<ServerConnection, Exchange> {
-        let max_idle_time = outgoing.and_then(|outgoing| outgoing.max_idle_time);
+        let max_idle_time = outgoing.and_then(|outgoing| self.max_idle_time(outgoing));
         let connecting = timeout_at(
             started + timeout.min(self.pool.limits.connect_timeout),
             self.connect(max_idle_time),
@@ -150,6 +153,15 @@
         }
     }
 
+    /// Longest time for which the connection for this request may have been idle. An attempt at a server that has
+    /// received one before gets a new connection, see [`UsedUpstreams`](super::UsedUpstreams).
+    fn max_idle_time(&self, outgoing: &UpstreamRequest) -> Option<Duration> {
+        match outgoing.used_upstreams.contains(self.key) {
+            true => Some(Duration::ZERO),
+            false => outgoing.max_idle_time,
+        }
+    }
+
     /// Records what the end of an exchange says about other connections: how long idle ones last, and whether the
     /// server's machine still acknowledges anything.
     fn record_end(&self, received: &Received, idle_time: Duration) {
--- a/crates/emberpin-limiter/src/upstream/server/mod.rs
+++ b/crates/emberpin-limiter/src/upstream/server/mod.rs
@@ -11,7 +11,9 @@
 mod response;
 mod streamed_response;
 mod upstream;
+mod used_upstreams;
 mod write_progress;
 
 pub use pool::{Pool, PoolLimits};
 pub use upstream::Upstream;
+pub use used_upstreams::UsedUpstreams;
--- a/crates/emberpin-limiter/src/upstream/server/upstream.rs
+++ b/crates/emberpin-limiter/src/upstream/server/upstream.rs
@@ -24,7 +24,7 @@
     /// The name of this incarnation, where requests state the incarnation that they are addressed to.
     pub(super) instance: Option<HeaderValue>,
     pub(super) pool: Rc<Pool>,
-    key: UpstreamKey,
+    pub(super) key: UpstreamKey,
     /// False once the server drains or is removed.
     open: Cell<bool>,
 }
--- a/crates/emberpin-proxy/src/frontend/mod.rs
+++ b/crates/emberpin-proxy/src/frontend/mod.rs
@@ -14,7 +14,7 @@
 use emberpin_limiter::host::{
     buffer_body_start, discard_body, empty_response, remove_hop_by_hop_headers, streamed_response,
     ActiveRequest, Answer, Connection, Content, LimiterMetrics, Reply, RequestBody, RequestHandler,
-    Upload, UpstreamRequest,
+    Upload, UpstreamRequest, UsedUpstreams,
 };
 use hyper::body::{Body, Incoming};
 use hyper::{Request, Response, StatusCode};
@@ -143,6 +143,7 @@
             max_idle_time: None,
             attempt_check: None,
             withdrawn: Cell::default(),
+            used_upstreams: UsedUpstreams::default(),
         };
         Ok(ReceivedRequest {
             host,
--- a/crates/emberpin-proxy/tests/retries.rs
+++ b/crates/emberpin-proxy/tests/retries.rs
@@ -4,11 +4,15 @@
 mod common;
 
 use common::{
-    default_items, instance, next_request_at_either, two_servers, Proxy, Server, DEFAULT_BOUNDS,
+    default_items, instance, next_request_at_either, read_message, service, two_servers,
+    within_limit, Client, MessageKind, Proxy, ReceivedRequest, RouteSpec, Server, DEFAULT_BOUNDS,
+    MUTATING_ROUTE, READONLY_ROUTE,
 };
 use emberpin_membership::instance::Instance;
 use googletest::prelude::*;
+use std::net::Ipv4Addr;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 /// Guards `Idempotency::Unsafe` of mutating routes.
 #[tokio::test]
@@ -244,3 +248,111 @@
     verify_that!(client.status().await, some(eq(502)))?;
     verify_that!(one.has_no_request() && other.has_no_request(), eq(true))
 }
+
+/// Has `server` receive the request again, and send its rejection of the first attempt a second time before it responds
+/// to the second one. Returns the status that the client gets.
+async fn status_after_late_rejection(
+    client: &mut Client,
+    server: &mut Server,
+    mut first: ReceivedRequest,
+    rejection: &[u8],
+) -> Option<u16> {
+    let again = async {
+        tokio::select! {
+            _ = read_message(&mut first.stream, MessageKind::Request) => None,
+            request = server.requests.recv() => request,
+        }
+    };
+    let on_new_connection = within_limit("the second attempt", again).await;
+    first.write(rejection).await;
+    if let Some(second) = on_new_connection {
+        second.respond(200, &[], "done").await;
+    }
+    client.status().await
+}
+
+/// Guards `UsedUpstreams`: a second rejection of the first attempt, which comes late, is not taken for the response to
+/// the second attempt at the same server, which runs the request (review/8, REFUSED).
+#[tokio::test]
+async fn a_late_second_rejection_is_not_the_response_to_the_next_attempt_at_its_server(
+) -> googletest::Result<()> {
+    for status in [503, 429, 400] {
+        let mut server = Server::start().await;
+        // The other server has crashed: it refuses connections. It is in another zone, so that it is asked second.
+        let crashed = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await?
+            .local_addr()?;
+        let instances = vec![
+            instance("i-1", server.address),
+            Instance {
+                zone: "south".into(),
+                ..instance("i-2", crashed)
+            },
+        ];
+        let (proxy, _session) =
+            Proxy::start_ready(DEFAULT_BOUNDS, default_items(), instances).await;
+        let mut client = proxy.connect().await;
+        let headers = [("try-id", "t1"), ("deadline", "8000")];
+        client.send("POST", "/write/a", &headers, b"once").await;
+        let mut first = server.next_request().await;
+        let rejection = first.response_bytes(status, &[("not-run", "1")], "");
+        first.write(&rejection).await;
+        let got = status_after_late_rejection(&mut client, &mut server, first, &rejection).await;
+        verify_that!(got, some(eq(200))).with_failure_message(|| status.to_string())?;
+    }
+    Ok(())
+}
+
+/// Like the test before, for a request that comes back to its first server because its route moves to another service
+/// and back. The route is readonly, as only then the connection may have been idle for as long as the changes take.
+#[tokio::test]
+async fn a_request_that_is_routed_back_to_a_server_gets_a_new_connection() -> googletest::Result<()>
+{
+    let (mut server, mut elsewhere) = (Server::start().await, Server::start().await);
+    let instances = vec![
+        instance("i-1", server.address),
+        Instance {
+            service: "t".into(),
+            ..instance("i-2", elsewhere.address)
+        },
+    ];
+    let route = |service, version| {
+        RouteSpec {
+            service,
+            version,
+            max_attempts: 3,
+            ..READONLY_ROUTE
+        }
+        .item()
+    };
+    let other_route = RouteSpec {
+        service: "t",
+        ..MUTATING_ROUTE
+    };
+    let items = vec![
+        service("s", 1, 10.0),
+        service("t", 1, 10.0),
+        route("s", 1),
+        other_route.item(),
+    ];
+    let (proxy, mut session) = Proxy::start_ready(DEFAULT_BOUNDS, items, instances).await;
+    // The retry budget of the other service is a multiple of its requests.
+    let serving = async {
+        let request = elsewhere.next_request().await;
+        request.respond(200, &[], "done").await;
+    };
+    let (response, ()) = tokio::join!(proxy.request("POST", "/write/a", "t0"), serving);
+    verify_that!(response.status, eq(200))?;
+    let mut client = proxy.connect().await;
+    let headers = [("try-id", "t1"), ("deadline", "8000")];
+    client.send("GET", "/read/a", &headers, b"").await;
+    let mut first = server.next_request().await;
+    session.send_changes(vec![route("t", 2)], vec![]).await;
+    let rejection = first.response_bytes(503, &[("not-run", "1")], "");
+    first.write(&rejection).await;
+    let second = elsewhere.next_request().await;
+    session.send_changes(vec![route("s", 3)], vec![]).await;
+    second.respond(503, &[("not-run", "1")], "").await;
+    let got = status_after_late_rejection(&mut client, &mut server, first, &rejection).await;
+    verify_that!(got, some(eq(200)))
+}
--- a/crates/emberpin-proxy/tests/server_selection.rs
+++ b/crates/emberpin-proxy/tests/server_selection.rs
@@ -296,6 +296,7 @@
         max_idle_time: None,
         attempt_check: None,
         withdrawn: Default::default(),
+        used_upstreams: Default::default(),
     };
     let (_cancel, cancelled) = oneshot::channel();
     let outgoing = Rc::new(outgoing);
