--- a/crates/emberpin-limiter/src/front/upload.rs
+++ b/crates/emberpin-limiter/src/front/upload.rs
@@ -33,7 +33,7 @@
     Open(Incoming),
     /// All of the body has arrived.
     Ended,
-    /// The rest is discarded: nobody can receive the whole body any more.
+    /// The body broke off, exceeded its maximum length or is discarded: nobody can receive the whole body any more.
     Lost,
 }
 
@@ -198,7 +198,11 @@
                 }
                 Poll::Ready(Some(Ok(chunk)))
             }
-            Poll::Ready(Some(Err(BodyInterrupted))) => Poll::Ready(Some(Err(BodyInterrupted))),
+            // After an error, the HTTP library reports the end of the body.
+            Poll::Ready(Some(Err(BodyInterrupted))) => {
+                rest.source = Source::Lost;
+                Poll::Ready(Some(Err(BodyInterrupted)))
+            }
             Poll::Ready(None) => {
                 rest.source = Source::Ended;
                 self.end();
--- a/crates/emberpin-proxy/tests/interrupted_uploads.rs
+++ b/crates/emberpin-proxy/tests/interrupted_uploads.rs
@@ -5,8 +5,9 @@
 mod common;
 
 use common::{
-    instance, service, within_limit, Client, Proxy, RegistrySession, RouteSpec, Server,
-    DEFAULT_BOUNDS, MUTATING_ROUTE, READONLY_ROUTE,
+    default_items, instance, next_request_at_either, poll_until, service, two_servers,
+    within_limit, Client, Proxy, RegistrySession, RouteSpec, Server, DEFAULT_BOUNDS,
+    MUTATING_ROUTE, READONLY_ROUTE,
 };
 use emberpin_membership::instance::Instance;
 use googletest::prelude::*;
@@ -206,3 +207,33 @@
     }
     Ok(())
 }
+
+/// Guards `Source::Lost`: the end of a body that broke off is not its end. No server may receive the part that came
+/// before a client gave up as a complete request (review/7, UNASKED).
+#[tokio::test]
+async fn an_upload_that_its_client_gave_up_is_not_sent_as_a_complete_request(
+) -> googletest::Result<()> {
+    for framing in [Framing::Chunked, Framing::Length] {
+        let (mut one, mut other, instances) = two_servers().await;
+        let (proxy, _session) =
+            Proxy::start_ready(DEFAULT_BOUNDS, default_items(), instances).await;
+        let mut uploader = Uploader::start(&proxy, "/read/a", framing).await;
+        uploader.send(&body()[..FORWARDED_FROM]).await;
+        let connected =
+            || async { (one.connection_count() + other.connection_count() > 0).then_some(()) };
+        poll_until("an attempt", connected).await;
+        drop(uploader);
+        let (received, _, _) = next_request_at_either(&mut one, &mut other).await;
+        verify_that!(received.message.complete, eq(false))?;
+        // A repetition of it would come before this request.
+        let mut client = proxy.connect().await;
+        client
+            .send("GET", "/read/b", &[("try-id", "t2")], b"")
+            .await;
+        let (next, _, _) = next_request_at_either(&mut one, &mut other).await;
+        verify_that!(next.header("try-id"), some(eq("t2")))?;
+        next.respond(200, &[], "read").await;
+        verify_that!(client.status().await, some(eq(200)))?;
+    }
+    Ok(())
+}
