--- a/crates/emberpin-limiter/src/front/clients.rs
+++ b/crates/emberpin-limiter/src/front/clients.rs
@@ -348,9 +348,10 @@
         reply = exchange => reply,
         () = client_idle => return Err(StatusCode::REQUEST_TIMEOUT),
     };
-    // The answer came before all of the body: the rest is discarded, as closing a connection with unread bytes on it
-    // could lose the answer.
-    upload.discard_rest();
+    // The answer may have come before all of the body. A streamed one discards the rest at its end.
+    if let Reply::Answer(_) = &reply {
+        upload.discard_rest();
+    }
     Ok(reply)
 }
 
--- a/crates/emberpin-limiter/src/upstream/server/connection.rs
+++ b/crates/emberpin-limiter/src/upstream/server/connection.rs
@@ -1,4 +1,4 @@
-//! One HTTP/1.1 connection to a server, polled by its user instead of a task of its own.
+//! One HTTP/1.1 connection to a server, polled by its user instead of a task of its own where that is possible.
 
 use super::request_body::SentBody;
 use super::write_progress::{ObservedStream, WriteProgress};
@@ -15,7 +15,8 @@
 use std::task::Context;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
+use tokio::task::spawn_local;
 
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -48,6 +49,11 @@
     _socket: OwnedSemaphorePermit,
 }
 
+/// A connection that a task polls, see [`ServerConnection::drive_in_background`]. Dropping it closes the connection.
+pub(super) struct DrivenConnection {
+    _stop: oneshot::Sender<()>,
+}
+
 impl ServerConnection {
     /// Opens a connection. `unacknowledged` is how long the server's machine may acknowledge nothing; `socket` is the
     /// connection's permit under the process's limit on descriptors.
@@ -114,6 +120,13 @@
         self.closed = self.closed || Pin::new(&mut *self.http).poll(context).is_ready();
     }
 
+    /// Polls the connection in a task of its own, until the returned value is dropped, which closes the connection.
+    pub(super) fn drive_in_background(mut self) -> DrivenConnection {
+        let (stop, stopped) = oneshot::channel();
+        spawn_local(async move { _ = self.drive(stopped).await });
+        DrivenConnection { _stop: stop }
+    }
+
     /// Awaits a future that depends on this connection, and polls the connection along with it.
     pub(super) async fn drive<F: Future>(&mut self, future: F) -> F::Output {
         let mut future = pin!(future);
--- a/crates/emberpin-limiter/src/upstream/server/exchange.rs
+++ b/crates/emberpin-limiter/src/upstream/server/exchange.rs
@@ -114,14 +114,14 @@
             received = connection.exchange(request, rules) => Some(received),
             () = timed_out => None,
         };
-        let upload_time = match upload {
+        let upload_time = match &upload {
             None => Duration::ZERO,
-            Some(upload) => upload_time(&upload, started).await,
+            Some(upload) => upload_time(upload, started).await,
         };
         let sent = progress.is_started();
         self.record_end(&received, idle_time);
         let unreachable = matches!(received, Some(Err(ExchangeError::Unacknowledged)));
-        let (outcome, response) = self.classify(received, &*wire, rules, &progress);
+        let (outcome, response) = self.classify(received, &*wire, rules, &progress, upload);
         Exchange {
             outcome,
             response,
@@ -181,6 +181,7 @@
         wire: &dyn Wire,
         rules: ResponseRules<'_>,
         progress: &WriteProgress,
+        upload: Option<Rc<Upload>>,
     ) -> (Outcome, Option<ExchangedResponse>) {
         let never_ran = match wire.may_run_in_part() {
             true => !progress.is_started(),
@@ -189,7 +190,7 @@
         match received {
             Some(Ok((response, body))) => {
                 let outcome = wire.outcome(rules.request_id, &response);
-                let response = self.finish(response, body, progress);
+                let response = self.finish(response, body, progress, upload);
                 (outcome, Some(response))
             }
             _ if never_ran => (Outcome::ConnectFailed, None),
@@ -202,12 +203,14 @@
     }
 
     /// Returns the connection of a complete response to the pool. A response that arrived before all of the request was
-    /// written is valid, but its connection cannot be reused.
+    /// written is valid, but its connection cannot be reused. While a response is streamed, the rest of its request's
+    /// body still goes to the server.
     fn finish(
         self: &Rc<Self>,
         response: Response<()>,
         body: ReceivedBody,
         progress: &WriteProgress,
+        upload: Option<Rc<Upload>>,
     ) -> ExchangedResponse {
         match body {
             ReceivedBody::Complete(bytes, connection) => {
@@ -217,7 +220,8 @@
                 ExchangedResponse::Complete(response, bytes)
             }
             ReceivedBody::Partial(partial) => {
-                ExchangedResponse::Streamed(response, StreamedBody::new(*partial, self.clone()))
+                let stream = StreamedBody::new(*partial, self.clone(), upload);
+                ExchangedResponse::Streamed(response, stream)
             }
         }
     }
--- a/crates/emberpin-limiter/src/upstream/server/write_progress.rs
+++ b/crates/emberpin-limiter/src/upstream/server/write_progress.rs
@@ -38,6 +38,11 @@
         self.body_ended.set(true);
     }
 
+    /// Whether the HTTP library has received the request's whole body.
+    pub(super) fn is_body_ended(&self) -> bool {
+        self.body_ended.get()
+    }
+
     /// Whether the server may have received any byte of the request.
     pub(super) fn is_started(&self) -> bool {
         self.started.get()
--- a/crates/emberpin-limiter/tests/bodies.rs
+++ b/crates/emberpin-limiter/tests/bodies.rs
@@ -454,3 +454,37 @@
     drop(limiter);
     drop(serving);
 }
+
+/// A server that answers before it has read the whole body, and reads on: a long answer, which is streamed, reaches the
+/// client that is still sending (review/6, LOST).
+#[test]
+fn a_long_early_answer_reaches_a_client_that_is_still_uploading() {
+    let (server, reachable) = raw_server();
+    let limiter = Limiter::start(&[reachable]);
+    let client = limiter.connect();
+    let mut to = client.try_clone().expect("cloned");
+    let framing = format!("Content-Length: {LONGER_THAN_SOCKET_BUFFERS}");
+    to.write_all(upload("early", &framing).as_bytes())
+        .expect("sent");
+    let sending = std::thread::spawn(move || to.write_all(&vec![b'u'; LONGER_THAN_SOCKET_BUFFERS]));
+    let mut connection = accept(&server);
+    read_head(&mut connection);
+    connection
+        .read_exact(&mut vec![0; 500_000])
+        .expect("arrives");
+    let answer = long_body();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_BODY}\r\n\r\n");
+    let mut writer = connection.get_ref().try_clone().expect("cloned");
+    let bytes = answer.clone();
+    let answering = std::thread::spawn(move || {
+        writer.write_all(head.as_bytes())?;
+        writer.write_all(&bytes)
+    });
+    let reading = std::thread::spawn(move || std::io::copy(&mut connection, &mut std::io::sink()));
+    let message = Message::read(&client).expect("an answer");
+    assert_eq!(message.status(), 200);
+    assert!(message.body == answer, "not the server's bytes");
+    answering.join().expect("no panic").expect("sent");
+    sending.join().expect("no panic").expect("all was read");
+    _ = reading.join();
+}
--- a/crates/emberpin-proxy/src/frontend/mod.rs
+++ b/crates/emberpin-proxy/src/frontend/mod.rs
@@ -210,9 +210,9 @@
         if reply.is_ok() {
             pending.set_answered();
         }
-        // A response may precede the end of the request's body. The rest is read and discarded: closing a connection
-        // with unread bytes would reset it, and the client might lose the response.
-        if let Some(upload) = upload {
+        // A response may precede the end of the request's body. A streamed response discards the rest at its end, as
+        // its server still receives it.
+        if let (Some(upload), Ok(Reply::Answer(_)) | Err(_)) = (&upload, &reply) {
             upload.discard_rest();
         }
         reply
--- /dev/null
+++ b/crates/emberpin-proxy/tests/early_responses.rs
@@ -0,0 +1,278 @@
+//! Servers that respond before they have read the whole body of a request, keep the connection and read on.
+#![allow(missing_docs, reason = "a test has no public interface")]
+
+mod common;
+
+use common::{
+    default_items, instance, read_head, read_message, within_limit, Client, MessageKind, Proxy,
+    RegistrySession, Response, DEFAULT_BOUNDS,
+};
+use googletest::prelude::*;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// Length of each request body: several times what the proxy buffers.
+const BODY_BYTES: usize = 600_000;
+/// How much of a body is sent before the response.
+const FIRST_PART: usize = 150_000;
+/// A pause within a response without a stated length, after which the proxy streams it.
+const RESPONSE_PAUSE: Duration = Duration::from_millis(500);
+
+/// How a client states where the body of its request ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum RequestFraming {
+    Length,
+    Chunked,
+}
+
+/// The form of an early response.
+#[derive(Clone, Copy, Debug)]
+struct ResponseForm {
+    length: usize,
+    chunked: bool,
+    /// Whether it is written in two halves, with a pause between them.
+    paused: bool,
+}
+
+const RESPONSE_FORMS: [ResponseForm; 5] = [
+    ResponseForm {
+        length: 2_000,
+        chunked: false,
+        paused: false,
+    },
+    ResponseForm {
+        length: 30_000,
+        chunked: false,
+        paused: false,
+    },
+    ResponseForm {
+        length: 30_000,
+        chunked: false,
+        paused: true,
+    },
+    ResponseForm {
+        length: 200_000,
+        chunked: true,
+        paused: false,
+    },
+    ResponseForm {
+        length: 2_000,
+        chunked: true,
+        paused: true,
+    },
+];
+
+fn response_head(form: ResponseForm) -> String {
+    let framing = match form.chunked {
+        true => "transfer-encoding: chunked".to_string(),
+        false => format!("content-length: {}", form.length),
+    };
+    format!("HTTP/1.1 200 X\r\ntry-id: t1\r\nseal: s\r\n{framing}\r\n\r\n")
+}
+
+async fn write_response(stream: &mut TcpStream, form: ResponseForm) -> std::io::Result<()> {
+    stream.write_all(response_head(form).as_bytes()).await?;
+    let half = vec![b'r'; form.length / 2];
+    for number in 0..2 {
+        if number == 1 && form.paused {
+            sleep(RESPONSE_PAUSE).await;
+        }
+        if form.chunked {
+            let size = format!("{:x}\r\n", half.len());
+            stream.write_all(size.as_bytes()).await?;
+        }
+        stream.write_all(&half).await?;
+        if form.chunked {
+            stream.write_all(b"\r\n").await?;
+        }
+    }
+    if form.chunked {
+        stream.write_all(b"0\r\n\r\n").await?;
+    }
+    Ok(())
+}
+
+/// A proxy with one server, whose connections the test accepts.
+async fn start() -> (Proxy, RegistrySession, TcpListener) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("bound");
+    let instances = vec![instance("i-1", listener.local_addr().expect("bound"))];
+    let (proxy, session) = Proxy::start_ready(DEFAULT_BOUNDS, default_items(), instances).await;
+    (proxy, session, listener)
+}
+
+async fn send_head(client: &mut Client, framing: RequestFraming, length: usize) {
+    let framing = match framing {
+        RequestFraming::Length => format!("content-length: {length}"),
+        RequestFraming::Chunked => "transfer-encoding: chunked".to_string(),
+    };
+    let head = format!(
+        "POST /write/a HTTP/1.1\r\nhost: h.example\r\ntry-id: t1\r\ndeadline: 8000\r\n{framing}\r\n\r\n"
+    );
+    client.write(head.as_bytes()).await;
+}
+
+async fn send_part(client: &mut Client, framing: RequestFraming, length: usize) {
+    let part = vec![b'b'; length];
+    if framing == RequestFraming::Length {
+        return client.write(&part).await;
+    }
+    client.write(format!("{length:x}\r\n").as_bytes()).await;
+    client.write(&part).await;
+    client.write(b"\r\n").await;
+}
+
+async fn send_end(client: &mut Client, framing: RequestFraming) {
+    if framing == RequestFraming::Chunked {
+        client.write(b"0\r\n\r\n").await;
+    }
+}
+
+/// Accepts an attempt, and reads the beginning of its request.
+async fn accept_beginning(listener: &TcpListener) -> TcpStream {
+    let (mut stream, _) = within_limit("a connection", listener.accept())
+        .await
+        .expect("accepted");
+    let mut beginning = vec![0; FIRST_PART];
+    within_limit("the beginning", stream.read_exact(&mut beginning))
+        .await
+        .expect("read");
+    stream
+}
+
+/// Reads what comes, until the connection ends.
+fn read_on(mut stream: TcpStream) {
+    tokio::spawn(async move { tokio::io::copy(&mut stream, &mut tokio::io::sink()).await });
+}
+
+fn verify_complete(response: Option<Response>, length: usize) -> googletest::Result<()> {
+    let Some(response) = response else {
+        return fail!("the connection ended without a response");
+    };
+    let message = response.message;
+    verify_that!(
+        (response.status, message.complete, message.body.len()),
+        eq((200, true, length))
+    )
+}
+
+/// Sends a short request on the client's connection, and serves it.
+async fn verify_connection_is_kept(
+    client: &mut Client,
+    listener: &TcpListener,
+) -> googletest::Result<()> {
+    client
+        .send("POST", "/write/b", &[("try-id", "t1")], b"short")
+        .await;
+    let (mut server, _) = within_limit("a connection", listener.accept()).await?;
+    let reading = read_message(&mut server, MessageKind::Request);
+    verify_that!(within_limit("a request", reading).await, some(anything()))?;
+    let form = RESPONSE_FORMS[0];
+    write_response(&mut server, form).await?;
+    verify_complete(client.response().await, form.length)
+}
+
+/// Guards `StreamedBody::upload` and `StreamConnection::Driven`: an early response reaches a client that is still sending
+/// its body, in every form, and its connection is kept (review/6, LOST).
+#[tokio::test]
+async fn an_early_response_reaches_a_client_that_is_still_uploading() -> googletest::Result<()> {
+    for framing in [RequestFraming::Length, RequestFraming::Chunked] {
+        for form in RESPONSE_FORMS {
+            let (proxy, _session, listener) = start().await;
+            let mut client = proxy.connect().await;
+            send_head(&mut client, framing, BODY_BYTES).await;
+            send_part(&mut client, framing, FIRST_PART).await;
+            let mut server = accept_beginning(&listener).await;
+            write_response(&mut server, form).await?;
+            read_on(server);
+            verify_complete(client.response().await, form.length)
+                .with_failure_message(|| format!("{framing:?}, {form:?}"))?;
+            send_part(&mut client, framing, BODY_BYTES - FIRST_PART).await;
+            send_end(&mut client, framing).await;
+            verify_connection_is_kept(&mut client, &listener).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Guards that the rest of the body goes to the server while an early response is streamed, which the server may wait
+/// for.
+#[tokio::test]
+async fn a_server_gets_the_rest_of_a_body_while_it_responds() -> googletest::Result<()> {
+    for framing in [RequestFraming::Length, RequestFraming::Chunked] {
+        let (proxy, _session, listener) = start().await;
+        let mut client = proxy.connect().await;
+        send_head(&mut client, framing, BODY_BYTES).await;
+        send_part(&mut client, framing, FIRST_PART).await;
+        let mut server = accept_beginning(&listener).await;
+        let form = RESPONSE_FORMS[1];
+        server.write_all(response_head(form).as_bytes()).await?;
+        server.write_all(&vec![b'r'; form.length / 2]).await?;
+        let mut half = vec![0; form.length / 2];
+        within_limit("the head", read_head(&mut client.stream)).await;
+        within_limit("a half", client.stream.read_exact(&mut half)).await?;
+        send_part(&mut client, framing, BODY_BYTES - FIRST_PART).await;
+        send_end(&mut client, framing).await;
+        let mut rest = vec![0; BODY_BYTES - FIRST_PART];
+        within_limit("the rest of the body", server.read_exact(&mut rest)).await?;
+        server.write_all(&half).await?;
+        within_limit("the other half", client.stream.read_exact(&mut half)).await?;
+        verify_connection_is_kept(&mut client, &listener).await?;
+    }
+    Ok(())
+}
+
+/// Guards `drive_in_background`: a client that reads its response only after it has sent its body gets it, although the
+/// response is longer than what sockets hold.
+#[tokio::test]
+async fn a_client_that_reads_after_its_upload_gets_a_long_early_response() -> googletest::Result<()>
+{
+    const LONG: usize = 24 << 20;
+    let (proxy, _session, listener) = start().await;
+    let mut client = proxy.connect().await;
+    send_head(&mut client, RequestFraming::Length, LONG).await;
+    send_part(&mut client, RequestFraming::Length, FIRST_PART).await;
+    let server = accept_beginning(&listener).await;
+    let (mut reader, mut writer) = server.into_split();
+    tokio::spawn(async move { tokio::io::copy(&mut reader, &mut tokio::io::sink()).await });
+    let form = ResponseForm {
+        length: LONG,
+        chunked: false,
+        paused: false,
+    };
+    tokio::spawn(async move {
+        writer.write_all(response_head(form).as_bytes()).await?;
+        writer.write_all(&vec![b'r'; LONG]).await
+    });
+    send_part(&mut client, RequestFraming::Length, LONG - FIRST_PART).await;
+    verify_complete(client.response().await, LONG)
+}
+
+/// Guards the end of a connection after SIGTERM: it is closed only when its client has sent the rest of its body, as the
+/// response could be lost otherwise.
+#[tokio::test]
+async fn an_early_response_of_a_draining_proxy_is_not_lost() -> googletest::Result<()> {
+    for framing in [RequestFraming::Length, RequestFraming::Chunked] {
+        let (proxy, _session, listener) = start().await;
+        let mut client = proxy.connect().await;
+        send_head(&mut client, framing, BODY_BYTES).await;
+        send_part(&mut client, framing, FIRST_PART).await;
+        let mut server = accept_beginning(&listener).await;
+        proxy.terminate();
+        proxy.wait_readiness(503).await;
+        let form = RESPONSE_FORMS[1];
+        write_response(&mut server, form).await?;
+        read_on(server);
+        // The client does not read before it has sent all.
+        sleep(RESPONSE_PAUSE).await;
+        send_part(&mut client, framing, BODY_BYTES - FIRST_PART).await;
+        send_end(&mut client, framing).await;
+        verify_complete(client.response().await, form.length)
+            .with_failure_message(|| format!("{framing:?}"))?;
+    }
+    Ok(())
+}
