Let a request end with its body, not with its response

What callers saw: a client gets its whole response before it has sent the whole body, and takes over a few seconds for the rest: the proxy closes its connection, and a client that reads only after its upload loses the response (LOST).

Cause: the end of the response ended the request, so that the connection counted as idle, and the next line of a chunked body as the beginning of a head, with the time limit of a head.

Evidence: a_slow_rest_of_a_body_after_its_response_does_not_end_the_connection failed with the commit before (the connection is reset in the middle of the upload).

Change: the connection's state follows the framing of what the client sends (Framing::is_in_body); a request whose response is complete is over once its body is.

--- a/crates/emberpin-limiter/src/front/connections.rs
+++ b/crates/emberpin-limiter/src/front/connections.rs
@@ -72,7 +72,7 @@
     Idle,
     /// A part of a head has arrived.
     Head,
-    /// A request is in flight: its head is complete, and its response is not.
+    /// A request is in flight: its head is complete, and its response is not, or the rest of its body is still to come.
     InRequest,
 }
 
@@ -86,6 +86,9 @@
     /// Number of requests received.
     requests: Cell<u64>,
     framing: RefCell<Framing>,
+    /// The response to the current request is complete. The request itself may not be: a server may respond before the
+    /// end of its body.
+    response_ended: Cell<bool>,
     /// A response broke off. The connection is reset when it is dropped, as a regular close could look like the end of
     /// that response.
     response_truncated: Cell<bool>,
@@ -98,6 +101,7 @@
     /// Records that the head of a request is complete.
     pub fn begin_request(&self) {
         self.stage.set(Stage::InRequest);
+        self.response_ended.set(false);
         self.requests.set(self.requests.get() + 1);
     }
 
@@ -131,10 +135,35 @@
         self.requests.get() > 0
     }
 
-    /// Records that the request has been answered.
+    /// Records that the request has been answered. It is over with the end of its body.
     pub fn end_request(&self) {
-        self.stage.set(Stage::Idle);
-        self.since.set(Instant::now());
+        self.response_ended.set(true);
+        self.become_idle_after_body();
+    }
+
+    fn become_idle_after_body(&self) {
+        if self.response_ended.get() && !self.framing.borrow().is_in_body() {
+            self.response_ended.set(false);
+            self.stage.set(Stage::Idle);
+            self.since.set(Instant::now());
+        }
+    }
+
+    /// Follows the bytes that the client has sent.
+    fn on_received(&self, received: &[u8]) {
+        self.framing.borrow_mut().feed(received);
+        self.become_idle_after_body();
+        // Empty lines before a request are not part of it.
+        if self.stage.get() == Stage::Idle
+            && !received.is_empty()
+            && self.framing.borrow().expects_more_lines()
+        {
+            self.stage.set(Stage::Head);
+            self.since.set(Instant::now());
+        }
+        if self.stage.get() == Stage::Head {
+            self.head_progress.set(Instant::now());
+        }
     }
 
     /// Returns when the connection must be closed. If the head of a request became complete at the last moment, the
@@ -236,6 +265,7 @@
             head_progress: Cell::new(Instant::now()),
             requests: Cell::new(0),
             framing: RefCell::default(),
+            response_ended: Cell::new(false),
             response_truncated: Cell::new(false),
             closing: Cell::new(false),
             close_notify: Notify::new(),
@@ -342,21 +372,7 @@
     ) -> Poll<io::Result<()>> {
         let filled_before = into.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, into);
-        let connection = &self.connection;
-        let received = &into.filled()[filled_before..];
-        let mut framing = connection.framing.borrow_mut();
-        framing.feed(received);
-        // Empty lines before a request are not part of it.
-        if connection.stage.get() == Stage::Idle
-            && !received.is_empty()
-            && framing.expects_more_lines()
-        {
-            connection.stage.set(Stage::Head);
-            connection.since.set(Instant::now());
-        }
-        if connection.stage.get() == Stage::Head {
-            connection.head_progress.set(Instant::now());
-        }
+        self.connection.on_received(&into.filled()[filled_before..]);
         result
     }
 }
--- a/crates/emberpin-limiter/src/front/framing.rs
+++ b/crates/emberpin-limiter/src/front/framing.rs
@@ -68,6 +68,15 @@
         }
     }
 
+    /// Whether the end of the body of the latest message is still to come.
+    pub fn is_in_body(&self) -> bool {
+        match self.position {
+            Position::Head { first: true } => self.skip > 0,
+            Position::ChunkSize | Position::Trailers => true,
+            Position::Head { first: false } | Position::Lost => false,
+        }
+    }
+
     /// Processes the next received bytes.
     pub fn feed(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() && self.position != Position::Lost {
--- a/crates/emberpin-proxy/tests/early_responses.rs
+++ b/crates/emberpin-proxy/tests/early_responses.rs
@@ -4,9 +4,10 @@
 mod common;
 
 use common::{
-    default_items, instance, read_head, read_message, within_limit, Client, MessageKind, Proxy,
-    RegistrySession, Response, DEFAULT_BOUNDS,
+    default_items, instance, item, read_head, read_message, within_limit, Client, MessageKind,
+    Proxy, RegistrySession, Response, DEFAULT_BOUNDS,
 };
+use emberpin_config::ItemKind;
 use googletest::prelude::*;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -276,3 +277,37 @@
     }
     Ok(())
 }
+
+/// Guards `Connection::end_request`: the rest of a body after an early response is no head of a request, and has the
+/// time of a body.
+#[tokio::test]
+async fn a_slow_rest_of_a_body_after_its_response_does_not_end_the_connection(
+) -> googletest::Result<()> {
+    const HEAD_LIMIT: Duration = Duration::from_millis(300);
+    for framing in [RequestFraming::Length, RequestFraming::Chunked] {
+        let (proxy, mut session, listener) = start().await;
+        let limits = format!(
+            "{{\"hdr_max_bytes\":16384,\"body_max_bytes\":67108864,\"hdr_read\":\"{}ms\",\"idle\":\"600ms\",\"ver\":1}}",
+            HEAD_LIMIT.as_millis()
+        );
+        session
+            .send_changes(vec![item(ItemKind::Limits, "", 1, Some(limits))], vec![])
+            .await;
+        let mut client = proxy.connect().await;
+        send_head(&mut client, framing, BODY_BYTES).await;
+        send_part(&mut client, framing, FIRST_PART).await;
+        let mut server = accept_beginning(&listener).await;
+        let form = RESPONSE_FORMS[1];
+        write_response(&mut server, form).await?;
+        read_on(server);
+        for _ in 0..6 {
+            sleep(HEAD_LIMIT).await;
+            send_part(&mut client, framing, (BODY_BYTES - FIRST_PART) / 6).await;
+        }
+        send_end(&mut client, framing).await;
+        verify_complete(client.response().await, form.length)
+            .with_failure_message(|| format!("{framing:?}"))?;
+        verify_connection_is_kept(&mut client, &listener).await?;
+    }
+    Ok(())
+}
