--- a/crates/emberpin-proxy/tests/common/mod.rs
+++ b/crates/emberpin-proxy/tests/common/mod.rs
@@ -16,6 +16,7 @@
 mod proxy;
 mod registry;
 mod server;
+mod uploader;
 mod wait;
 
 pub use client::{Client, Response};
@@ -26,4 +27,5 @@
 pub use proxy::{start_with_one_server, Bounds, Proxy, DEFAULT_BOUNDS};
 pub use registry::{confirmed, unconfirmed, RawSession, RegistrySession};
 pub use server::{next_request_at_either, two_servers, ReceivedRequest, Server};
+pub use uploader::{BodyFraming, Uploader};
 pub use wait::{poll_until, within_limit, WAIT_LIMIT};
--- a/crates/emberpin-proxy/tests/early_responses.rs
+++ b/crates/emberpin-proxy/tests/early_responses.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{
-    default_items, instance, item, read_head, read_message, within_limit, Client, MessageKind,
-    Proxy, RegistrySession, Response, DEFAULT_BOUNDS,
+    default_items, instance, item, read_head, read_message, within_limit, BodyFraming, Client,
+    MessageKind, Proxy, RegistrySession, Response, Uploader, DEFAULT_BOUNDS,
 };
 use emberpin_config::ItemKind;
 use googletest::prelude::*;
@@ -22,13 +22,6 @@
 /// A pause within a response without a stated length, after which the proxy streams it.
 const RESPONSE_PAUSE: Duration = Duration::from_millis(500);
 
-/// How a client states where the body of its request ends.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum RequestFraming {
-    Length,
-    Chunked,
-}
-
 /// The form of an early response.
 #[derive(Clone, Copy, Debug)]
 struct ResponseForm {
@@ -96,6 +89,13 @@
     Ok(())
 }
 
+/// A client that has sent the first part of its body.
+async fn start_upload(proxy: &Proxy, framing: BodyFraming, length: usize) -> Uploader {
+    let mut uploader = Uploader::start(proxy, "/write/a", framing, length).await;
+    uploader.send(&[b'b'; FIRST_PART]).await;
+    uploader
+}
+
 /// A proxy with one server, whose connections the test accepts.
 async fn start() -> (Proxy, RegistrySession, TcpListener) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
@@ -106,33 +106,6 @@
     (proxy, session, listener)
 }
 
-async fn send_head(client: &mut Client, framing: RequestFraming, length: usize) {
-    let framing = match framing {
-        RequestFraming::Length => format!("content-length: {length}"),
-        RequestFraming::Chunked => "transfer-encoding: chunked".to_string(),
-    };
-    let head = format!(
-        "POST /write/a HTTP/1.1\r\nhost: h.example\r\ntry-id: t1\r\ndeadline: 8000\r\n{framing}\r\n\r\n"
-    );
-    client.write(head.as_bytes()).await;
-}
-
-async fn send_part(client: &mut Client, framing: RequestFraming, length: usize) {
-    let part = vec![b'b'; length];
-    if framing == RequestFraming::Length {
-        return client.write(&part).await;
-    }
-    client.write(format!("{length:x}\r\n").as_bytes()).await;
-    client.write(&part).await;
-    client.write(b"\r\n").await;
-}
-
-async fn send_end(client: &mut Client, framing: RequestFraming) {
-    if framing == RequestFraming::Chunked {
-        client.write(b"0\r\n\r\n").await;
-    }
-}
-
 /// Accepts an attempt, and reads the beginning of its request.
 async fn accept_beginning(listener: &TcpListener) -> TcpStream {
     let (mut stream, _) = within_limit("a connection", listener.accept())
@@ -181,20 +154,17 @@
 /// its body, in every form, and its connection is kept (review/6, LOST).
 #[tokio::test]
 async fn an_early_response_reaches_a_client_that_is_still_uploading() -> googletest::Result<()> {
-    for framing in [RequestFraming::Length, RequestFraming::Chunked] {
+    for framing in BodyFraming::ALL {
         for form in RESPONSE_FORMS {
             let (proxy, _session, listener) = start().await;
-            let mut client = proxy.connect().await;
-            send_head(&mut client, framing, BODY_BYTES).await;
-            send_part(&mut client, framing, FIRST_PART).await;
+            let mut uploader = start_upload(&proxy, framing, BODY_BYTES).await;
             let mut server = accept_beginning(&listener).await;
             write_response(&mut server, form).await?;
             read_on(server);
-            verify_complete(client.response().await, form.length)
+            verify_complete(uploader.client.response().await, form.length)
                 .with_failure_message(|| format!("{framing:?}, {form:?}"))?;
-            send_part(&mut client, framing, BODY_BYTES - FIRST_PART).await;
-            send_end(&mut client, framing).await;
-            verify_connection_is_kept(&mut client, &listener).await?;
+            uploader.finish(&[b'b'; BODY_BYTES - FIRST_PART]).await;
+            verify_connection_is_kept(&mut uploader.client, &listener).await?;
         }
     }
     Ok(())
@@ -204,25 +174,26 @@
 /// for.
 #[tokio::test]
 async fn a_server_gets_the_rest_of_a_body_while_it_responds() -> googletest::Result<()> {
-    for framing in [RequestFraming::Length, RequestFraming::Chunked] {
+    for framing in BodyFraming::ALL {
         let (proxy, _session, listener) = start().await;
-        let mut client = proxy.connect().await;
-        send_head(&mut client, framing, BODY_BYTES).await;
-        send_part(&mut client, framing, FIRST_PART).await;
+        let mut uploader = start_upload(&proxy, framing, BODY_BYTES).await;
         let mut server = accept_beginning(&listener).await;
         let form = RESPONSE_FORMS[1];
         server.write_all(response_head(form).as_bytes()).await?;
         server.write_all(&vec![b'r'; form.length / 2]).await?;
         let mut half = vec![0; form.length / 2];
-        within_limit("the head", read_head(&mut client.stream)).await;
-        within_limit("a half", client.stream.read_exact(&mut half)).await?;
-        send_part(&mut client, framing, BODY_BYTES - FIRST_PART).await;
-        send_end(&mut client, framing).await;
+        within_limit("the head", read_head(&mut uploader.client.stream)).await;
+        within_limit("a half", uploader.client.stream.read_exact(&mut half)).await?;
+        uploader.finish(&[b'b'; BODY_BYTES - FIRST_PART]).await;
         let mut rest = vec![0; BODY_BYTES - FIRST_PART];
         within_limit("the rest of the body", server.read_exact(&mut rest)).await?;
         server.write_all(&half).await?;
-        within_limit("the other half", client.stream.read_exact(&mut half)).await?;
-        verify_connection_is_kept(&mut client, &listener).await?;
+        within_limit(
+            "the other half",
+            uploader.client.stream.read_exact(&mut half),
+        )
+        .await?;
+        verify_connection_is_kept(&mut uploader.client, &listener).await?;
     }
     Ok(())
 }
@@ -234,9 +205,7 @@
 {
     const LONG: usize = 24 << 20;
     let (proxy, _session, listener) = start().await;
-    let mut client = proxy.connect().await;
-    send_head(&mut client, RequestFraming::Length, LONG).await;
-    send_part(&mut client, RequestFraming::Length, FIRST_PART).await;
+    let mut uploader = start_upload(&proxy, BodyFraming::Length, LONG).await;
     let server = accept_beginning(&listener).await;
     let (mut reader, mut writer) = server.into_split();
     tokio::spawn(async move { tokio::io::copy(&mut reader, &mut tokio::io::sink()).await });
@@ -249,19 +218,17 @@
         writer.write_all(response_head(form).as_bytes()).await?;
         writer.write_all(&vec![b'r'; LONG]).await
     });
-    send_part(&mut client, RequestFraming::Length, LONG - FIRST_PART).await;
-    verify_complete(client.response().await, LONG)
+    uploader.finish(&vec![b'b'; LONG - FIRST_PART]).await;
+    verify_complete(uploader.client.response().await, LONG)
 }
 
 /// Guards the end of a connection after SIGTERM: it is closed only when its client has sent the rest of its body, as the
 /// response could be lost otherwise.
 #[tokio::test]
 async fn an_early_response_of_a_draining_proxy_is_not_lost() -> googletest::Result<()> {
-    for framing in [RequestFraming::Length, RequestFraming::Chunked] {
+    for framing in BodyFraming::ALL {
         let (proxy, _session, listener) = start().await;
-        let mut client = proxy.connect().await;
-        send_head(&mut client, framing, BODY_BYTES).await;
-        send_part(&mut client, framing, FIRST_PART).await;
+        let mut uploader = start_upload(&proxy, framing, BODY_BYTES).await;
         let mut server = accept_beginning(&listener).await;
         proxy.terminate();
         proxy.wait_readiness(503).await;
@@ -270,9 +237,8 @@
         read_on(server);
         // The client does not read before it has sent all.
         sleep(RESPONSE_PAUSE).await;
-        send_part(&mut client, framing, BODY_BYTES - FIRST_PART).await;
-        send_end(&mut client, framing).await;
-        verify_complete(client.response().await, form.length)
+        uploader.finish(&[b'b'; BODY_BYTES - FIRST_PART]).await;
+        verify_complete(uploader.client.response().await, form.length)
             .with_failure_message(|| format!("{framing:?}"))?;
     }
     Ok(())
@@ -284,7 +250,9 @@
 async fn a_slow_rest_of_a_body_after_its_response_does_not_end_the_connection(
 ) -> googletest::Result<()> {
     const HEAD_LIMIT: Duration = Duration::from_millis(300);
-    for framing in [RequestFraming::Length, RequestFraming::Chunked] {
+    const REST_PIECES: usize = 6;
+    const REST_PIECE: usize = (BODY_BYTES - FIRST_PART) / REST_PIECES;
+    for framing in BodyFraming::ALL {
         let (proxy, mut session, listener) = start().await;
         let limits = format!(
             "{{\"hdr_max_bytes\":16384,\"body_max_bytes\":67108864,\"hdr_read\":\"{}ms\",\"idle\":\"600ms\",\"ver\":1}}",
@@ -293,21 +261,19 @@
         session
             .send_changes(vec![item(ItemKind::Limits, "", 1, Some(limits))], vec![])
             .await;
-        let mut client = proxy.connect().await;
-        send_head(&mut client, framing, BODY_BYTES).await;
-        send_part(&mut client, framing, FIRST_PART).await;
+        let mut uploader = start_upload(&proxy, framing, BODY_BYTES).await;
         let mut server = accept_beginning(&listener).await;
         let form = RESPONSE_FORMS[1];
         write_response(&mut server, form).await?;
         read_on(server);
-        for _ in 0..6 {
+        for _ in 1..REST_PIECES {
             sleep(HEAD_LIMIT).await;
-            send_part(&mut client, framing, (BODY_BYTES - FIRST_PART) / 6).await;
+            uploader.send(&[b'b'; REST_PIECE]).await;
         }
-        send_end(&mut client, framing).await;
-        verify_complete(client.response().await, form.length)
+        uploader.finish(&[b'b'; REST_PIECE]).await;
+        verify_complete(uploader.client.response().await, form.length)
             .with_failure_message(|| format!("{framing:?}"))?;
-        verify_connection_is_kept(&mut client, &listener).await?;
+        verify_connection_is_kept(&mut uploader.client, &listener).await?;
     }
     Ok(())
 }
--- a/crates/emberpin-proxy/tests/interrupted_uploads.rs
+++ b/crates/emberpin-proxy/tests/interrupted_uploads.rs
@@ -6,7 +6,7 @@
 
 use common::{
     default_items, instance, next_request_at_either, poll_until, service, two_servers,
-    within_limit, Client, Proxy, RegistrySession, RouteSpec, Server, DEFAULT_BOUNDS,
+    within_limit, BodyFraming, Proxy, RegistrySession, RouteSpec, Server, Uploader, DEFAULT_BOUNDS,
     MUTATING_ROUTE, READONLY_ROUTE,
 };
 use emberpin_membership::instance::Instance;
@@ -31,13 +31,6 @@
     ..MUTATING_ROUTE
 };
 
-/// How a client states where the body of its request ends.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Framing {
-    Length,
-    Chunked,
-}
-
 /// When the first server turns the request away.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Rejected {
@@ -45,44 +38,6 @@
     AfterUpload,
 }
 
-/// A client that sends the body of a request in parts.
-struct Uploader {
-    client: Client,
-    framing: Framing,
-}
-
-impl Uploader {
-    async fn start(proxy: &Proxy, path: &str, framing: Framing) -> Uploader {
-        let mut client = proxy.connect().await;
-        let stated = match framing {
-            Framing::Length => format!("content-length: {BODY_BYTES}"),
-            Framing::Chunked => "transfer-encoding: chunked".to_string(),
-        };
-        let head = format!(
-            "POST {path} HTTP/1.1\r\nhost: h.example\r\ntry-id: t1\r\ndeadline: 8000\r\n{stated}\r\n\r\n"
-        );
-        client.write(head.as_bytes()).await;
-        Uploader { client, framing }
-    }
-
-    async fn send(&mut self, part: &[u8]) {
-        if self.framing == Framing::Chunked {
-            let size = format!("{:x}\r\n", part.len());
-            self.client.write(size.as_bytes()).await;
-        }
-        self.client.write(part).await;
-        if self.framing == Framing::Chunked {
-            self.client.write(b"\r\n").await;
-        }
-    }
-
-    async fn finish(&mut self) {
-        if self.framing == Framing::Chunked {
-            self.client.write(b"0\r\n\r\n").await;
-        }
-    }
-}
-
 /// A body without repetitions, so that a gap in it shows.
 fn body() -> Vec<u8> {
     let word = |index: usize| format!("{index:07} ").into_bytes();
@@ -137,16 +92,18 @@
 }
 
 /// Has the route move to another service during an upload that the first server turns away.
-async fn expect_not_routed_again(framing: Framing, rejected: Rejected) -> googletest::Result<()> {
+async fn expect_not_routed_again(
+    framing: BodyFraming,
+    rejected: Rejected,
+) -> googletest::Result<()> {
     let (proxy, mut session, listener, mut other) = start().await;
     let body = body();
-    let mut uploader = Uploader::start(&proxy, "/write/a", framing).await;
+    let mut uploader = Uploader::start(&proxy, "/write/a", framing, BODY_BYTES).await;
     uploader.send(&body[..FIRST_PART]).await;
     let mut server = accept_beginning(&listener, FIRST_PART).await;
     session.send_changes(vec![MOVED_ROUTE.item()], vec![]).await;
     if rejected == Rejected::AfterUpload {
-        uploader.send(&body[FIRST_PART..]).await;
-        uploader.finish().await;
+        uploader.finish(&body[FIRST_PART..]).await;
         let mut rest = vec![0; BODY_BYTES - FIRST_PART];
         within_limit("the rest", server.read_exact(&mut rest)).await?;
     }
@@ -154,8 +111,7 @@
     let responding = async {
         let status = uploader.client.status().await;
         if rejected == Rejected::DuringUpload {
-            uploader.send(&body[FIRST_PART..]).await;
-            uploader.finish().await;
+            uploader.finish(&body[FIRST_PART..]).await;
         }
         status
     };
@@ -174,7 +130,7 @@
 #[tokio::test]
 async fn an_upload_that_was_sent_in_part_is_not_sent_to_another_service() -> googletest::Result<()>
 {
-    for framing in [Framing::Chunked, Framing::Length] {
+    for framing in BodyFraming::ALL {
         for rejected in [Rejected::AfterUpload, Rejected::DuringUpload] {
             expect_not_routed_again(framing, rejected)
                 .await
@@ -189,16 +145,15 @@
 #[tokio::test]
 async fn an_upload_whose_beginning_is_buffered_is_sent_to_another_service_completely(
 ) -> googletest::Result<()> {
-    for framing in [Framing::Chunked, Framing::Length] {
+    for framing in BodyFraming::ALL {
         let (proxy, mut session, listener, mut other) = start().await;
         let body = body();
-        let mut uploader = Uploader::start(&proxy, "/write/a", framing).await;
+        let mut uploader = Uploader::start(&proxy, "/write/a", framing, BODY_BYTES).await;
         uploader.send(&body[..FORWARDED_FROM]).await;
         let mut server = accept_beginning(&listener, FORWARDED_FROM).await;
         session.send_changes(vec![MOVED_ROUTE.item()], vec![]).await;
         server.write_all(REJECTION).await?;
-        uploader.send(&body[FORWARDED_FROM..]).await;
-        uploader.finish().await;
+        uploader.finish(&body[FORWARDED_FROM..]).await;
         let request = other.next_request().await;
         verify_that!(request.message.complete, eq(true))?;
         verify_that!(request.message.body == body, eq(true))?;
@@ -213,11 +168,11 @@
 #[tokio::test]
 async fn an_upload_that_its_client_gave_up_is_not_sent_as_a_complete_request(
 ) -> googletest::Result<()> {
-    for framing in [Framing::Chunked, Framing::Length] {
+    for framing in BodyFraming::ALL {
         let (mut one, mut other, instances) = two_servers().await;
         let (proxy, _session) =
             Proxy::start_ready(DEFAULT_BOUNDS, default_items(), instances).await;
-        let mut uploader = Uploader::start(&proxy, "/read/a", framing).await;
+        let mut uploader = Uploader::start(&proxy, "/read/a", framing, BODY_BYTES).await;
         uploader.send(&body()[..FORWARDED_FROM]).await;
         let connected =
             || async { (one.connection_count() + other.connection_count() > 0).then_some(()) };
