Let the soak of requests in flight run by counts, not by time

Cause: with 30 processes of it side by side, each beside its own proxy and a load of 15, its 2.5 s were over after 9 to 28 served requests, where 40 were wanted; nothing was wrong with the proxy.

The checks are the same.

--- a/crates/emberpin-proxy/tests/in_flight_soak/history.rs
+++ b/crates/emberpin-proxy/tests/in_flight_soak/history.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Number of requests that clients have begun to send.
+    pub fn begun(&self) -> usize {
+        self.requests.len()
+    }
+
     pub fn served(&self) -> usize {
         let is_served = |record: &&Record| {
             matches!(
