Let the charge for an unsent retry pay for the attempt after it

Cause: an attempt that is overdue is timed out in favour of a retry that is granted and charged beforehand. If the retry's server accepts no connection, nothing is sent; the attempt that follows takes its place, but was charged once more, which the budget of a proxy with few requests does not bear.

Change: what was charged for a retry that was not sent is kept for the attempt after it.

Why it works: the number of retries sent still never exceeds what was charged, and the request is no longer left without the retry that it was broken off for.

--- a/crates/emberpin-proxy/src/controller/attempts.rs
+++ b/crates/emberpin-proxy/src/controller/attempts.rs
@@ -44,8 +44,7 @@
             return;
         };
         if !ended.sent {
-            // No byte of it was sent: the attempt that follows takes its place, and needs no retry budget.
-            in_flight.attempts_sent = in_flight.attempts_sent.saturating_sub(1);
+            in_flight.take_back_unsent_attempt();
         }
         let service = in_flight.service.clone();
         let withdrawn = in_flight.outgoing.withdrawn.get();
--- a/crates/emberpin-proxy/src/controller/in_flight_request.rs
+++ b/crates/emberpin-proxy/src/controller/in_flight_request.rs
@@ -26,11 +26,19 @@
     pub(super) deadline: Option<Duration>,
     /// Attempts sent to servers, less those that ended before any byte was sent.
     pub(super) attempts_sent: u32,
-    /// The attempt at a server was timed out in favour of a retry, which is already granted and charged to the budget.
+    /// The next attempt is already granted and charged to the retry budget: the one at a server was timed out in favour
+    /// of it, or it takes the place of a retry of which nothing was sent.
     pub(super) retry_reserved: bool,
 }
 
 impl InFlightRequest {
+    /// Takes back an attempt of which no byte was sent: the attempt that follows takes its place, and needs no retry
+    /// budget beyond what was charged for this one.
+    pub(super) fn take_back_unsent_attempt(&mut self) {
+        self.retry_reserved |= self.attempts_sent > 1;
+        self.attempts_sent = self.attempts_sent.saturating_sub(1);
+    }
+
     /// The request, to be routed again for the same waiting client.
     pub(super) fn to_route_request(
         &self,
--- a/crates/emberpin-proxy/tests/attempt_timeouts.rs
+++ b/crates/emberpin-proxy/tests/attempt_timeouts.rs
@@ -9,7 +9,9 @@
 };
 use emberpin_membership::instance::Instance;
 use googletest::prelude::*;
+use std::net::Ipv4Addr;
 use std::time::Duration;
+use tokio::net::TcpSocket;
 
 /// Latency target of a route whose attempts are overdue after 340 ms: before the decision module has measured any
 /// response, it allows an attempt 85 % of its latency target.
@@ -222,3 +224,44 @@
     silent.wait_closed().await;
     verify_that!(client.status().await, some(eq(502)))
 }
+
+/// Guards `take_back_unsent_attempt`: a retry in whose favour an attempt was timed out, and whose server refuses the
+/// connection, is still owed and paid for. Its request is sent to the next server, where the budget allows one retry.
+#[tokio::test]
+async fn a_granted_retry_that_was_not_sent_is_sent_to_the_next_server() -> googletest::Result<()> {
+    let mut server = Server::start().await;
+    let refusing = TcpSocket::new_v4()?;
+    refusing.bind((Ipv4Addr::LOCALHOST, 0).into())?;
+    let instances = vec![
+        instance("i-1", server.address),
+        Instance {
+            zone: "south".into(),
+            ..instance("i-2", refusing.local_addr()?)
+        },
+    ];
+    let route = RouteSpec {
+        latency_target: SHORT_LATENCY_TARGET,
+        max_attempts: 3,
+        ..READONLY_ROUTE
+    };
+    let items = vec![service("s", 1, 10.0), route.item()];
+    // A proxy uses half of the budget: one retry for each request.
+    let bounds = Bounds {
+        retry_ratio: 2.0,
+        ..DEFAULT_BOUNDS
+    };
+    let (proxy, _session) = Proxy::start_ready(bounds, items, instances).await;
+    let serving = async {
+        server.next_request().await.wait_closed().await;
+        let retry = server.next_request().await;
+        retry.respond(200, &[], "soon").await;
+    };
+    let response = tokio::select! {
+        response = proxy.request("GET", "/read/a", "t1") => response,
+        () = async { serving.await; std::future::pending().await } => return fail!("unreachable"),
+    };
+    verify_that!(
+        (response.status, response.text().as_str()),
+        eq((200, "soon"))
+    )
+}
