--- a/crates/emberpin-limiter/src/front/upload.rs
+++ b/crates/emberpin-limiter/src/front/upload.rs
@@ -33,7 +33,7 @@
     Open(Incoming),
     /// All of the body has arrived.
     Ended,
-    /// The body broke off, exceeded its maximum length or is discarded: nobody can receive the whole body any more.
+    /// The body broke off or is discarded: nobody can receive the whole body any more.
     Lost,
 }
 
--- a/crates/emberpin-limiter/src/upstream/engine/mod.rs
+++ b/crates/emberpin-limiter/src/upstream/engine/mod.rs
@@ -141,8 +141,8 @@
     }
 
     /// Takes back a request, so that it can be routed again. Returns the sender of its reply, or `None` if an attempt
-    /// that has ended may have run it, its body can't be sent again, or it is answered. The caller must know that the running attempt has not run it;
-    /// the module learns of the request's end when that attempt ends.
+    /// that has ended may have run it, its body can't be sent again, or it is answered. The caller must know that the
+    /// running attempt has not run it; the module learns of the request's end when that attempt ends.
     pub fn withdraw(&mut self, request: RequestId) -> Option<oneshot::Sender<Reply>> {
         self.requests
             .get_mut(&request)
