--- a/crates/emberpin-proxy/tests/early_responses.rs
+++ b/crates/emberpin-proxy/tests/early_responses.rs
@@ -277,3 +277,65 @@
     }
     Ok(())
 }
+
+/// Length of a body that is still being sent when its server closes the connection.
+const LONG_BODY_BYTES: usize = 4_000_000;
+/// Each form of a response is tried this many times, as the moment of the failed write differs.
+const CLOSING_ROUNDS: usize = 6;
+
+/// Sends a long body, while the server responds with these bytes and closes its connection with the rest unread.
+async fn response_before_close(
+    framing: BodyFraming,
+    bytes: Vec<u8>,
+) -> googletest::Result<Option<Response>> {
+    let (proxy, _session, listener) = start().await;
+    let mut uploader = start_upload(&proxy, framing, LONG_BODY_BYTES).await;
+    let mut server = accept_beginning(&listener).await;
+    let responding = tokio::spawn(async move { server.write_all(&bytes).await });
+    uploader
+        .finish(&vec![b'b'; LONG_BODY_BYTES - FIRST_PART])
+        .await;
+    responding.await??;
+    Ok(uploader.client.response().await)
+}
+
+/// Guards `ObservedStream::on_written`: a write to a server that has responded and closed its connection fails, and the
+/// response must not be lost with it (a relative of review/6).
+#[tokio::test]
+async fn a_response_of_a_server_that_closes_without_reading_the_body_is_not_lost(
+) -> googletest::Result<()> {
+    const REJECTION: &[u8] =
+        b"HTTP/1.1 503 Full\r\ntry-id: t1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+    for framing in BodyFraming::ALL {
+        for _ in 0..CLOSING_ROUNDS {
+            for form in &RESPONSE_FORMS[..2] {
+                let bytes = [response_head(*form).as_bytes(), &vec![b'r'; form.length]].concat();
+                let response = response_before_close(framing, bytes).await?;
+                verify_complete(response, form.length)
+                    .with_failure_message(|| format!("{framing:?}, {form:?}"))?;
+            }
+            let rejected = response_before_close(framing, REJECTION.to_vec()).await?;
+            verify_that!(rejected.map(|response| response.status), some(eq(503)))?;
+        }
+    }
+    Ok(())
+}
+
+/// Guards `ObservedStream::poll_read`: after a failed write, the end of the connection is no end of a response without a
+/// length, as its server has reset it.
+#[tokio::test]
+async fn a_response_without_a_length_is_not_complete_after_a_reset() -> googletest::Result<()> {
+    const UNTIL_CLOSE: &str =
+        "HTTP/1.1 200 X\r\ntry-id: t1\r\nseal: s\r\nconnection: close\r\n\r\n";
+    for framing in BodyFraming::ALL {
+        for length in [2_000, 30_000] {
+            let bytes = [UNTIL_CLOSE.as_bytes(), &vec![b'r'; length]].concat();
+            let response = response_before_close(framing, bytes).await?;
+            let is_whole = response
+                .is_some_and(|response| response.status == 200 && response.message.complete);
+            verify_that!(is_whole, eq(false))
+                .with_failure_message(|| format!("{framing:?}, {length}"))?;
+        }
+    }
+    Ok(())
+}
