Accept responses without a body that state no length

What callers saw: a server ran a mutating request and answered 204 with its Seal, and the client got 502. So too for 304 and for responses to HEAD.

Cause: a response had to state a length, chunks, or that its connection closes. One that can have no body ends with its head and need not state any (RFC 9112, section 6.3).

Evidence: a_response_that_can_have_no_body_is_forwarded_without_a_framing got 502 before.

Change: the check of the framing knows which responses can have a body. Two framings are rejected as before.

--- a/crates/emberpin-limiter/src/upstream/server/response.rs
+++ b/crates/emberpin-limiter/src/upstream/server/response.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
-use hyper::{Request, Response, Version};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use std::collections::VecDeque;
 use std::error::Error;
 use std::io;
@@ -85,10 +85,12 @@
         request: Request<SentBody>,
         rules: ResponseRules<'_>,
     ) -> Result<(Response<()>, ReceivedBody), ExchangeError> {
+        let is_head_request = request.method() == Method::HEAD;
         let responding = self.sender.send_request(request);
         let response: Response<Incoming> = self.drive(responding).await?;
         let (parts, body) = response.into_parts();
-        if !has_valid_framing(parts.version, &parts.headers) {
+        let may_have_body = !is_head_request && may_have_body(parts.status);
+        if !has_valid_framing(parts.version, &parts.headers, may_have_body) {
             return Err(ExchangeError::InvalidResponse);
         }
         let head = Response::from_parts(parts, ());
@@ -171,10 +173,16 @@
     joined.into()
 }
 
+/// Whether a response with this status may have a body, unless it responds to a HEAD request. One without a body ends
+/// with its head, whatever its headers say (RFC 9112, section 6.3).
+fn may_have_body(status: StatusCode) -> bool {
+    !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 /// Whether the head defines where the response ends: by one length, by chunked encoding, or by the end of a connection
 /// that the server says it will close (RFC 9112, section 6.3). Without this check, a truncated response could pass for
 /// a complete one, and the HTTP library would accept two contradictory framings and follow one of them.
-fn has_valid_framing(version: Version, headers: &HeaderMap) -> bool {
+fn has_valid_framing(version: Version, headers: &HeaderMap, may_have_body: bool) -> bool {
     let mut framings = headers
         .get_all(CONTENT_LENGTH)
         .iter()
@@ -186,7 +194,9 @@
         }
         (None, _) => {
             let closes = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
-            version == Version::HTTP_10 || headers.get_all(CONNECTION).iter().any(closes)
+            !may_have_body
+                || version == Version::HTTP_10
+                || headers.get_all(CONNECTION).iter().any(closes)
         }
         (Some(_), Some(_)) => false,
     }
--- a/crates/emberpin-proxy/tests/responses.rs
+++ b/crates/emberpin-proxy/tests/responses.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::{start_with_one_server, within_limit};
+use common::{read_head, start_with_one_server, within_limit};
 use googletest::prelude::*;
 
 /// Sends two requests on one connection of a client. The server sends its response to the first as altered by `tamper`,
@@ -285,3 +285,29 @@
         response.is_some_and(|(status, complete, _)| status == 200 && complete);
     verify_that!(is_complete_success, eq(false))
 }
+
+/// Guards `may_have_body` in `has_valid_framing`: a response that can have no body ends with its head, and needs no
+/// framing. A mutating request that its server had run got 502.
+#[tokio::test]
+async fn a_response_that_can_have_no_body_is_forwarded_without_a_framing() -> googletest::Result<()>
+{
+    for (method, status) in [("POST", 204), ("POST", 304), ("GET", 204), ("HEAD", 200)] {
+        let (proxy, _session, mut server) = start_with_one_server().await;
+        let mut client = proxy.connect().await;
+        for id in ["t1", "t2"] {
+            client
+                .send(method, "/write/a", &[("try-id", id)], b"")
+                .await;
+            let mut received = server.next_request().await;
+            let head = format!("HTTP/1.1 {status} X\r\ntry-id: {id}\r\nseal: s\r\n\r\n");
+            received.write(head.as_bytes()).await;
+            received.keep_connection();
+            let reading = read_head(&mut client.stream);
+            let (first, headers) = within_limit("a response", reading).await.expect("a head");
+            verify_that!(first, starts_with(format!("HTTP/1.1 {status} ")))
+                .with_failure_message(|| method.to_string())?;
+            verify_that!(headers.get("seal").map(String::as_str), some(eq("s")))?;
+        }
+    }
+    Ok(())
+}
