Close a connection that has carried a request without an id

What callers could see: a request without a Try-Id gets a new connection, which was kept for the next request. A server's late second rejection of the first one names no request and has no Seal, so it would be taken for the rejection of the next one: a mutating request at work would be sent again, or answered with 503.

Evidence: a_connection_of_a_request_without_an_id_carries_no_other_request failed before: the next request came on the same connection.

Change: Wire::is_reusable_after decides whether a connection goes back to the pool. The limiter of one service, whose wire has no ids, is unchanged.

--- a/crates/emberpin-limiter/src/upstream/server/connection.rs
+++ b/crates/emberpin-limiter/src/upstream/server/connection.rs
@@ -39,6 +39,8 @@
     /// Boxed, as it is large and is moved for every attempt.
     http: Box<http1::Connection<TokioIo<ObservedStream>, SentBody>>,
     closed: bool,
+    /// Whether it may carry another request after the current one.
+    pub(super) is_reusable: bool,
     stream: Rc<RefCell<TcpStream>>,
     pub(super) progress: Rc<WriteProgress>,
     /// How long the server has stated that it keeps the connection open while idle, less a safety margin.
@@ -88,6 +90,7 @@
             sender,
             http: Box::new(http),
             closed: false,
+            is_reusable: true,
             stream,
             progress,
             stated_idle_timeout: None,
@@ -98,7 +101,7 @@
 
     /// Whether the connection can carry another request, as far as the last poll showed.
     pub(super) fn is_open(&self) -> bool {
-        !self.closed && !self.sender.is_closed()
+        self.is_reusable && !self.closed && !self.sender.is_closed()
     }
 
     /// Whether an idle connection can carry a request now. A request that is written to a connection that the server
--- a/crates/emberpin-limiter/src/upstream/server/response.rs
+++ b/crates/emberpin-limiter/src/upstream/server/response.rs
@@ -85,6 +85,7 @@
         request: Request<SentBody>,
         rules: ResponseRules<'_>,
     ) -> Result<(Response<()>, ReceivedBody), ExchangeError> {
+        self.is_reusable = rules.wire.is_reusable_after(rules.request_id);
         let is_head_request = request.method() == Method::HEAD;
         let responding = self.sender.send_request(request);
         let response: Response<Incoming> = self.drive(responding).await?;
--- a/crates/emberpin-limiter/src/upstream/wire.rs
+++ b/crates/emberpin-limiter/src/upstream/wire.rs
@@ -27,6 +27,12 @@
     /// connection.
     fn response_belongs(&self, request_id: Option<&HeaderValue>, headers: &HeaderMap) -> bool;
 
+    /// Whether a connection that has carried a request with this id may carry another one. It must not where a late
+    /// second response to the earlier request could be taken for the response to the later one.
+    fn is_reusable_after(&self, _request_id: Option<&HeaderValue>) -> bool {
+        true
+    }
+
     /// The outcome of an attempt that received this response. [`Outcome::Ok`] means that the response is a success,
     /// which the client may receive.
     fn outcome(&self, request_id: Option<&HeaderValue>, response: &Response<()>) -> Outcome;
--- a/crates/emberpin-proxy/src/wire.rs
+++ b/crates/emberpin-proxy/src/wire.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// A response that names no request, and has no seal, would belong to whichever request is next.
+    fn is_reusable_after(&self, request_id: Option<&HeaderValue>) -> bool {
+        request_id.is_some()
+    }
+
     /// Servers do not promise to wait for the end of a body before they run a request.
     fn may_run_in_part(&self) -> bool {
         true
--- a/crates/emberpin-proxy/tests/responses.rs
+++ b/crates/emberpin-proxy/tests/responses.rs
@@ -250,6 +250,32 @@
     Ok(())
 }
 
+/// Guards `Wire::is_reusable_after`: a second rejection of a request without an id names no request, and must not be
+/// taken for the rejection of the next one (a relative of review/8).
+#[tokio::test]
+async fn a_connection_of_a_request_without_an_id_carries_no_other_request() -> googletest::Result<()>
+{
+    let (proxy, _session, mut server) = start_with_one_server().await;
+    let mut client = proxy.connect().await;
+    client.send("POST", "/write/a", &[], b"").await;
+    let mut first = server.next_request().await;
+    first
+        .write(b"HTTP/1.1 500 X\r\ncontent-length: 0\r\n\r\n")
+        .await;
+    verify_that!(client.status().await, some(eq(500)))?;
+    client
+        .send("GET", "/read/b", &[("try-id", "t2")], b"")
+        .await;
+    let next_on_first = async {
+        let mut stream = &mut first.stream;
+        tokio::io::AsyncReadExt::read(&mut stream, &mut [0]).await
+    };
+    // The proxy closes the connection in place of using it again.
+    verify_that!(within_limit("the end", next_on_first).await?, eq(0))?;
+    server.next_request().await.respond(200, &[], "read").await;
+    verify_that!(client.status().await, some(eq(200)))
+}
+
 /// Has a server send a response without a length and with `connection: close`, then close the connection, or reset it
 /// if `reset`. Returns the client's status, whether the response was complete, and its body.
 async fn unframed_response(reset: bool) -> googletest::Result<Option<(u16, bool, String)>> {
