Forward a server's error of any length

What callers saw: a server answered with its own 500, 504 or 404 of over 16 KiB, early or after the whole request, and the client got 502 without the server's Seal, status and body.

Cause: only successes were streamed; a longer error counted as no valid response.

Change: Wire::is_forwardable says by outcome and status which errors a client may receive, before the body is read, and those are streamed too. Where another attempt follows, the error is given up first, and leaves the rest of the upload to that attempt (a mutant without that fails an_upload_is_sent_again_after_a_long_error_response). A streamed error counts as one in the metrics.

--- a/crates/emberpin-limiter/src/front/clients.rs
+++ b/crates/emberpin-limiter/src/front/clients.rs
@@ -423,10 +423,15 @@
     buffer_permit: OwnedSemaphorePermit,
 ) -> Response<Content> {
     let head = std::mem::take(&mut response.head);
+    let outcome = match head.status.is_success() {
+        true => RequestOutcome::Ok,
+        false => RequestOutcome::Errors,
+    };
     response_with_head(
         head,
         Content::Streamed(Box::new(StreamedContent {
             response,
+            outcome,
             active_request,
             connection,
             _buffer_permit: buffer_permit,
--- a/crates/emberpin-limiter/src/front/stream.rs
+++ b/crates/emberpin-limiter/src/front/stream.rs
@@ -47,11 +47,17 @@
 
     /// Polls for the next chunk; `None` at the end of the body.
     fn poll_next(&mut self, context: &mut Context) -> Poll<Option<Result<Bytes, BodyInterrupted>>>;
+
+    /// Gives up the response, as another attempt of its request follows: unlike when it is dropped, the request's body
+    /// is left for that attempt.
+    fn abandon(self: Box<Self>);
 }
 
 /// A streamed response that is being sent to its client, with the metrics and the connection to update when it ends.
 pub struct StreamedContent {
     pub response: StreamedResponse,
+    /// How the request counts in the metrics if the response reaches its end.
+    pub outcome: RequestOutcome,
     pub active_request: ActiveRequest,
     pub connection: Rc<Connection>,
     /// Its share of the process's budget for buffers.
@@ -82,7 +88,7 @@
             Content::Streamed(streamed) => {
                 let next = streamed.response.stream.poll_next(context);
                 match &next {
-                    Poll::Ready(None) => streamed.active_request.set_outcome(RequestOutcome::Ok),
+                    Poll::Ready(None) => streamed.active_request.set_outcome(streamed.outcome),
                     Poll::Ready(Some(Err(BodyInterrupted))) => {
                         streamed.active_request.set_outcome(RequestOutcome::Errors);
                         streamed.connection.truncate_response();
--- a/crates/emberpin-limiter/src/upstream/engine/mod.rs
+++ b/crates/emberpin-limiter/src/upstream/engine/mod.rs
@@ -315,6 +315,7 @@
             self.queued_events.push_back(Event::AttemptEnded(result));
             return;
         };
+        in_flight.abandon_streamed_error();
         let (cancel, cancelled) = oneshot::channel();
         in_flight.running = Some(RunningAttempt {
             cancel: Some(cancel),
--- a/crates/emberpin-limiter/src/upstream/engine/request_table.rs
+++ b/crates/emberpin-limiter/src/upstream/engine/request_table.rs
@@ -49,6 +49,14 @@
         self.attempts == attempt + 1
     }
 
+    /// Gives up an error response that is still being received, as another attempt is sent.
+    pub(super) fn abandon_streamed_error(&mut self) {
+        match self.error_response.take() {
+            Some(Reply::Streamed(response)) => response.stream.abandon(),
+            complete => self.error_response = complete,
+        }
+    }
+
     /// Whether the request is answered and has no running attempt.
     pub(super) fn is_finished(&self) -> bool {
         self.reply_to.is_none() && self.running.is_none()
--- a/crates/emberpin-limiter/src/upstream/server/response.rs
+++ b/crates/emberpin-limiter/src/upstream/server/response.rs
@@ -28,7 +28,8 @@
     pub(super) wire: &'a dyn Wire,
     /// The request id that the response must carry to belong to this request, see [`Wire::request_id`].
     pub(super) request_id: Option<&'a HeaderValue>,
-    /// If set, a successful response that is too long or too slow to buffer is streamed; otherwise it is an error.
+    /// If set, a response that its client may receive is streamed if it is too long or too slow to buffer; otherwise it
+    /// is an error.
     pub(super) may_stream: bool,
     /// Maximum number of bytes of a body that are buffered.
     pub(super) buffer_limit: usize,
@@ -102,8 +103,9 @@
             return Err(ExchangeError::InvalidResponse);
         }
         self.stated_idle_timeout = rules.wire.idle_timeout(head.headers());
-        let may_stream =
-            rules.may_stream && rules.wire.outcome(rules.request_id, &head) == Outcome::Ok;
+        let outcome = rules.wire.outcome(rules.request_id, &head);
+        let may_stream = rules.may_stream
+            && (outcome == Outcome::Ok || rules.wire.is_forwardable(outcome, head.status()));
         let body = self
             .receive_body(body, rules.buffer_limit, may_stream)
             .await?;
--- a/crates/emberpin-limiter/src/upstream/server/streamed_response.rs
+++ b/crates/emberpin-limiter/src/upstream/server/streamed_response.rs
@@ -138,6 +138,10 @@
         self.remaining
     }
 
+    fn abandon(mut self: Box<Self>) {
+        self.upload = None;
+    }
+
     fn poll_next(&mut self, context: &mut Context) -> Poll<Option<Result<Bytes, BodyInterrupted>>> {
         let Some(response) = &mut self.response else {
             return Poll::Ready(None);
--- a/crates/emberpin-limiter/src/upstream/server/upstream.rs
+++ b/crates/emberpin-limiter/src/upstream/server/upstream.rs
@@ -136,8 +136,8 @@
             load,
             metered,
             misdirected,
-            is_forwardable,
-        } = self.pool.wire.describe_response(outcome, response);
+        } = self.pool.wire.describe_response(response);
+        let is_forwardable = self.pool.wire.is_forwardable(outcome, head.status);
         let reply = match body {
             Ok(body) => Reply::Answer(Answer::Served(ServerResponse { head, body })),
             Err(stream) => Reply::Streamed(StreamedResponse {
--- a/crates/emberpin-limiter/src/upstream/wire.rs
+++ b/crates/emberpin-limiter/src/upstream/wire.rs
@@ -37,6 +37,12 @@
     /// which the client may receive.
     fn outcome(&self, request_id: Option<&HeaderValue>, response: &Response<()>) -> Outcome;
 
+    /// Whether a client may receive a response with this outcome and status although it is an error, if no attempt brings
+    /// a better one.
+    fn is_forwardable(&self, _outcome: Outcome, _status: StatusCode) -> bool {
+        false
+    }
+
     /// Whether a server may begin to run a request of which only a part has arrived. If so, an attempt that broke off
     /// after its first byte may have run.
     fn may_run_in_part(&self) -> bool {
@@ -47,8 +53,8 @@
     /// state it.
     fn idle_timeout(&self, headers: &HeaderMap) -> Option<Duration>;
 
-    /// Extracts the information in the head of a response whose attempt had this outcome.
-    fn describe_response(&self, outcome: Outcome, response: Response<()>) -> ResponseInfo;
+    /// Extracts the information in the head of a response.
+    fn describe_response(&self, response: Response<()>) -> ResponseInfo;
 }
 
 /// The information in a response's head.
@@ -61,8 +67,6 @@
     pub metered: Option<f64>,
     /// Whether the server states that the request was not meant for it.
     pub misdirected: bool,
-    /// Whether the client may receive this response although it is an error, if no attempt brings a better one.
-    pub is_forwardable: bool,
 }
 
 /// The header conventions of this package's program, whose platform file is named by `GW_CONFIG`. The proxy, which runs
@@ -107,7 +111,7 @@
         None
     }
 
-    fn describe_response(&self, _: Outcome, response: Response<()>) -> ResponseInfo {
+    fn describe_response(&self, response: Response<()>) -> ResponseInfo {
         let all = |name: &str| {
             response
                 .headers()
@@ -134,7 +138,6 @@
             load: report,
             metered: used.map(|percent| percent / 100.0),
             misdirected: false,
-            is_forwardable: false,
         }
     }
 }
--- a/crates/emberpin-proxy/src/wire.rs
+++ b/crates/emberpin-proxy/src/wire.rs
@@ -86,11 +86,7 @@
         Some(Duration::from_secs(seconds.trim().parse().ok()?).mul_f64(IDLE_TIMEOUT_SHARE))
     }
 
-    fn describe_response(&self, outcome: Outcome, response: Response<()>) -> ResponseInfo {
-        let (parts, ()) = response.into_parts();
-        let (status, mut headers) = (parts.status, parts.headers);
-        remove_hop_by_hop_headers(&mut headers);
-        headers.remove(KEEP_ALIVE);
+    fn is_forwardable(&self, outcome: Outcome, status: StatusCode) -> bool {
         // These statuses tell a client that its request has not run. Without the server's `Not-Run` that may be false,
         // so they are not passed on.
         let claims_not_run = matches!(
@@ -100,12 +96,19 @@
                 | StatusCode::TOO_MANY_REQUESTS
                 | StatusCode::SERVICE_UNAVAILABLE
         );
+        outcome == Outcome::Error && !status.is_success() && !claims_not_run
+    }
+
+    fn describe_response(&self, response: Response<()>) -> ResponseInfo {
+        let (parts, ()) = response.into_parts();
+        let (status, mut headers) = (parts.status, parts.headers);
+        remove_hop_by_hop_headers(&mut headers);
+        headers.remove(KEEP_ALIVE);
         ResponseInfo {
             head: ResponseHead { status, headers },
             load: LoadReport::default(),
             metered: None,
             misdirected: is_misdirected(status.as_u16()),
-            is_forwardable: outcome == Outcome::Error && !status.is_success() && !claims_not_run,
         }
     }
 }
--- a/crates/emberpin-proxy/tests/early_responses.rs
+++ b/crates/emberpin-proxy/tests/early_responses.rs
@@ -25,34 +25,58 @@
 /// The form of an early response.
 #[derive(Clone, Copy, Debug)]
 struct ResponseForm {
+    status: u16,
     length: usize,
     chunked: bool,
     /// Whether it is written in two halves, with a pause between them.
     paused: bool,
 }
 
-const RESPONSE_FORMS: [ResponseForm; 5] = [
+const RESPONSE_FORMS: [ResponseForm; 8] = [
     ResponseForm {
+        status: 200,
         length: 2_000,
         chunked: false,
         paused: false,
     },
     ResponseForm {
+        status: 200,
         length: 30_000,
         chunked: false,
         paused: false,
     },
     ResponseForm {
+        status: 200,
         length: 30_000,
         chunked: false,
         paused: true,
     },
     ResponseForm {
+        status: 200,
         length: 200_000,
         chunked: true,
         paused: false,
     },
     ResponseForm {
+        status: 200,
+        length: 2_000,
+        chunked: true,
+        paused: true,
+    },
+    ResponseForm {
+        status: 500,
+        length: 30_000,
+        chunked: false,
+        paused: false,
+    },
+    ResponseForm {
+        status: 404,
+        length: 200_000,
+        chunked: true,
+        paused: false,
+    },
+    ResponseForm {
+        status: 504,
         length: 2_000,
         chunked: true,
         paused: true,
@@ -64,7 +88,8 @@
         true => "transfer-encoding: chunked".to_string(),
         false => format!("content-length: {}", form.length),
     };
-    format!("HTTP/1.1 200 X\r\ntry-id: t1\r\nseal: s\r\n{framing}\r\n\r\n")
+    let status = form.status;
+    format!("HTTP/1.1 {status} X\r\ntry-id: t1\r\nseal: s\r\n{framing}\r\n\r\n")
 }
 
 async fn write_response(stream: &mut TcpStream, form: ResponseForm) -> std::io::Result<()> {
@@ -123,14 +148,14 @@
     tokio::spawn(async move { tokio::io::copy(&mut stream, &mut tokio::io::sink()).await });
 }
 
-fn verify_complete(response: Option<Response>, length: usize) -> googletest::Result<()> {
+fn verify_complete(response: Option<Response>, form: ResponseForm) -> googletest::Result<()> {
     let Some(response) = response else {
         return fail!("the connection ended without a response");
     };
     let message = response.message;
     verify_that!(
         (response.status, message.complete, message.body.len()),
-        eq((200, true, length))
+        eq((form.status, true, form.length))
     )
 }
 
@@ -147,7 +172,7 @@
     verify_that!(within_limit("a request", reading).await, some(anything()))?;
     let form = RESPONSE_FORMS[0];
     write_response(&mut server, form).await?;
-    verify_complete(client.response().await, form.length)
+    verify_complete(client.response().await, form)
 }
 
 /// Guards `StreamedBody::upload` and `StreamConnection::Driven`: an early response reaches a client that is still sending
@@ -161,7 +186,7 @@
             let mut server = accept_beginning(&listener).await;
             write_response(&mut server, form).await?;
             read_on(server);
-            verify_complete(uploader.client.response().await, form.length)
+            verify_complete(uploader.client.response().await, form)
                 .with_failure_message(|| format!("{framing:?}, {form:?}"))?;
             uploader.finish(&[b'b'; BODY_BYTES - FIRST_PART]).await;
             verify_connection_is_kept(&mut uploader.client, &listener).await?;
@@ -210,6 +235,7 @@
     let (mut reader, mut writer) = server.into_split();
     tokio::spawn(async move { tokio::io::copy(&mut reader, &mut tokio::io::sink()).await });
     let form = ResponseForm {
+        status: 200,
         length: LONG,
         chunked: false,
         paused: false,
@@ -219,7 +245,7 @@
         writer.write_all(&vec![b'r'; LONG]).await
     });
     uploader.finish(&vec![b'b'; LONG - FIRST_PART]).await;
-    verify_complete(uploader.client.response().await, LONG)
+    verify_complete(uploader.client.response().await, form)
 }
 
 /// Guards the end of a connection after SIGTERM: it is closed only when its client has sent the rest of its body, as the
@@ -238,7 +264,7 @@
         // The client does not read before it has sent all.
         sleep(RESPONSE_PAUSE).await;
         uploader.finish(&[b'b'; BODY_BYTES - FIRST_PART]).await;
-        verify_complete(uploader.client.response().await, form.length)
+        verify_complete(uploader.client.response().await, form)
             .with_failure_message(|| format!("{framing:?}"))?;
     }
     Ok(())
@@ -271,7 +297,7 @@
             uploader.send(&[b'b'; REST_PIECE]).await;
         }
         uploader.finish(&[b'b'; REST_PIECE]).await;
-        verify_complete(uploader.client.response().await, form.length)
+        verify_complete(uploader.client.response().await, form)
             .with_failure_message(|| format!("{framing:?}"))?;
         verify_connection_is_kept(&mut uploader.client, &listener).await?;
     }
@@ -311,7 +337,7 @@
             for form in &RESPONSE_FORMS[..2] {
                 let bytes = [response_head(*form).as_bytes(), &vec![b'r'; form.length]].concat();
                 let response = response_before_close(framing, bytes).await?;
-                verify_complete(response, form.length)
+                verify_complete(response, *form)
                     .with_failure_message(|| format!("{framing:?}, {form:?}"))?;
             }
             let rejected = response_before_close(framing, REJECTION.to_vec()).await?;
--- a/crates/emberpin-proxy/tests/gateway_wire.rs
+++ b/crates/emberpin-proxy/tests/gateway_wire.rs
@@ -31,8 +31,12 @@
 }
 
 fn describe(status: u16, all: &[(&'static str, &'static str)]) -> ResponseInfo {
+    GatewayWire.describe_response(response(status, all))
+}
+
+fn is_forwardable(status: u16, all: &[(&'static str, &'static str)]) -> bool {
     let response = response(status, all);
-    GatewayWire.describe_response(GatewayWire.outcome(None, &response), response)
+    GatewayWire.is_forwardable(GatewayWire.outcome(None, &response), response.status())
 }
 
 /// Guards the three match arms of `response_belongs`.
@@ -64,8 +68,11 @@
         eq(Outcome::Error)
     );
     // A 2xx response that does not count as a success is not forwarded.
-    expect_false!(describe(200, &[]).is_forwardable);
-    expect_false!(describe(200, &[("seal", "s"), ("content-encoding", "gzip")]).is_forwardable);
+    expect_false!(is_forwardable(200, &[]));
+    expect_false!(is_forwardable(
+        200,
+        &[("seal", "s"), ("content-encoding", "gzip")]
+    ));
 }
 
 /// Guards `AttemptVerdict::NotRun => Outcome::Rejected`, and which responses have this verdict.
@@ -94,18 +101,12 @@
     expect_false!(describe(503, &[("not-run", "1")]).misdirected);
 }
 
-/// Guards `claims_not_run` in `describe_response`.
+/// Guards `claims_not_run` in `is_forwardable`.
 #[gtest]
 fn a_status_that_claims_not_run_is_not_forwarded() {
     for status in [408, 421, 429, 503] {
-        expect_false!(
-            describe(status, &[("seal", "s")]).is_forwardable,
-            "{status}"
-        );
-        expect_false!(
-            describe(status, &[("not-run", "1")]).is_forwardable,
-            "{status}"
-        );
+        expect_false!(is_forwardable(status, &[("seal", "s")]), "{status}");
+        expect_false!(is_forwardable(status, &[("not-run", "1")]), "{status}");
     }
 }
 
@@ -113,8 +114,9 @@
 #[gtest]
 fn a_servers_own_error_stands_unaltered() {
     for status in [500, 504, 404, 413, 301] {
-        let described = describe(status, &[("seal", "s"), ("try-id", "a1"), ("x-note", "n")]);
-        expect_true!(described.is_forwardable, "{status}");
+        let all = [("seal", "s"), ("try-id", "a1"), ("x-note", "n")];
+        let described = describe(status, &all);
+        expect_true!(is_forwardable(status, &all), "{status}");
         expect_that!(described.head.status.as_u16(), eq(status));
         for (name, value) in [("seal", "s"), ("try-id", "a1"), ("x-note", "n")] {
             expect_that!(
--- a/crates/emberpin-proxy/tests/interrupted_uploads.rs
+++ b/crates/emberpin-proxy/tests/interrupted_uploads.rs
@@ -192,3 +192,49 @@
     }
     Ok(())
 }
+
+/// Guards `ResponseStream::abandon`: a long response that reports an error is streamed, and given up if another attempt
+/// follows, which sends the body from its beginning.
+#[tokio::test]
+async fn an_upload_is_sent_again_after_a_long_error_response() -> googletest::Result<()> {
+    const LONG_ERROR: &str =
+        "HTTP/1.1 500 X\r\ntry-id: t1\r\nseal: s\r\ncontent-length: 30000\r\n\r\n";
+    for framing in BodyFraming::ALL {
+        let (mut one, mut other) = (
+            TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?,
+            TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?,
+        );
+        let instances = vec![
+            instance("i-1", one.local_addr()?),
+            instance("i-2", other.local_addr()?),
+        ];
+        let (proxy, _session) =
+            Proxy::start_ready(DEFAULT_BOUNDS, default_items(), instances).await;
+        let body = body();
+        let mut uploader = Uploader::start(&proxy, "/read/a", framing, BODY_BYTES).await;
+        uploader.send(&body[..FORWARDED_FROM]).await;
+        let first = tokio::select! {
+            accepted = one.accept() => accepted,
+            accepted = other.accept() => {
+                std::mem::swap(&mut one, &mut other);
+                accepted
+            }
+        };
+        let (mut failing, _) = first?;
+        let mut beginning = vec![0; FORWARDED_FROM];
+        within_limit("the beginning", failing.read_exact(&mut beginning)).await?;
+        failing.write_all(LONG_ERROR.as_bytes()).await?;
+        failing.write_all(&[b'x'; 30_000]).await?;
+        let mut server = Server::on(other);
+        // Until then, the first attempt would send what comes.
+        let connected = || async { (server.connection_count() > 0).then_some(()) };
+        poll_until("the second attempt", connected).await;
+        uploader.finish(&body[FORWARDED_FROM..]).await;
+        let request = server.next_request().await;
+        verify_that!(request.message.complete, eq(true))?;
+        verify_that!(request.message.body == body, eq(true))?;
+        request.respond(200, &[], "read").await;
+        verify_that!(uploader.client.status().await, some(eq(200)))?;
+    }
+    Ok(())
+}
--- a/crates/emberpin-proxy/tests/retries.rs
+++ b/crates/emberpin-proxy/tests/retries.rs
@@ -30,7 +30,7 @@
     verify_that!(one.has_no_request() && other.has_no_request(), eq(true))
 }
 
-/// Guards `claims_not_run` in `GatewayWire::describe_response`, from server to client.
+/// Guards `claims_not_run` in `GatewayWire::is_forwardable`, from server to client.
 #[tokio::test]
 async fn a_503_without_not_run_is_not_forwarded_to_the_client() -> googletest::Result<()> {
     let (mut one, mut other, instances) = two_servers().await;
@@ -45,7 +45,7 @@
     verify_that!(other_server.has_no_request(), eq(true))
 }
 
-/// Guards `ResponseInfo::is_forwardable`, from server to client.
+/// Guards `Wire::is_forwardable`, from server to client.
 #[tokio::test]
 async fn a_servers_own_error_is_forwarded_unaltered() -> googletest::Result<()> {
     let mut server = Server::start().await;
