Count an upload that its client gave up as no failure of its server

What callers saw: clients that give up uploads could have servers ejected, so that other requests waited or got 503; the pool could learn from them that idle connections are lost, and reuse fewer.

Cause: the attempt's body ends with an error, the HTTP library ends the connection, and that was taken for a connection that the server had lost.

Evidence: an_upload_that_its_client_gave_up_is_no_failure_of_its_server failed before: 6 of 6 attempts counted as "reset".

Change: Upload::is_interrupted says that the client's side failed; such an attempt ends as cancelled, or as not sent if nothing was written, neither of which says anything about the server.

--- a/crates/emberpin-limiter/src/front/upload.rs
+++ b/crates/emberpin-limiter/src/front/upload.rs
@@ -122,6 +122,12 @@
         rest.claimed_by.is_none() && !matches!(rest.source, Source::Lost)
     }
 
+    /// Whether its client broke it off or exceeded its maximum length, so that no attempt can send the whole body. An
+    /// attempt that fails then says nothing about its server.
+    pub fn is_interrupted(&self) -> bool {
+        self.exceeded.get() || matches!(self.rest.borrow().source, Source::Lost)
+    }
+
     /// Returns when the client's last byte has arrived; the request's time limit counts from then.
     pub async fn ended(&self) -> Instant {
         loop {
--- a/crates/emberpin-limiter/src/upstream/server/exchange.rs
+++ b/crates/emberpin-limiter/src/upstream/server/exchange.rs
@@ -119,6 +119,20 @@
             Some(upload) => upload_time(upload, started).await,
         };
         let sent = progress.is_started();
+        let is_interrupted = upload
+            .as_ref()
+            .is_some_and(|upload| upload.is_interrupted());
+        if is_interrupted && !matches!(received, Some(Ok(_))) {
+            let outcome = match never_ran(&*wire, &progress) {
+                true => Outcome::NotSent,
+                false => Outcome::Cancelled,
+            };
+            return Exchange {
+                sent,
+                upload_time,
+                ..Exchange::unsent(outcome)
+            };
+        }
         self.record_end(&received, idle_time);
         let unreachable = matches!(received, Some(Err(ExchangeError::Unacknowledged)));
         let (outcome, response) = self.classify(received, &*wire, rules, &progress, upload);
@@ -183,17 +197,13 @@
         progress: &WriteProgress,
         upload: Option<Rc<Upload>>,
     ) -> (Outcome, Option<ExchangedResponse>) {
-        let never_ran = match wire.may_run_in_part() {
-            true => !progress.is_started(),
-            false => !progress.is_complete(),
-        };
         match received {
             Some(Ok((response, body))) => {
                 let outcome = wire.outcome(rules.request_id, &response);
                 let response = self.finish(response, body, progress, upload);
                 (outcome, Some(response))
             }
-            _ if never_ran => (Outcome::ConnectFailed, None),
+            _ if never_ran(wire, progress) => (Outcome::ConnectFailed, None),
             Some(Err(ExchangeError::InvalidResponse)) => (Outcome::Error, None),
             Some(Err(ExchangeError::ConnectionLost | ExchangeError::Unacknowledged)) => {
                 (Outcome::Reset, None)
@@ -227,6 +237,14 @@
     }
 }
 
+/// Whether so little of a request was written that its server can't have begun to run it.
+fn never_ran(wire: &dyn Wire, progress: &WriteProgress) -> bool {
+    match wire.may_run_in_part() {
+        true => !progress.is_started(),
+        false => !progress.is_complete(),
+    }
+}
+
 /// The time from `started` to the last byte of an upload, or to now if that has not arrived.
 async fn upload_time(upload: &Upload, started: Instant) -> Duration {
     match tokio::time::timeout(Duration::ZERO, upload.ended()).await {
--- a/crates/emberpin-proxy/tests/metrics.rs
+++ b/crates/emberpin-proxy/tests/metrics.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{
-    default_items, next_request_at_either, start_with_one_server, two_servers, Proxy,
-    DEFAULT_BOUNDS,
+    default_items, next_request_at_either, poll_until, start_with_one_server, two_servers,
+    BodyFraming, Proxy, Uploader, DEFAULT_BOUNDS,
 };
 use googletest::prelude::*;
 use std::process::Command;
@@ -103,6 +103,45 @@
     Ok(())
 }
 
+/// Guards `Upload::is_interrupted` in `Upstream::exchange`: an upload that its client gave up is no failure of its server,
+/// which could be ejected for it (a relative of review/7).
+#[tokio::test]
+async fn an_upload_that_its_client_gave_up_is_no_failure_of_its_server() -> googletest::Result<()> {
+    /// The proxy forwards a body from this length on.
+    const FORWARDED_FROM: usize = 64 * 1024 + 1;
+    const UPLOADS: usize = 6;
+    let attempts = |outcome: &str| {
+        format!("emberpin_proxy_attempts_total{{outcome=\"{outcome}\",service=\"s\"}}")
+    };
+    for framing in BodyFraming::ALL {
+        let (proxy, _session, server) = start_with_one_server().await;
+        for number in 0..UPLOADS {
+            let path = ["/read/a", "/write/a"][number % 2];
+            let mut uploader = Uploader::start(&proxy, path, framing, 2 * FORWARDED_FROM).await;
+            uploader.send(&[b'b'; FORWARDED_FROM]).await;
+            let connected =
+                || async { (server.connection_count() as usize > number).then_some(()) };
+            poll_until("an attempt", connected).await;
+            drop(uploader);
+            let ended = || async {
+                let ended = value(&proxy, &attempts("cancelled")).await
+                    + value(&proxy, &attempts("not_sent")).await
+                    + value(&proxy, &attempts("reset")).await
+                    + value(&proxy, &attempts("connect_failed")).await;
+                (ended as usize > number).then_some(())
+            };
+            poll_until("the end of the attempt", ended).await;
+        }
+        for failure in ["reset", "connect_failed"] {
+            verify_that!(
+                (failure, value(&proxy, &attempts(failure)).await),
+                eq((failure, 0.0))
+            )?;
+        }
+    }
+    Ok(())
+}
+
 #[gtest]
 fn an_endpoint_without_a_path_or_a_port_is_rejected_with_the_reason() {
     for (endpoint, reason) in [
