Name an overdue attempt by an id, not by its number in the request

What callers saw: a readonly request was routed again after its route had moved, and its attempt at the new service was broken off for a retry when the former service's attempt would have been overdue: a server's work was lost, and the budget charged.

Cause: a report was handed on from one routing to the next. It named the attempt by its number within the request, and the numbers begin again with 0 when a request is routed again.

Evidence: an_overdue_report_does_not_end_the_attempt_of_a_request_that_was_routed_again failed before: the connection of the new attempt was closed 1.7 s after the first attempt began.

Change: each attempt has an id that no other attempt of the process has (AttemptId); reports of overdue attempts and Engine::time_out take it.

--- a/crates/emberpin-limiter/src/host.rs
+++ b/crates/emberpin-limiter/src/host.rs
@@ -9,8 +9,8 @@
 pub use crate::front::stream::{Content, StreamedResponse};
 pub use crate::front::upload::{discard_body, Upload};
 pub use crate::messages::{
-    AdmittedRequest, Answer, AttemptEnd, Input, Reply, RequestBody, ResponseHead, ServerResponse,
-    UpstreamRequest,
+    AdmittedRequest, Answer, AttemptEnd, AttemptId, Input, Reply, RequestBody, ResponseHead,
+    ServerResponse, UpstreamRequest,
 };
 pub use crate::operate::clock::Clock;
 pub use crate::operate::figures::{ActiveRequest, LimiterMetrics, RequestOutcome};
--- a/crates/emberpin-limiter/src/messages.rs
+++ b/crates/emberpin-limiter/src/messages.rs
@@ -17,6 +17,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -121,6 +122,19 @@
     pub body: Bytes,
 }
 
+/// Identifies an attempt among all attempts of this process. Its number within its request does not, as the numbers begin
+/// again with 0 when a request is routed again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptId(u64);
+
+impl AttemptId {
+    /// An id that no other attempt has.
+    pub(crate) fn unused() -> AttemptId {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        AttemptId(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// How an attempt or a health check ended. Unless the response is streamed, its connection is closed or back in the
 /// pool by then.
 pub struct AttemptEnd {
@@ -267,12 +281,12 @@
         /// Its result.
         ended: AttemptEnd,
     },
-    /// An attempt has exceeded the time that the decision module gave it, and continues.
+    /// An attempt has exceeded the time that the decision module gave it, and continues, unless it has ended meanwhile.
     Overdue {
         /// The request that the attempt belongs to.
         request: RequestId,
-        /// The attempt's number within the request, from 0.
-        attempt: u32,
+        /// The attempt.
+        attempt: AttemptId,
     },
     /// A health check ended.
     ProbeEnded {
--- a/crates/emberpin-limiter/src/upstream/engine/mod.rs
+++ b/crates/emberpin-limiter/src/upstream/engine/mod.rs
@@ -6,7 +6,7 @@
 
 pub use timers::TimerGrid;
 
-use crate::messages::{AdmittedRequest, Answer, AttemptEnd, Input, Reply, RequestBody};
+use crate::messages::{AdmittedRequest, Answer, AttemptEnd, AttemptId, Input, Reply, RequestBody};
 use crate::operate::clock::Clock;
 use crate::upstream::server::Upstream;
 use emberpin_balancer::{
@@ -187,26 +187,26 @@
         self.remove_if_finished(request);
     }
 
-    /// Whether [`Engine::time_out`] can end this attempt.
-    pub fn can_time_out(&self, request: RequestId, attempt: u32) -> bool {
+    /// Whether [`Engine::time_out`] can end this attempt: it is running, and another one could send the whole body.
+    pub fn can_time_out(&self, request: RequestId, attempt: AttemptId) -> bool {
         self.requests.get(&request).is_some_and(|in_flight| {
-            in_flight.is_latest_attempt(attempt)
-                && in_flight.outgoing.is_replayable()
+            in_flight.outgoing.is_replayable()
                 && in_flight
                     .running
                     .as_ref()
-                    .is_some_and(|running| running.cancel.is_some())
+                    .is_some_and(|running| running.id == attempt && running.cancel.is_some())
         })
     }
 
-    /// Ends an attempt with [`Outcome::Timeout`], which is reported like any other end of an attempt. Does nothing to
-    /// an attempt whose request body has been streamed, as no other attempt could follow.
-    pub fn time_out(&mut self, request: RequestId, attempt: u32) {
+    /// Ends an attempt with [`Outcome::Timeout`], which is reported like any other end of an attempt. Does nothing unless
+    /// [`Engine::can_time_out`].
+    pub fn time_out(&mut self, request: RequestId, attempt: AttemptId) {
+        if !self.can_time_out(request, attempt) {
+            return;
+        }
         let cancel = self
             .requests
             .get_mut(&request)
-            .filter(|in_flight| in_flight.is_latest_attempt(attempt))
-            .filter(|in_flight| in_flight.outgoing.is_replayable())
             .and_then(|in_flight| in_flight.running.as_mut())
             .and_then(|running| running.cancel.take());
         if let Some(cancel) = cancel {
@@ -317,7 +317,9 @@
         };
         in_flight.abandon_streamed_error();
         let (cancel, cancelled) = oneshot::channel();
+        let id = AttemptId::unused();
         in_flight.running = Some(RunningAttempt {
+            id,
             cancel: Some(cancel),
         });
         self.sent_attempts.push(SentAttempt { request, server });
@@ -334,7 +336,7 @@
                     RequestBody::Uploading(_) => in_flight.time_limit,
                 };
                 if timeout < request_time {
-                    report_overdue(request, attempt, timeout, inputs.clone());
+                    report_overdue(request, id, timeout, inputs.clone());
                 }
                 request_time
             }
@@ -405,7 +407,7 @@
 /// Sends [`Input::Overdue`] once `timeout` has passed, whether or not the attempt still runs.
 fn report_overdue(
     request: RequestId,
-    attempt: u32,
+    attempt: AttemptId,
     timeout: Duration,
     inputs: mpsc::Sender<Input>,
 ) {
--- a/crates/emberpin-limiter/src/upstream/engine/request_table.rs
+++ b/crates/emberpin-limiter/src/upstream/engine/request_table.rs
@@ -1,6 +1,6 @@
 //! The requests that an engine has in flight.
 
-use crate::messages::{AdmittedRequest, Answer, Reply, UpstreamRequest};
+use crate::messages::{AdmittedRequest, Answer, AttemptId, Reply, UpstreamRequest};
 use emberpin_balancer::Outcome;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +26,7 @@
 
 /// An attempt whose end has not been reported.
 pub(super) struct RunningAttempt {
+    pub(super) id: AttemptId,
     /// Cancels the attempt when dropped, or ends it with the outcome that is sent; `None` once either was done.
     pub(super) cancel: Option<oneshot::Sender<Outcome>>,
 }
--- a/crates/emberpin-proxy/src/controller/attempts.rs
+++ b/crates/emberpin-proxy/src/controller/attempts.rs
@@ -5,7 +5,7 @@
 use crate::command::RouteRequest;
 use crate::service::Service;
 use emberpin_balancer::{RequestId, ServerId};
-use emberpin_limiter::host::{AttemptEnd, Input};
+use emberpin_limiter::host::{AttemptEnd, AttemptId, Input};
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -111,7 +111,7 @@
 
     /// Handles an attempt that has used up the time allowed by the decision module. Its server may still be working on
     /// it, so it is abandoned only where another attempt can follow, and never while this proxy is draining.
-    fn on_attempt_overdue(&mut self, request: RequestId, attempt: u32) {
+    fn on_attempt_overdue(&mut self, request: RequestId, attempt: AttemptId) {
         let Some(in_flight) = self.in_flight.get(&request) else {
             return;
         };
@@ -147,7 +147,7 @@
         }
     }
 
-    fn recheck_overdue_later(&self, request: RequestId, attempt: u32) {
+    fn recheck_overdue_later(&self, request: RequestId, attempt: AttemptId) {
         let inputs = self.inputs.clone();
         spawn_local(async move {
             sleep(OVERDUE_RECHECK).await;
--- a/crates/emberpin-proxy/tests/attempt_timeouts.rs
+++ b/crates/emberpin-proxy/tests/attempt_timeouts.rs
@@ -265,3 +265,65 @@
         eq((200, "soon"))
     )
 }
+
+/// Guards `AttemptId` in `Input::Overdue`: the report that an attempt at the former service is overdue comes after its
+/// request was routed again, and must not end the attempt at the new one.
+#[tokio::test]
+async fn an_overdue_report_does_not_end_the_attempt_of_a_request_that_was_routed_again(
+) -> googletest::Result<()> {
+    /// An attempt is overdue after 1,700 ms.
+    const LATENCY_TARGET: Duration = Duration::from_millis(2_000);
+    /// The first attempt ends this long before it would be overdue.
+    const BEFORE_OVERDUE: Duration = Duration::from_millis(500);
+    const ATTEMPT_TIME: Duration = Duration::from_millis(1_700);
+    /// How long the second attempt is watched. It is not overdue itself yet.
+    const WATCHED: Duration = Duration::from_millis(900);
+    let mut former = Server::start().await;
+    let (mut one, mut other, mut instances) = two_servers().await;
+    for instance in &mut instances {
+        instance.service = "t".into();
+    }
+    instances.push(instance("i-3", former.address));
+    let route = RouteSpec {
+        latency_target: LATENCY_TARGET,
+        max_attempts: 4,
+        ..READONLY_ROUTE
+    };
+    let moved = RouteSpec {
+        service: "t",
+        version: 2,
+        ..route
+    };
+    let of_new_service = RouteSpec {
+        service: "t",
+        ..MUTATING_ROUTE
+    };
+    let items = vec![
+        service("s", 1, 10.0),
+        service("t", 1, 10.0),
+        route.item(),
+        of_new_service.item(),
+    ];
+    let (proxy, mut session) = Proxy::start_ready(DEFAULT_BOUNDS, items, instances).await;
+    // The retry budget of the new service is a share of its requests.
+    let serving = async {
+        let (request, _, _) = next_request_at_either(&mut one, &mut other).await;
+        request.respond(200, &[], "written").await;
+    };
+    let (response, ()) = tokio::join!(proxy.request("POST", "/write/a", "t0"), serving);
+    verify_that!(response.status, eq(200))?;
+    let mut client = proxy.connect().await;
+    let headers = [("try-id", "t1"), ("deadline", "8000")];
+    client.send("GET", "/read/a", &headers, b"").await;
+    let rejecting = former.next_request().await;
+    let begun = tokio::time::Instant::now();
+    session.send_changes(vec![moved.item()], vec![]).await;
+    tokio::time::sleep_until(begun + ATTEMPT_TIME - BEFORE_OVERDUE).await;
+    rejecting.respond(503, &[("not-run", "1")], "").await;
+    let (working, other_server, _) = next_request_at_either(&mut one, &mut other).await;
+    let closed = tokio::time::timeout(WATCHED, working.stream.peek(&mut [0])).await;
+    verify_that!(closed.is_err(), eq(true))?;
+    verify_that!(other_server.has_no_request(), eq(true))?;
+    working.respond(200, &[], "read").await;
+    verify_that!(client.status().await, some(eq(200)))
+}
