Let a server read a long body when it likes

Cause: TCP_USER_TIMEOUT, which is to show that a machine acknowledges nothing, also ends a connection whose peer has a full receive buffer.

Change: the limit is off while a body is streamed, and on again for the next request on the connection. The route's time limit also counts from the last chunk that a server took (Upload::stalled), so that a server that reads nothing holds no request longer; an_attempt_whose_server_does_not_read_the_body_ends_at_the_routes_timeout fails without that.

Why it works: what is bounded now is the time in which the server takes nothing, by the limit that the operator set.

--- a/crates/emberpin-limiter/src/front/upload.rs
+++ b/crates/emberpin-limiter/src/front/upload.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::task::spawn_local;
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// A client may send nothing of a streamed body for this long.
 pub const UPLOAD_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -64,6 +64,8 @@
     ended_notify: Notify,
     /// Since when a chunk has been awaited from the client; `None` while none is.
     awaiting_since: Cell<Option<Instant>>,
+    /// When an attempt last received a chunk.
+    last_chunk: Cell<Instant>,
     /// Maximum length of the body, in bytes.
     max_size: u64,
     /// Bytes that have arrived.
@@ -95,6 +97,7 @@
             ended: Cell::new(None),
             ended_notify: Notify::new(),
             awaiting_since: Cell::new(None),
+            last_chunk: Cell::new(Instant::now()),
             max_size: u64::MAX,
             size,
             exceeded: Cell::new(false),
@@ -138,6 +141,21 @@
         }
     }
 
+    /// Returns once an attempt has taken no chunk for `limit`, although the client was not awaited: its server does not
+    /// read the body.
+    pub async fn stalled(&self, limit: Duration) {
+        loop {
+            let last_progress = match self.awaiting_since.get() {
+                Some(_) => Instant::now(),
+                None => self.last_chunk.get(),
+            };
+            if last_progress.elapsed() >= limit {
+                return;
+            }
+            sleep_until(last_progress + limit).await;
+        }
+    }
+
     /// How long a chunk has been awaited from the client; zero while none is.
     pub fn idle_time(&self) -> Duration {
         self.awaiting_since
@@ -280,6 +298,7 @@
             None => self.upload.poll_rest(self.id, context),
         };
         if let Poll::Ready(Some(Ok(chunk))) = &next {
+            self.upload.last_chunk.set(Instant::now());
             self.remaining = self
                 .remaining
                 .map(|remaining| remaining.saturating_sub(chunk.len() as u64));
--- a/crates/emberpin-limiter/src/upstream/server/connection.rs
+++ b/crates/emberpin-limiter/src/upstream/server/connection.rs
@@ -41,6 +41,10 @@
     closed: bool,
     /// Whether it may carry another request after the current one.
     pub(super) is_reusable: bool,
+    /// How long the server's machine may acknowledge nothing.
+    unacknowledged_limit: Option<Duration>,
+    /// Whether that limit is in force.
+    is_limited: bool,
     stream: Rc<RefCell<TcpStream>>,
     pub(super) progress: Rc<WriteProgress>,
     /// How long the server has stated that it keeps the connection open while idle, less a safety margin.
@@ -91,6 +95,8 @@
             http: Box::new(http),
             closed: false,
             is_reusable: true,
+            unacknowledged_limit: unacknowledged,
+            is_limited: unacknowledged.is_some(),
             stream,
             progress,
             stated_idle_timeout: None,
@@ -104,6 +110,20 @@
         self.is_reusable && !self.closed && !self.sender.is_closed()
     }
 
+    /// Switches the limit on unacknowledged time on or off for the next request.
+    ///
+    /// The operating system also applies the limit to a server that acknowledges, but does not read, once its receive
+    /// buffer is full. So it must be off for a body that may be longer than that buffer: a server may read such a body
+    /// whenever it likes, and respond before that.
+    pub(super) fn limit_unacknowledged(&mut self, limited: bool) {
+        let limited = limited && self.unacknowledged_limit.is_some();
+        if limited != self.is_limited {
+            self.is_limited = limited;
+            let limit = self.unacknowledged_limit.filter(|_| limited);
+            _ = SockRef::from(&*self.stream.borrow()).set_tcp_user_timeout(limit);
+        }
+    }
+
     /// Whether an idle connection can carry a request now. A request that is written to a connection that the server
     /// has closed would count as one that may have run, and unread bytes would be taken for its response.
     pub(super) async fn is_usable(&mut self) -> bool {
--- a/crates/emberpin-limiter/src/upstream/server/exchange.rs
+++ b/crates/emberpin-limiter/src/upstream/server/exchange.rs
@@ -66,7 +66,7 @@
         started: Instant,
         timeout: Duration,
     ) -> Exchange {
-        let connection = match self.connect_for(outgoing, started, timeout).await {
+        let mut connection = match self.connect_for(outgoing, started, timeout).await {
             Ok(connection) => connection,
             Err(exchange) => return exchange,
         };
@@ -82,6 +82,7 @@
             RequestBody::Buffered(_) => None,
             RequestBody::Uploading(upload) => Some(upload.clone()),
         };
+        connection.limit_unacknowledged(upload.is_none());
         let deadline = started + timeout;
         let left = match &upload {
             None => deadline.saturating_duration_since(Instant::now()),
@@ -102,11 +103,10 @@
             outgoing.map(|_| self.pool.metrics.attempts.clone()),
             request.body().is_end_stream(),
         );
-        // For a body that is still being uploaded, the timeout counts from its last byte.
         let timed_out = async {
             match &upload {
                 None => sleep_until(deadline).await,
-                Some(upload) => sleep_until(upload.ended().await + timeout).await,
+                Some(upload) => upload_timed_out(upload, timeout).await,
             }
         };
         let received = tokio::select! {
@@ -245,6 +245,16 @@
     }
 }
 
+/// Returns when an attempt with a streamed body has timed out. The time of a client that is slow to send does not count:
+/// the timeout begins with the last byte of the body, or with the last one that the server took.
+async fn upload_timed_out(upload: &Upload, timeout: Duration) {
+    let after_end = async { sleep_until(upload.ended().await + timeout).await };
+    tokio::select! {
+        () = after_end => {}
+        () = upload.stalled(timeout) => {}
+    }
+}
+
 /// The time from `started` to the last byte of an upload, or to now if that has not arrived.
 async fn upload_time(upload: &Upload, started: Instant) -> Duration {
     match tokio::time::timeout(Duration::ZERO, upload.ended()).await {
--- a/crates/emberpin-proxy/tests/attempt_timeouts.rs
+++ b/crates/emberpin-proxy/tests/attempt_timeouts.rs
@@ -4,14 +4,16 @@
 mod common;
 
 use common::{
-    instance, next_request_at_either, service, two_servers, Bounds, Proxy, RouteSpec, Server,
-    DEFAULT_BOUNDS, MUTATING_ROUTE, READONLY_ROUTE,
+    default_items, instance, next_request_at_either, read_message, service, two_servers,
+    BodyFraming, Bounds, MessageKind, Proxy, RouteSpec, Server, Uploader, DEFAULT_BOUNDS,
+    MUTATING_ROUTE, READONLY_ROUTE,
 };
 use emberpin_membership::instance::Instance;
 use googletest::prelude::*;
 use std::net::Ipv4Addr;
 use std::time::Duration;
-use tokio::net::TcpSocket;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// Latency target of a route whose attempts are overdue after 340 ms: before the decision module has measured any
 /// response, it allows an attempt 85 % of its latency target.
@@ -225,6 +227,77 @@
     verify_that!(client.status().await, some(eq(502)))
 }
 
+/// Guards `Upload::stalled`: the time limit of the route also bounds an attempt whose server does not read the body, so
+/// that the client can't send the end of it.
+#[tokio::test]
+async fn an_attempt_whose_server_does_not_read_the_body_ends_at_the_routes_timeout(
+) -> googletest::Result<()> {
+    /// More than the sockets between client and server hold.
+    const BODY_BYTES: usize = 64 << 20;
+    for framing in BodyFraming::ALL {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let items = vec![
+            service("s", 1, 10.0),
+            RouteSpec {
+                timeout: Duration::from_millis(1_500),
+                ..MUTATING_ROUTE
+            }
+            .item(),
+        ];
+        let instances = vec![instance("i-1", listener.local_addr()?)];
+        let (proxy, _session) = Proxy::start_ready(DEFAULT_BOUNDS, items, instances).await;
+        let mut uploader = Uploader::start(&proxy, "/write/a", framing, BODY_BYTES).await;
+        uploader.finish(&vec![b'x'; BODY_BYTES]).await;
+        verify_that!(uploader.client.status().await, some(eq(502)))?;
+    }
+    Ok(())
+}
+
+/// Has a server read the body of a request only after a while. Returns the client's status.
+async fn status_of_slowly_read_body(
+    framing: BodyFraming,
+    length: usize,
+) -> googletest::Result<Option<u16>> {
+    /// Several times the time after which a machine that acknowledges nothing counts as unreachable.
+    const READ_AFTER: Duration = Duration::from_millis(2_000);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let instances = vec![instance("i-1", listener.local_addr()?)];
+    let (proxy, _session) = Proxy::start_ready(DEFAULT_BOUNDS, default_items(), instances).await;
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accepted");
+        tokio::time::sleep(READ_AFTER).await;
+        let message = read_message(&mut stream, MessageKind::Request).await;
+        let response = b"HTTP/1.1 200 X\r\ntry-id: t1\r\nseal: s\r\ncontent-length: 0\r\n\r\n";
+        _ = stream.write_all(response).await;
+        (message, stream)
+    });
+    let mut uploader = Uploader::start(&proxy, "/write/a", framing, length).await;
+    uploader.finish(&vec![b'x'; length]).await;
+    let status = uploader.client.status().await;
+    let (message, _stream) = serving.await?;
+    verify_that!(message.is_some_and(|message| message.complete), eq(true))?;
+    Ok(status)
+}
+
+/// Guards `limit_unacknowledged`: a server may read a long body later than its machine must acknowledge what arrives, as
+/// one does whose slots are all in use.
+#[tokio::test]
+async fn a_server_may_be_slow_to_read_a_long_body() -> googletest::Result<()> {
+    let cases = [
+        (BodyFraming::Length, 65_536),
+        (BodyFraming::Length, 1_000_000),
+        (BodyFraming::Chunked, 1_000_000),
+    ];
+    let running = cases.map(|(framing, length)| {
+        tokio::spawn(async move { status_of_slowly_read_body(framing, length).await })
+    });
+    for (case, running) in cases.into_iter().zip(running) {
+        verify_that!(running.await??, some(eq(200)))
+            .with_failure_message(|| format!("{case:?}"))?;
+    }
+    Ok(())
+}
+
 /// Guards `take_back_unsent_attempt`: a retry in whose favour an attempt was timed out, and whose server refuses the
 /// connection, is still owed and paid for. Its request is sent to the next server, where the budget allows one retry.
 #[tokio::test]
