--- a/crates/emberpin-proxy/tests/common/registry.rs
+++ b/crates/emberpin-proxy/tests/common/registry.rs
@@ -198,18 +198,24 @@
         self.wait_applied().await;
     }
 
-    /// Sends changes; returns once the proxy has applied them, so that they are in force for subsequent requests.
-    pub async fn send_changes(&mut self, items: Vec<Item>, instances: Vec<Instance>) {
+    /// Sends changes, and does not wait until they are in force.
+    pub fn queue_changes(&mut self, items: Vec<Item>, instances: Vec<Instance>) {
         let revision = self.next_revision();
         self.send(ToProxy::Changes {
             revision,
             items,
             instances,
         });
+    }
+
+    /// Sends changes; returns once the proxy has applied them, so that they are in force for subsequent requests.
+    pub async fn send_changes(&mut self, items: Vec<Item>, instances: Vec<Instance>) {
+        self.queue_changes(items, instances);
         self.wait_applied().await;
     }
 
-    async fn wait_applied(&mut self) {
+    /// Returns once the proxy has applied all changes sent so far.
+    pub async fn wait_applied(&mut self) {
         let sent = self.revision;
         let applying = self.applied.wait_for(|applied| *applied >= sent);
         within_limit("the changes applied", applying)
