--- a/crates/emberpin-proxy/tests/early_responses.rs
+++ b/crates/emberpin-proxy/tests/early_responses.rs
@@ -317,7 +317,11 @@
     let (proxy, _session, listener) = start().await;
     let mut uploader = start_upload(&proxy, framing, LONG_BODY_BYTES).await;
     let mut server = accept_beginning(&listener).await;
-    let responding = tokio::spawn(async move { server.write_all(&bytes).await });
+    let responding = tokio::spawn(async move {
+        server.write_all(&bytes).await?;
+        // With a byte unread, the connection is reset when it is dropped.
+        server.peek(&mut [0]).await
+    });
     uploader
         .finish(&vec![b'b'; LONG_BODY_BYTES - FIRST_PART])
         .await;
--- a/crates/emberpin-proxy/tests/in_flight_soak/responses.rs
+++ b/crates/emberpin-proxy/tests/in_flight_soak/responses.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether it states that the request has not run.
+    pub fn is_rejection(&self) -> bool {
+        self.not_run
+    }
+
     /// Whether nothing but the end of the connection ends the body.
     pub fn ends_with_connection(&self) -> bool {
         self.framing == Framing::Close
