Bound a stalled upload only where it replaces the TCP limit

Found by reading the change again.

Change: the bound stands only on connections that have the limit.

--- a/crates/emberpin-limiter/src/upstream/server/connection.rs
+++ b/crates/emberpin-limiter/src/upstream/server/connection.rs
@@ -110,6 +110,11 @@
         self.is_reusable && !self.closed && !self.sender.is_closed()
     }
 
+    /// Whether the time for which the server's machine may acknowledge nothing is limited, at least for short bodies.
+    pub(super) fn has_unacknowledged_limit(&self) -> bool {
+        self.unacknowledged_limit.is_some()
+    }
+
     /// Switches the limit on unacknowledged time on or off for the next request.
     ///
     /// The operating system also applies the limit to a server that acknowledges, but does not read, once its receive
--- a/crates/emberpin-limiter/src/upstream/server/exchange.rs
+++ b/crates/emberpin-limiter/src/upstream/server/exchange.rs
@@ -83,6 +83,8 @@
             RequestBody::Uploading(upload) => Some(upload.clone()),
         };
         connection.limit_unacknowledged(upload.is_none());
+        // Takes the place of the limit on unacknowledged time, which is off for an upload.
+        let limits_stalls = connection.has_unacknowledged_limit();
         let deadline = started + timeout;
         let left = match &upload {
             None => deadline.saturating_duration_since(Instant::now()),
@@ -106,7 +108,7 @@
         let timed_out = async {
             match &upload {
                 None => sleep_until(deadline).await,
-                Some(upload) => upload_timed_out(upload, timeout).await,
+                Some(upload) => upload_timed_out(upload, timeout, limits_stalls).await,
             }
         };
         let received = tokio::select! {
@@ -246,12 +248,12 @@
 }
 
 /// Returns when an attempt with a streamed body has timed out. The time of a client that is slow to send does not count:
-/// the timeout begins with the last byte of the body, or with the last one that the server took.
-async fn upload_timed_out(upload: &Upload, timeout: Duration) {
+/// the timeout begins with the last byte of the body or, if `limits_stalls`, with the last one that the server took.
+async fn upload_timed_out(upload: &Upload, timeout: Duration, limits_stalls: bool) {
     let after_end = async { sleep_until(upload.ended().await + timeout).await };
     tokio::select! {
         () = after_end => {}
-        () = upload.stalled(timeout) => {}
+        () = upload.stalled(timeout), if limits_stalls => {}
     }
 }
 
--- a/crates/emberpin-limiter/tests/bodies.rs
+++ b/crates/emberpin-limiter/tests/bodies.rs
@@ -488,3 +488,31 @@
     sending.join().expect("no panic").expect("all was read");
     _ = reading.join();
 }
+
+/// A server that reads a long body later than the deadline allows for an answer: the time of a request counts from its last
+/// byte here, however slowly its server reads (`limits_stalls` in `Upstream::exchange`).
+#[test]
+fn a_server_that_pauses_in_a_long_body_still_answers_it() {
+    const DEADLINE_S: f64 = 2.0;
+    /// Longer than the deadline.
+    const PAUSE: std::time::Duration = std::time::Duration::from_secs(4);
+    let (server, reachable) = raw_server();
+    let limiter = Limiter::start(&[reachable]);
+    let client = limiter.connect();
+    let mut to = client.try_clone().expect("cloned");
+    let head = request("submit", "paused", "wide", DEADLINE_S).replace(
+        "Content-Length: 4\r\n\r\nbody",
+        &format!("Content-Length: {LONGER_THAN_SOCKET_BUFFERS}\r\n\r\n"),
+    );
+    to.write_all(head.as_bytes()).expect("sent");
+    let sending = std::thread::spawn(move || to.write_all(&vec![b'u'; LONGER_THAN_SOCKET_BUFFERS]));
+    let mut connection = accept(&server);
+    let head = read_head(&mut connection);
+    std::thread::sleep(PAUSE);
+    let body = read_body(&head, &mut connection).expect("the whole body");
+    assert_eq!(body.len(), LONGER_THAN_SOCKET_BUFFERS);
+    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    connection.get_ref().write_all(answer).expect("sent");
+    assert_eq!(Message::read(&client).expect("an answer").status(), 200);
+    sending.join().expect("no panic").expect("all was read");
+}
